Add gateways without agents and the platform adapter, thin

Cause: the prepared platform has no place for agents that pays; targets can be called by anyone and tell version, load and runs themselves. Change: packages for connections, targets, forwarding, batch jobs, versions, usage and membership, wired by silldirect; platform/ translates.

--- a/cmd/wasabisill/main.go
+++ b/cmd/wasabisill/main.go
@@ -41,6 +41,7 @@
 	return []*command{
 		newGatewayCommand(),
 		newAgentCommand(),
+		newPlatformCommand(),
 		newDevCommand(),
 		newBundleCommand(),
 		newSettingsCommand(),
--- /dev/null
+++ b/cmd/wasabisill/platform.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+	"go.uber.org/zap"
+
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/silllog"
+	sillplatform "github.com/wasabisill/wasabisill/platform"
+)
+
+const platformHelp = `Run a gateway on the prepared platform: it serves callers and trainers and calls the targets itself.
+
+The settings file is the one that the platform writes; the environment variable WASABISILL_CONFIG names it. The gateway runs until SIGTERM. It then counts as not ready, hands its jobs to other gateways, answers what it has begun and ends within the grace of the settings. SIGHUP reads the settings again and cuts nothing.`
+
+// memoryShare is the part of the instance's memory that the heap may grow to;
+// the rest is for stacks, buffers of sockets and the program itself.
+const memoryShare = 0.6
+
+func newPlatformCommand() *command {
+	sub := flaggy.NewSubcommand("platform")
+	describe(sub, platformHelp)
+	return &command{sub: sub, run: runPlatform}
+}
+
+func runPlatform(ctx context.Context) error {
+	settings, err := sillplatform.LoadSettings()
+	if err != nil {
+		return &exitError{code: exitUsage, err: err}
+	}
+	log, err := silllog.New("info")
+	if err != nil {
+		return err
+	}
+	if n := settings.Direct.Cores; n > 0 {
+		runtime.GOMAXPROCS(n)
+	}
+	if m := settings.Direct.MemoryBytes; m > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(m)))
+	}
+	group := sillgroup.New(ctx)
+	defer group.Stop()
+	group.Go(func(ctx context.Context) { reloadOnHangup(ctx, log) })
+	return sillplatform.New(settings, log).Run(ctx)
+}
+
+// reloadOnHangup checks the settings at each SIGHUP. What they hold is fixed for
+// the life of a process; a file with faults is told, and the old one stays.
+func reloadOnHangup(ctx context.Context, log *zap.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			_, err := sillplatform.LoadSettings()
+			log.Info("Read the settings again.", zap.Error(err))
+		}
+	}
+}
--- /dev/null
+++ b/internal/silldirect/seams.go
@@ -0,0 +1,43 @@
+package silldirect
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/wasabisill/wasabisill/internal/sillcatalog"
+	"github.com/wasabisill/wasabisill/internal/silldialect"
+	"github.com/wasabisill/wasabisill/internal/sillmeter"
+	"github.com/wasabisill/wasabisill/internal/silltable"
+	"github.com/wasabisill/wasabisill/internal/silltarget"
+	"github.com/wasabisill/wasabisill/internal/silltransport"
+	"github.com/wasabisill/wasabisill/internal/sillversion"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
+)
+
+// Seams are the interfaces to the outside. Their fields are safe for concurrent use.
+type Seams struct {
+	Table *silltable.Store
+	Feed  *silltable.Feed
+	// Targets sends requests to targets.
+	Targets *silltransport.Pool
+	Dialect silldialect.Dialect
+	// Operator is the table of the operator's configuration, ConfigKey its row
+	// with all routes, and VersionPrefix what the keys of the rows begin with in
+	// which trainers name versions.
+	Operator      string
+	ConfigKey     string
+	VersionPrefix string
+	// Registry is the table in which targets register.
+	Registry      string
+	DecodeCatalog func(b []byte) (*sillcatalog.Catalog, error)
+	DecodeNamed   func(b []byte) (sillid.ModelID, sillid.WeightVersion, error)
+	// DecodeTarget decodes a target's entry; id is the row's key without its table.
+	DecodeTarget func(id string, b []byte) (silltarget.Entry, error)
+	Order        func(ctx context.Context, l sillversion.Load, fence sillid.Epoch) sillversion.Reply
+	Report       func(ctx context.Context, e silltarget.Entry) (sillversion.Report, error)
+	SendUsage    func(ctx context.Context, w sillmeter.Window, counts sillmeter.Counts, fence sillid.Epoch) error
+	// Handler serves callers.
+	Handler func(s *Service) http.Handler
+	// ReadyHandler serves the balancer's checks.
+	ReadyHandler func(s *Service) http.Handler
+}
--- /dev/null
+++ b/internal/silljob/owned.go
@@ -0,0 +1,213 @@
+package silljob
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/silltable"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
+)
+
+// ownedJob is a job that this process runs. The runner's lock guards it.
+type ownedJob struct {
+	sub   *Submission
+	items []*itemRun
+	// held is the newest state that this process wrote or read as the owner.
+	held Versioned
+	// pending are results that are not listed yet.
+	pending []Result
+	// writing is whether a write of the job is under way.
+	writing bool
+	// savedEvents is the number of events at the last saving of texts.
+	savedEvents int
+	// group runs the attempts of the job's items.
+	group *sillgroup.Group
+	// groupTarget is where the last item of each group went: its prompt is cached there.
+	groupTarget map[string]sillid.TargetID
+}
+
+func newOwnedJob(ctx context.Context, sub *Submission, held Versioned) *ownedJob {
+	j := &ownedJob{sub: sub, held: held, group: sillgroup.New(ctx), groupTarget: make(map[string]sillid.TargetID)}
+	for i := range sub.Items {
+		j.items = append(j.items, &itemRun{job: j, item: &sub.Items[i]})
+	}
+	return j
+}
+
+// skipListed marks the items that have results.
+func (j *ownedJob) skipListed(results []Result) {
+	listed := make(map[ItemID]bool, len(results))
+	for _, r := range results {
+		listed[r.Item] = true
+	}
+	for _, it := range j.items {
+		if listed[it.item.ID] {
+			it.phase = finished
+		}
+	}
+}
+
+// resumeSaved takes the saved texts that may be gone on with.
+func (j *ownedJob) resumeSaved(saved []Progress) {
+	texts := make(map[ItemID]Progress, len(saved))
+	for _, p := range saved {
+		texts[p.Item] = p
+	}
+	for _, it := range j.items {
+		if p, ok := texts[it.item.ID]; ok && it.phase == waiting {
+			it.resume(p)
+		}
+	}
+}
+
+// notBegun counts the items that no target has begun.
+func (j *ownedJob) notBegun() int {
+	n := 0
+	for _, it := range j.items {
+		if it.phase == waiting && !it.begun {
+			n++
+		}
+	}
+	return n
+}
+
+// unfinished returns the texts that are under way.
+func (j *ownedJob) unfinished() []Progress {
+	var texts []Progress
+	for _, it := range j.items {
+		if it.phase != finished && len(it.events) > 0 {
+			texts = append(texts, it.progress())
+		}
+	}
+	return texts
+}
+
+const (
+	// gatherFor is how long results gather before they are written together.
+	gatherFor = 30 * time.Millisecond
+	// writeTimeout bounds one write of an owner.
+	writeTimeout = 1500 * time.Millisecond
+	// writeRetry is the time between two tries to write.
+	writeRetry = 100 * time.Millisecond
+)
+
+// list writes the pending results of a job until none is left or the job is lost.
+func (r *Runner) list(ctx context.Context, j *ownedJob) {
+	for {
+		pause(ctx, gatherFor)
+		r.mu.Lock()
+		batch := fitting(j.pending)
+		held, waiting := j.held, j.notBegun()
+		if len(batch) == 0 || held.Ended || ctx.Err() != nil {
+			j.writing = false
+			r.mu.Unlock()
+			return
+		}
+		r.mu.Unlock()
+		if !r.listBatch(ctx, j, held, batch, waiting) {
+			pause(ctx, writeRetry)
+		}
+	}
+}
+
+// fitting returns the results that fit into one transaction.
+func fitting(pending []Result) []Result {
+	size := 0
+	for i, p := range pending {
+		size += len(p.Text)
+		if size > maxTxnBytes/2 && i > 0 {
+			return pending[:i]
+		}
+	}
+	return pending
+}
+
+// listBatch returns whether the batch was listed.
+func (r *Runner) listBatch(ctx context.Context, j *ownedJob, held Versioned, batch []Result, waiting int) bool {
+	callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	after, err := r.cfg.Store.Append(callCtx, j.sub.Job, held, batch, waiting)
+	switch {
+	case err == nil:
+		r.listed(j, after, batch)
+		return true
+	case errors.Is(err, silltable.ErrConflict), errors.Is(err, silltable.ErrUnknown):
+		r.cfg.Log.Info("Reading a job again after a write.", zap.String("job", string(j.sub.Job)), zap.Error(err))
+		return r.reconcile(ctx, j)
+	default:
+		r.cfg.Log.Info("Results not written.", zap.String("job", string(j.sub.Job)), zap.Int("results", len(batch)), zap.Error(err))
+		return false
+	}
+}
+
+// listed takes that results stand in the job's table.
+func (r *Runner) listed(j *ownedJob, after Versioned, batch []Result) {
+	r.cfg.Cache.Add(j.sub.Job, after.Listed-len(batch), batch)
+	r.mu.Lock()
+	j.held = after
+	j.pending = without(j.pending, batch)
+	r.mu.Unlock()
+	r.cfg.Board.Offer(j.sub.Job, after)
+	r.cfg.Metrics.results.Add(float64(len(batch)))
+	r.cfg.Log.Info("Listed results.", zap.String("job", string(j.sub.Job)), zap.Int("count", len(batch)),
+		zap.Int("listed", after.Listed), zap.Int("total", after.Total))
+}
+
+// without returns the results whose items are not in the batch.
+func without(pending, batch []Result) []Result {
+	gone := make(map[ItemID]bool, len(batch))
+	for _, b := range batch {
+		gone[b.Item] = true
+	}
+	kept := make([]Result, 0, len(pending))
+	for _, p := range pending {
+		if !gone[p.Item] {
+			kept = append(kept, p)
+		}
+	}
+	return kept
+}
+
+// reconcile reads what became of an owner's write. It returns false if that
+// can't be told yet.
+func (r *Runner) reconcile(ctx context.Context, j *ownedJob) bool {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	now, err := r.cfg.Store.State(ctx, j.sub.Job)
+	if err != nil {
+		return false
+	}
+	r.mu.Lock()
+	held := j.held
+	r.mu.Unlock()
+	if now.Owner != r.cfg.Self || now.Epoch != held.Epoch {
+		r.drop(j, "replaced")
+		return true
+	}
+	if now.Listed > held.Listed {
+		results, err := r.cfg.Store.Results(ctx, j.sub.Job, held.Listed)
+		if err != nil {
+			return false
+		}
+		r.listed(j, now, results[:min(len(results), now.Listed-held.Listed)])
+		return true
+	}
+	r.mu.Lock()
+	j.held = now
+	r.mu.Unlock()
+	r.cfg.Board.Offer(j.sub.Job, now)
+	return now.Ended
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/silljob/score.go
@@ -0,0 +1,104 @@
+package silljob
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabisill/wasabisill/internal/sillforward"
+)
+
+// scorePause is the least time between two requests for one score.
+const scorePause = 100 * time.Millisecond
+
+// score asks for the score of a whole text and lists the result.
+func (r *Runner) score(ctx context.Context, it *itemRun) {
+	r.mu.Lock()
+	it.phase = scoring
+	result := Result{Item: it.item.ID, Completed: true, Text: it.text(), Versions: it.progress().Versions}
+	r.mu.Unlock()
+	if it.item.Scorer == nil {
+		r.finish(it, result, "")
+		return
+	}
+	for ctx.Err() == nil {
+		answer, wait := r.askScorer(ctx, it)
+		switch {
+		case answer != nil && answer.Status < http.StatusMultipleChoices && answer.Told.Signature != "":
+			result.Score = answer.Told.Signature
+			r.finish(it, result, "")
+			return
+		case answer != nil && r.scoreGivenUp(it, answer.Status):
+			r.finish(it, Result{Item: it.item.ID}, "scorer failed")
+			return
+		}
+		if at := it.job.sub.GiveUpAt(); !at.IsZero() && time.Now().After(at) {
+			r.finish(it, Result{Item: it.item.ID}, "given up in time")
+			return
+		}
+		pause(ctx, wait)
+	}
+}
+
+// askScorer sends the scorer's request once. Without an answer it returns how
+// long to wait.
+func (r *Runner) askScorer(ctx context.Context, it *itemRun) (*sillforward.Answer, time.Duration) {
+	s := it.item.Scorer
+	catalog := r.cfg.Catalog.Get()
+	if catalog == nil {
+		return nil, scorePause
+	}
+	route := catalog.Route(s.Host, s.Path)
+	if route == nil {
+		r.cfg.Log.Warn("Scorer without a route.", zap.String("request", string(s.ID)), zap.String("job", string(it.job.sub.Job)))
+		return nil, scorePause
+	}
+	answer, err := r.cfg.Forwarder.Do(ctx, &sillforward.Request{
+		ID: s.ID, Route: route, Pool: route.Pool(rand.Float64()), Method: http.MethodPost,
+		Target: s.Path, Host: s.Host, Header: make(http.Header), Body: s.Body,
+		Deadline: time.Now().Add(route.Timeout),
+	})
+	var refusal *sillforward.Refusal
+	if errors.As(err, &refusal) {
+		return nil, max(refusal.RetryAfter, scorePause)
+	}
+	return answer, scorePause
+}
+
+// scoreGivenUp counts a failed answer of the scorer and returns whether it was
+// the last one allowed.
+func (r *Runner) scoreGivenUp(it *itemRun, status int) bool {
+	catalog := r.cfg.Catalog.Get()
+	route := catalog.Route(it.item.Scorer.Host, it.item.Scorer.Path)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if status == http.StatusInternalServerError {
+		it.scoreFailures++
+	}
+	return route != nil && it.scoreFailures >= route.Attempts
+}
+
+// finish takes the result of an item and has it listed.
+func (r *Runner) finish(it *itemRun, result Result, gaveUp string) {
+	if gaveUp != "" {
+		r.cfg.Metrics.aborted.WithLabelValues(gaveUp).Inc()
+		r.cfg.Log.Info("Gave an item up.", zap.String("request", string(it.item.ID)),
+			zap.String("job", string(it.job.sub.Job)), zap.String("why", gaveUp), zap.Int("failures", it.failures))
+	}
+	r.mu.Lock()
+	it.phase = finished
+	it.events = nil
+	j := it.job
+	j.pending = append(j.pending, result)
+	start := !j.writing && r.jobs[j.sub.Job] == j
+	j.writing = j.writing || start
+	r.mu.Unlock()
+	if start {
+		j.group.Go(func(ctx context.Context) { r.list(ctx, j) })
+	}
+	r.nudge()
+}
--- /dev/null
+++ b/internal/silljob/store.go
@@ -0,0 +1,246 @@
+package silljob
+
+import (
+	"context"
+	"errors"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/wasabisill/wasabisill/internal/silltable"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
+)
+
+var (
+	// ErrNoJob is returned for a job that was never accepted.
+	ErrNoJob = errors.New("no such job: check its id")
+	// ErrNoItem is returned for an item that the job does not have, or has no more.
+	ErrNoItem = errors.New("no such item in the job, or the job has ended")
+	// ErrReplaced is returned to an owner that another process has replaced.
+	ErrReplaced = errors.New("another process runs the job now")
+)
+
+// Store reads and writes the rows of jobs. It is safe for concurrent use.
+type Store struct {
+	Table *silltable.Store
+	Feed  *silltable.Feed
+}
+
+// Versioned is a state with the revision of its row.
+type Versioned struct {
+	State
+	Revision silltable.Revision
+}
+
+// Accept writes a job that owner will run, and returns its state. It returns
+// false if the job was accepted before. After silltable.ErrUnavailable the job is
+// not accepted; after silltable.ErrUnknown it may be, also later.
+func (s *Store) Accept(ctx context.Context, sub *Submission, owner NodeRun) (Versioned, bool, error) {
+	state := State{
+		Organisation: sub.Organisation, Model: sub.Model, Pool: sub.Pool, MinVersion: sub.MinVersion,
+		Total: len(sub.Items), Waiting: len(sub.Items), Owner: owner, Epoch: 1, SubmittedMS: sub.SubmittedMS,
+	}
+	writes, err := encodeSubmission(sub, &state)
+	if err != nil {
+		return Versioned{}, false, err
+	}
+	absent := []silltable.Check{{Key: rowKey(StateTable, sub.Job, stateKey), Revision: silltable.Absent}}
+	accepted := Versioned{State: state}
+	for _, part := range splitWrites(writes) {
+		revisions, err := s.Table.Commit(ctx, silltable.Txn{Checks: absent, Writes: part})
+		if err != nil {
+			return s.settle(ctx, sub.Job, err)
+		}
+		accepted.Revision = revisions[len(revisions)-1]
+	}
+	return accepted, true, nil
+}
+
+// settle reads whether a job was accepted by an earlier call, or by a call
+// without an answer.
+func (s *Store) settle(ctx context.Context, job ID, cause error) (Versioned, bool, error) {
+	if !errors.Is(cause, silltable.ErrUnknown) && !errors.Is(cause, silltable.ErrConflict) {
+		return Versioned{}, false, cause
+	}
+	held, err := s.State(ctx, job)
+	if err == nil {
+		return held, false, nil
+	}
+	return Versioned{}, false, eris.Wrapf(silltable.ErrUnknown, "silljob.settle: job %s: %v", job, err)
+}
+
+// encodeSubmission returns the rows of a job; the state row, which makes the
+// job accepted, is the last one.
+func encodeSubmission(sub *Submission, state *State) ([]silltable.Write, error) {
+	head, err := cbor.Marshal(sub)
+	if err != nil {
+		return nil, eris.Wrap(err, "silljob.encodeSubmission")
+	}
+	writes, err := encodeList(ContentTable, sub.Job, 0, sub.Items)
+	if err != nil {
+		return nil, err
+	}
+	writes = append(writes, silltable.Write{Key: rowKey(ContentTable, sub.Job, headKey), Value: head})
+	row, err := encodeState(sub.Job, state)
+	return append(writes, row), err
+}
+
+// splitWrites cuts rows into transactions in their order.
+func splitWrites(writes []silltable.Write) [][]silltable.Write {
+	var parts [][]silltable.Write
+	start, size := 0, 0
+	for i, w := range writes {
+		n := len(w.Key) + len(w.Value)
+		if i > start && (size+n > maxTxnBytes || i-start >= maxTxnRows) {
+			parts = append(parts, writes[start:i])
+			start, size = i, 0
+		}
+		size += n
+	}
+	return append(parts, writes[start:])
+}
+
+// State reads the state of a job, or ErrNoJob.
+func (s *Store) State(ctx context.Context, job ID) (Versioned, error) {
+	row, err := s.Table.Get(ctx, rowKey(StateTable, job, stateKey))
+	if errors.Is(err, silltable.ErrNotFound) {
+		return Versioned{}, ErrNoJob
+	}
+	if err != nil {
+		return Versioned{}, err
+	}
+	state, err := decodeState(row)
+	return Versioned{State: state, Revision: row.Revision}, err
+}
+
+// Submission reads a job as it was handed in.
+func (s *Store) Submission(ctx context.Context, job ID) (*Submission, error) {
+	snapshot, err := s.Feed.Read(ctx, ContentTable, partition(job), "")
+	if err != nil {
+		return nil, err
+	}
+	last := len(snapshot.Rows) - 1
+	if last < 0 || snapshot.Rows[last].Key != rowKey(ContentTable, job, headKey) {
+		return nil, ErrNoJob
+	}
+	var sub Submission
+	if err := cbor.Unmarshal(snapshot.Rows[last].Value, &sub); err != nil {
+		return nil, eris.Wrapf(err, "silljob.Submission: job %s", job)
+	}
+	sub.Items, err = decodeLists[Item](snapshot.Rows[:last])
+	return &sub, err
+}
+
+// Results reads the results from a position on at which a list of results begins.
+func (s *Store) Results(ctx context.Context, job ID, from int) ([]Result, error) {
+	snapshot, err := s.Feed.Read(ctx, ResultTable, partition(job), chunkKey(from, 0))
+	if err != nil {
+		return nil, err
+	}
+	return decodeLists[Result](snapshot.Rows)
+}
+
+// Saved reads the texts that were not whole when they were saved.
+func (s *Store) Saved(ctx context.Context, job ID) ([]Progress, error) {
+	snapshot, err := s.Feed.Read(ctx, ProgressTable, partition(job), "")
+	if err != nil {
+		return nil, err
+	}
+	return decodeLists[Progress](snapshot.Rows)
+}
+
+// Append lists results behind those that are listed, as the owner that held.
+// After silltable.ErrUnknown the caller reads the state before it goes on.
+func (s *Store) Append(ctx context.Context, job ID, held Versioned, results []Result, waiting int) (Versioned, error) {
+	writes, err := encodeList(ResultTable, job, held.Listed, results)
+	if err != nil {
+		return held, err
+	}
+	next := held.State
+	next.Listed += len(results)
+	next.Waiting = waiting
+	return s.replace(ctx, job, held, next, writes)
+}
+
+// Claim makes owner the one that runs a job.
+func (s *Store) Claim(ctx context.Context, job ID, held Versioned, owner NodeRun) (Versioned, error) {
+	next := held.State
+	next.Owner = owner
+	next.Epoch = held.Epoch + 1
+	return s.replace(ctx, job, held, next, nil)
+}
+
+// HandBack gives a job up for another process to claim, with the texts that
+// are not whole.
+func (s *Store) HandBack(ctx context.Context, job ID, held Versioned, texts []Progress) error {
+	next := held.State
+	next.Owner = ""
+	_, err := s.save(ctx, job, held, next, texts)
+	return err
+}
+
+// Save keeps the texts that are not whole, for the case that the owner is lost.
+func (s *Store) Save(ctx context.Context, job ID, held Versioned, texts []Progress) (Versioned, error) {
+	return s.save(ctx, job, held, held.State, texts)
+}
+
+func (s *Store) save(ctx context.Context, job ID, held Versioned, next State, texts []Progress) (Versioned, error) {
+	var writes []silltable.Write
+	if len(texts) > 0 {
+		list, err := encodeList(ProgressTable, job, 0, texts)
+		if err != nil {
+			return held, err
+		}
+		// Texts too long for one transaction are left out: they are made again.
+		if sizeOf(list) <= maxTxnBytes && len(list) < maxTxnRows {
+			writes = list
+			next.Progressed = true
+		}
+	}
+	return s.replace(ctx, job, held, next, writes)
+}
+
+// replace writes rows of a job and its state, if the state is still the one held.
+func (s *Store) replace(ctx context.Context, job ID, held Versioned, next State, writes []silltable.Write) (Versioned, error) {
+	row, err := encodeState(job, &next)
+	if err != nil {
+		return held, err
+	}
+	revisions, err := s.Table.Commit(ctx, silltable.Txn{
+		Checks: []silltable.Check{{Key: row.Key, Revision: held.Revision}},
+		Writes: append(writes, row),
+	})
+	if err != nil {
+		return held, err
+	}
+	return Versioned{State: next, Revision: revisions[len(revisions)-1]}, nil
+}
+
+// endAttempts bounds the tries to end a job whose owner writes at the same time.
+const endAttempts = 10
+
+// End ends a job of an organisation. It is idempotent.
+func (s *Store) End(ctx context.Context, job ID, organisation sillid.OrganisationID) (Versioned, error) {
+	for range endAttempts {
+		held, err := s.State(ctx, job)
+		if err != nil {
+			return Versioned{}, err
+		}
+		if held.Organisation != organisation {
+			return Versioned{}, ErrNoJob
+		}
+		if held.Ended {
+			return held, nil
+		}
+		next := held.State
+		next.Ended = true
+		after, err := s.replace(ctx, job, held, next, nil)
+		if err == nil {
+			return after, nil
+		}
+		if !errors.Is(err, silltable.ErrConflict) && !errors.Is(err, silltable.ErrUnknown) {
+			return Versioned{}, err
+		}
+	}
+	return Versioned{}, silltable.ErrUnavailable
+}
--- a/internal/sillmemtable/memtable.go
+++ b/internal/sillmemtable/memtable.go
@@ -21,6 +21,10 @@
 	mu   sync.Mutex
 	rows map[string]silltable.Row
 	last silltable.Revision
+	// removed holds the revision at which each row was deleted that does not exist.
+	removed map[string]silltable.Revision
+	// compacted is the revision before which the history is gone.
+	compacted silltable.Revision
 }
 
 // Store returns the table behind the interface of its client.
@@ -91,16 +95,27 @@
 	}
 	if t.rows == nil {
 		t.rows = make(map[string]silltable.Row)
+		t.removed = make(map[string]silltable.Revision)
 	}
 	revisions := make([]silltable.Revision, len(txn.Writes))
 	for i, w := range txn.Writes {
 		if w.Delete {
-			delete(t.rows, w.Key)
+			t.remove(w.Key)
 			continue
 		}
 		t.last++
+		delete(t.removed, w.Key)
 		t.rows[w.Key] = silltable.Row{Key: w.Key, Value: append([]byte(nil), w.Value...), Revision: t.last}
 		revisions[i] = t.last
 	}
 	return revisions, nil
 }
+
+func (t *Table) remove(key string) {
+	if _, ok := t.rows[key]; !ok {
+		return
+	}
+	t.last++
+	delete(t.rows, key)
+	t.removed[key] = t.last
+}
--- /dev/null
+++ b/internal/sillversion/plan.go
@@ -0,0 +1,234 @@
+// Package sillversion moves model engines to the weight versions that trainers
+// name, by orders that one process at a time gives.
+//
+// Each engine is given to one model, so that a new version costs one load on
+// the engines of its model alone. An engine with the version before may still
+// serve the open jobs; it loads the new one when no item waits for an engine.
+package sillversion
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/wasabisill/wasabisill/internal/silltarget"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
+)
+
+const (
+	// loadShare is the part of a pool's engines that load at the same time: the
+	// weight store slows down beyond it.
+	loadShare = 0.2
+	// loadLimit is how long an accepted order may take before the engine is asked again.
+	loadLimit = 4 * time.Second
+	// unknownLimit is how long an order without an answer counts as under way.
+	unknownLimit = 1500 * time.Millisecond
+	// refusedPause is how long an engine is left alone that refused an order.
+	refusedPause = 300 * time.Millisecond
+)
+
+// Wanted is what trainers want of one model.
+type Wanted struct {
+	// Version is the newest version that was named.
+	Version sillid.WeightVersion
+	// Oldest is the newest minimum of the open jobs; 0 without jobs.
+	Oldest sillid.WeightVersion
+	// Waiting is the number of items that wait for an engine.
+	Waiting int
+}
+
+// Load is an order to be given.
+type Load struct {
+	Target  silltarget.Entry
+	Model   sillid.ModelID
+	Version sillid.WeightVersion
+	// Orders is the number of orders that the engine must have accepted so far.
+	Orders uint64
+}
+
+// order is an order that was given.
+type order struct {
+	model   sillid.ModelID
+	version sillid.WeightVersion
+	// until is when the order no longer counts as under way.
+	until time.Time
+}
+
+// record is what is known of an engine besides its entry.
+type record struct {
+	born time.Time
+	home sillid.ModelID
+	// orders is the least number of orders that the engine has accepted.
+	orders uint64
+	// loaded holds versions that the engine has by its own word.
+	loaded map[sillid.ModelID]sillid.WeightVersion
+	// pending is the order under way; nil if there is none.
+	pending *order
+	// notBefore is when the engine may be asked again.
+	notBefore time.Time
+}
+
+// Planner decides which engine loads which version next. It is not safe for
+// concurrent use.
+type Planner struct {
+	records map[sillid.TargetID]*record
+}
+
+// NewPlanner returns a planner that knows no engines.
+func NewPlanner() *Planner {
+	return &Planner{records: make(map[sillid.TargetID]*record)}
+}
+
+// Next returns the loads to be ordered now from the engines of one pool.
+func (p *Planner) Next(now time.Time, engines []silltarget.Entry, wanted map[sillid.ModelID]Wanted) []Load {
+	engines = slices.Clone(engines)
+	slices.SortFunc(engines, func(a, b silltarget.Entry) int { return cmp.Compare(a.ID, b.ID) })
+	p.refresh(now, engines)
+	p.assign(engines, wanted)
+	free := p.freeLoads(len(engines))
+	loads := p.candidates(now, engines, wanted)
+	return loads[:min(len(loads), max(free, 0))]
+}
+
+// refresh takes what the engines say of themselves.
+func (p *Planner) refresh(now time.Time, engines []silltarget.Entry) {
+	listed := make(map[sillid.TargetID]bool)
+	for _, e := range engines {
+		listed[e.ID] = true
+		r := p.records[e.ID]
+		if r == nil || !r.born.Equal(e.Born) {
+			r = &record{born: e.Born, loaded: make(map[sillid.ModelID]sillid.WeightVersion)}
+			p.records[e.ID] = r
+		}
+		r.orders = max(r.orders, e.Orders)
+		for model, v := range e.Versions {
+			r.loaded[model] = max(r.loaded[model], v)
+		}
+		if o := r.pending; o != nil && (r.loaded[o.model] >= o.version || !now.Before(o.until)) {
+			r.pending = nil
+		}
+	}
+	maps.DeleteFunc(p.records, func(id sillid.TargetID, _ *record) bool { return !listed[id] })
+}
+
+// assign gives each engine to a model, so that the models have equal numbers,
+// and moves as few as possible.
+func (p *Planner) assign(engines []silltarget.Entry, wanted map[sillid.ModelID]Wanted) {
+	models := slices.Sorted(maps.Keys(wanted))
+	if len(models) == 0 {
+		return
+	}
+	count := make(map[sillid.ModelID]int)
+	for _, e := range engines {
+		r := p.records[e.ID]
+		if _, ok := wanted[r.home]; !ok {
+			r.home = ""
+		}
+		if r.home == "" {
+			r.home = closest(r, models, wanted)
+		}
+		count[r.home]++
+	}
+	for _, e := range engines {
+		r := p.records[e.ID]
+		least := slices.MinFunc(models, func(a, b sillid.ModelID) int { return cmp.Compare(count[a], count[b]) })
+		if r.home == "" || count[r.home] > count[least]+1 {
+			count[r.home]--
+			r.home = least
+			count[least]++
+		}
+	}
+}
+
+// closest returns the model whose wanted version the engine lags behind the
+// least, or none if it lags behind all alike.
+func closest(r *record, models []sillid.ModelID, wanted map[sillid.ModelID]Wanted) sillid.ModelID {
+	best := sillid.ModelID("")
+	var least sillid.WeightVersion
+	alike := true
+	for i, m := range models {
+		lag := wanted[m].Version - min(r.loaded[m], wanted[m].Version)
+		if i > 0 && lag != least {
+			alike = false
+		}
+		if i == 0 || lag < least {
+			best, least = m, lag
+		}
+	}
+	if alike {
+		return ""
+	}
+	return best
+}
+
+// freeLoads returns how many more engines may load now.
+func (p *Planner) freeLoads(engines int) int {
+	loading := 0
+	for _, r := range p.records {
+		if r.pending != nil {
+			loading++
+		}
+	}
+	return max(1, int(loadShare*float64(engines)+0.5)) - loading
+}
+
+// candidates returns the engines that are due for a load, the most urgent first.
+func (p *Planner) candidates(now time.Time, engines []silltarget.Entry, wanted map[sillid.ModelID]Wanted) []Load {
+	var loads []Load
+	for _, e := range engines {
+		r := p.records[e.ID]
+		w, ok := wanted[r.home]
+		held := r.loaded[r.home]
+		if !ok || r.pending != nil || held >= w.Version || now.Before(r.notBefore) || e.State != silltarget.Ready {
+			continue
+		}
+		if held >= w.Oldest && w.Waiting > 0 {
+			continue
+		}
+		loads = append(loads, Load{Target: e, Model: r.home, Version: w.Version, Orders: r.orders})
+	}
+	slices.SortStableFunc(loads, func(a, b Load) int {
+		return cmp.Compare(p.lag(b, wanted), p.lag(a, wanted))
+	})
+	return loads
+}
+
+func (p *Planner) lag(l Load, wanted map[sillid.ModelID]Wanted) sillid.WeightVersion {
+	return wanted[l.Model].Version - p.records[l.Target.ID].loaded[l.Model]
+}
+
+// Given notes that an order is on its way, before it is sent.
+func (p *Planner) Given(now time.Time, l Load) {
+	if r := p.records[l.Target.ID]; r != nil {
+		r.pending = &order{model: l.Model, version: l.Version, until: now.Add(unknownLimit)}
+	}
+}
+
+// Accepted notes that an engine carries an order out.
+func (p *Planner) Accepted(now time.Time, l Load) {
+	if r := p.records[l.Target.ID]; r != nil && r.pending != nil {
+		r.pending.until = now.Add(loadLimit)
+		r.orders = max(r.orders, l.Orders+1)
+	}
+}
+
+// Refused notes that an engine did not take an order; it is asked again later.
+func (p *Planner) Refused(now time.Time, l Load) {
+	if r := p.records[l.Target.ID]; r != nil {
+		r.pending = nil
+		r.notBefore = now.Add(refusedPause)
+	}
+}
+
+// Told notes what an engine says of its orders and weights.
+func (p *Planner) Told(id sillid.TargetID, orders uint64, versions map[sillid.ModelID]sillid.WeightVersion) {
+	r := p.records[id]
+	if r == nil {
+		return
+	}
+	r.orders = max(r.orders, orders)
+	for model, v := range versions {
+		r.loaded[model] = max(r.loaded[model], v)
+	}
+}
