Count orders by engines' own reports, not by their registry entries

Cause: the registry's field of the same name counts heartbeats; every order was refused with 409. Ruled out: versions not named (400), fences.

--- a/internal/silltarget/target.go
+++ b/internal/silltarget/target.go
@@ -32,10 +32,6 @@
 	Born time.Time
 	// Versions holds the weight version of each model that the target serves.
 	Versions map[sillid.ModelID]sillid.WeightVersion
-	// Orders is the number of orders that the target has accepted in this run.
-	Orders uint64
-	// OrdersKnown is whether Orders was told.
-	OrdersKnown bool
 }
 
 // Load is what a target said of its load in an answer.
--- a/internal/sillversion/controller.go
+++ b/internal/sillversion/controller.go
@@ -121,17 +121,24 @@
 		zap.Uint64("version", uint64(l.Version)), zap.Uint64("orders", l.Orders), zap.Uint64("fence", uint64(guard.Epoch)),
 		zap.Stringer("reply", reply))
 	var told *Report
-	if reply == Conflict || reply == NoReply {
-		report, err := c.cfg.Report(callCtx, l.Target)
-		if err != nil {
-			c.cfg.Log.Info("Engine did not report.", zap.String("target", string(l.Target.ID)), zap.Error(err))
-		} else {
-			told = &report
-		}
+	if reply == Conflict {
+		told = c.ask(ctx, l.Target)
 	}
 	c.note(ctx, func() { c.noted(p, l, reply, told) })
 }
 
+// ask returns what an engine says of itself, or nil.
+func (c *Controller) ask(ctx context.Context, e silltarget.Entry) *Report {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	report, err := c.cfg.Report(ctx, e)
+	if err != nil {
+		c.cfg.Log.Info("Engine did not report.", zap.String("target", string(e.ID)), zap.Error(err))
+		return nil
+	}
+	return &report
+}
+
 func (c *Controller) note(ctx context.Context, apply func()) {
 	select {
 	case c.events <- apply:
--- a/internal/sillversion/plan.go
+++ b/internal/sillversion/plan.go
@@ -59,7 +59,8 @@
 type record struct {
 	born time.Time
 	home sillid.ModelID
-	// orders is the least number of orders that the engine has accepted.
+	// orders is the number of orders that the engine has accepted, as far as
+	// known; a fresh engine has accepted none.
 	orders uint64
 	// loaded holds versions that the engine has by its own word.
 	loaded map[sillid.ModelID]sillid.WeightVersion
@@ -101,7 +102,6 @@
 			r = &record{born: e.Born, loaded: make(map[sillid.ModelID]sillid.WeightVersion)}
 			p.records[e.ID] = r
 		}
-		r.orders = max(r.orders, e.Orders)
 		for model, v := range e.Versions {
 			r.loaded[model] = max(r.loaded[model], v)
 		}
@@ -209,7 +209,7 @@
 func (p *Planner) Accepted(now time.Time, l Load) {
 	if r := p.records[l.Target.ID]; r != nil && r.pending != nil {
 		r.pending.until = now.Add(loadLimit)
-		r.orders = max(r.orders, l.Orders+1)
+		r.orders = l.Orders + 1
 	}
 }
 
@@ -227,7 +227,7 @@
 	if r == nil {
 		return
 	}
-	r.orders = max(r.orders, orders)
+	r.orders = orders
 	for model, v := range versions {
 		r.loaded[model] = max(r.loaded[model], v)
 	}
