--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -19,9 +19,9 @@
 const (
 	// firstEventLimit bounds the time to the first event: a load of weights may
 	// hold it up.
-	firstEventLimit = 3 * time.Second
-	// pauseLimit bounds the time between two events.
-	pauseLimit = 2 * time.Second
+	firstEventLimit = 2 * time.Second
+	// pauseLimit bounds the time between two events; slow engines take a fifth of it.
+	pauseLimit = time.Second
 	// failedPause is how long an item waits after a target failed it.
 	failedPause = 100 * time.Millisecond
 )
@@ -29,6 +29,9 @@
 // errStalled ends an attempt whose events stopped coming.
 var errStalled = errors.New("no event in the time allowed")
 
+// errMoved ends an attempt at a slow target, so that the item goes on at a faster one.
+var errMoved = errors.New("moved to a faster target")
+
 // verdict is how an attempt at an item ended.
 type verdict int
 
@@ -88,6 +91,13 @@
 	r.requeue(it, now.Add(failedPause))
 }
 
+// running notes where an item runs and how its attempt is ended.
+func (r *Runner) running(it *itemRun, target sillid.TargetID, stop func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	it.target, it.stop = target, stop
+}
+
 // requeue puts an item back to be run again.
 func (r *Runner) requeue(it *itemRun, notBefore time.Time) {
 	if at := it.job.sub.GiveUpAt(); !at.IsZero() && time.Now().After(at) {
@@ -97,6 +107,7 @@
 	r.mu.Lock()
 	it.phase = waiting
 	it.notBefore = notBefore
+	it.target, it.stop = "", nil
 	r.mu.Unlock()
 	r.nudge()
 }
@@ -105,6 +116,7 @@
 func (r *Runner) generate(ctx context.Context, it *itemRun, g silltarget.Grant) (verdict, silltarget.Outcome, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	r.running(it, g.ID, func() { cancel(errMoved) })
 	watchdog := time.AfterFunc(firstEventLimit, func() { cancel(errStalled) })
 	defer watchdog.Stop()
 
@@ -159,6 +171,8 @@
 		return silltarget.Unreachable
 	case errors.Is(context.Cause(ctx), errStalled):
 		return silltarget.Silent
+	case errors.Is(context.Cause(ctx), errMoved):
+		return silltarget.Abandoned
 	case ctx.Err() != nil:
 		return silltarget.Abandoned
 	}
--- a/internal/silljob/item.go
+++ b/internal/silljob/item.go
@@ -38,8 +38,12 @@
 	scoreFailures int
 	// notBefore is when the item may be tried again.
 	notBefore time.Time
-	// stop ends the current attempt; nil if there is none.
-	stop func()
+	// target is where the item runs; stop ends the attempt there. Both are
+	// empty while it does not run.
+	target sillid.TargetID
+	stop   func()
+	// avoid holds targets that were too slow for the item.
+	avoid map[sillid.TargetID]bool
 }
 
 // discard drops a text that can't be gone on with.
--- a/internal/silljob/metrics.go
+++ b/internal/silljob/metrics.go
@@ -6,6 +6,7 @@
 type Metrics struct {
 	results   prometheus.Counter
 	takeovers prometheus.Counter
+	moves     prometheus.Counter
 	attempts  *prometheus.CounterVec
 	aborted   *prometheus.CounterVec
 }
@@ -19,6 +20,9 @@
 		takeovers: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "wasabisill_job_takeovers_total", Help: "Jobs that this process took over.",
 		}),
+		moves: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "wasabisill_job_moves_total", Help: "Items that left a slow target for a faster one.",
+		}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "wasabisill_job_attempts_total", Help: "Attempts at items, by outcome.",
 		}, []string{"outcome"}),
@@ -27,7 +31,7 @@
 		}, []string{"reason"}),
 	}
 	if r != nil {
-		r.MustRegister(m.results, m.takeovers, m.attempts, m.aborted)
+		r.MustRegister(m.results, m.takeovers, m.moves, m.attempts, m.aborted)
 	}
 	return m
 }
--- a/internal/silljob/owned.go
+++ b/internal/silljob/owned.go
@@ -20,9 +20,9 @@
 	held Versioned
 	// pending are results that are not listed yet.
 	pending []Result
-	// writing is whether a write of the job is under way.
-	writing bool
-	// savedEvents is the number of events at the last saving of texts.
+	// finished wakes the writer; it holds at most one signal.
+	finished chan struct{}
+	// savedEvents is the number of events of unfinished texts at their last saving.
 	savedEvents int
 	// group runs the attempts of the job's items.
 	group *sillgroup.Group
@@ -31,7 +31,7 @@
 }
 
 func newOwnedJob(ctx context.Context, sub *Submission, held Versioned) *ownedJob {
-	j := &ownedJob{sub: sub, held: held, group: sillgroup.New(ctx), groupTarget: make(map[string]sillid.TargetID)}
+	j := &ownedJob{sub: sub, held: held, group: sillgroup.New(ctx), groupTarget: make(map[string]sillid.TargetID), finished: make(chan struct{}, 1)}
 	for i := range sub.Items {
 		j.items = append(j.items, &itemRun{job: j, item: &sub.Items[i]})
 	}
@@ -75,18 +75,41 @@
 	return n
 }
 
-// unfinished returns the texts that are under way.
-func (j *ownedJob) unfinished() []Progress {
+// unfinished returns the texts that are under way and have at least so many events.
+func (j *ownedJob) unfinished(least int) []Progress {
 	var texts []Progress
 	for _, it := range j.items {
-		if it.phase != finished && len(it.events) > 0 {
+		if it.phase != finished && len(it.events) >= least {
 			texts = append(texts, it.progress())
 		}
 	}
 	return texts
 }
 
+// eventsOf counts the events of texts.
+func eventsOf(texts []Progress) int {
+	n := 0
+	for _, p := range texts {
+		n += len(p.Events)
+	}
+	return n
+}
+
+// signal wakes the writer of the job.
+func (j *ownedJob) signal() {
+	select {
+	case j.finished <- struct{}{}:
+	default:
+	}
+}
+
 const (
+	// saveEvery is the time between two savings of texts that are under way: what
+	// a lost owner's successor has to make again.
+	saveEvery = time.Second
+	// worthSaving is the number of events from which a text is saved; shorter
+	// ones are made again as fast.
+	worthSaving = 8
 	// gatherFor is how long results gather before they are written together.
 	gatherFor = 30 * time.Millisecond
 	// writeTimeout bounds one write of an owner.
@@ -95,25 +118,48 @@
 	writeRetry = 100 * time.Millisecond
 )
 
-// list writes the pending results of a job until none is left or the job is lost.
-func (r *Runner) list(ctx context.Context, j *ownedJob) {
+// write lists the results of a job and saves its long texts, until the job ends
+// or is lost. It is the only writer of the job's rows in this process, but for
+// the handing back.
+func (r *Runner) write(ctx context.Context, j *ownedJob) {
+	ticker := time.NewTicker(saveEvery)
+	defer ticker.Stop()
 	for {
-		pause(ctx, gatherFor)
-		r.mu.Lock()
-		batch := fitting(j.pending)
-		held, waiting := j.held, j.notBegun()
-		if len(batch) == 0 || held.Ended || ctx.Err() != nil {
-			j.writing = false
-			r.mu.Unlock()
+		save := false
+		select {
+		case <-ctx.Done():
 			return
+		case <-j.finished:
+			pause(ctx, gatherFor)
+		case <-ticker.C:
+			save = true
 		}
+		r.mu.Lock()
+		u, held := r.update(j, save)
 		r.mu.Unlock()
-		if !r.listBatch(ctx, j, held, batch, waiting) {
+		if held.Ended || (len(u.Results) == 0 && len(u.Texts) == 0) {
+			continue
+		}
+		if !r.writeUpdate(ctx, j, held, u) {
 			pause(ctx, writeRetry)
+			j.signal()
 		}
 	}
 }
 
+// update returns what is to be written of a job.
+func (r *Runner) update(j *ownedJob, save bool) (Update, Versioned) {
+	u := Update{Results: fitting(j.pending), Waiting: j.notBegun()}
+	if save {
+		texts := j.unfinished(worthSaving)
+		if n := eventsOf(texts); n != j.savedEvents {
+			u.Texts = texts
+			j.savedEvents = n
+		}
+	}
+	return u, j.held
+}
+
 // fitting returns the results that fit into one transaction.
 func fitting(pending []Result) []Result {
 	size := 0
@@ -126,32 +172,39 @@
 	return pending
 }
 
-// listBatch returns whether the batch was listed.
-func (r *Runner) listBatch(ctx context.Context, j *ownedJob, held Versioned, batch []Result, waiting int) bool {
+// writeUpdate returns whether all is written that was to be.
+func (r *Runner) writeUpdate(ctx context.Context, j *ownedJob, held Versioned, u Update) bool {
 	callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	after, err := r.cfg.Store.Append(callCtx, j.sub.Job, held, batch, waiting)
+	after, err := r.cfg.Store.Write(callCtx, j.sub.Job, held, u)
 	switch {
 	case err == nil:
-		r.listed(j, after, batch)
+		r.written(j, after, u.Results)
 		return true
 	case errors.Is(err, silltable.ErrConflict), errors.Is(err, silltable.ErrUnknown):
 		r.cfg.Log.Info("Reading a job again after a write.", zap.String("job", string(j.sub.Job)), zap.Error(err))
 		return r.reconcile(ctx, j)
 	default:
-		r.cfg.Log.Info("Results not written.", zap.String("job", string(j.sub.Job)), zap.Int("results", len(batch)), zap.Error(err))
+		r.cfg.Log.Info("Results not written.", zap.String("job", string(j.sub.Job)), zap.Int("results", len(u.Results)), zap.Error(err))
 		return false
 	}
 }
 
-// listed takes that results stand in the job's table.
-func (r *Runner) listed(j *ownedJob, after Versioned, batch []Result) {
+// written takes that the job has a new state and that results stand in its table.
+func (r *Runner) written(j *ownedJob, after Versioned, batch []Result) {
 	r.cfg.Cache.Add(j.sub.Job, after.Listed-len(batch), batch)
 	r.mu.Lock()
 	j.held = after
 	j.pending = without(j.pending, batch)
+	more := len(j.pending) > 0
 	r.mu.Unlock()
+	if more {
+		j.signal()
+	}
 	r.cfg.Board.Offer(j.sub.Job, after)
+	if len(batch) == 0 {
+		return
+	}
 	r.cfg.Metrics.results.Add(float64(len(batch)))
 	r.cfg.Log.Info("Listed results.", zap.String("job", string(j.sub.Job)), zap.Int("count", len(batch)),
 		zap.Int("listed", after.Listed), zap.Int("total", after.Total))
@@ -193,7 +246,7 @@
 		if err != nil {
 			return false
 		}
-		r.listed(j, now, results[:min(len(results), now.Listed-held.Listed)])
+		r.written(j, now, results[:min(len(results), now.Listed-held.Listed)])
 		return true
 	}
 	r.mu.Lock()
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -113,6 +113,7 @@
 		case <-changed:
 		case <-r.wake:
 		case <-ticker.C:
+			r.moveSlow(time.Now())
 		}
 	}
 }
@@ -265,6 +266,7 @@
 	j.resumeSaved(saved)
 	r.resumeFromOthers(j)
 	r.jobs[sub.Job] = j
+	j.group.Go(func(ctx context.Context) { r.write(ctx, j) })
 	delete(r.orphanSince, sub.Job)
 	r.nudge()
 }
@@ -291,7 +293,7 @@
 		return
 	}
 	delete(r.jobs, j.sub.Job)
-	texts := j.unfinished()
+	texts := j.unfinished(1)
 	r.mu.Unlock()
 	j.group.Cancel()
 	r.cfg.Cache.KeepUnfinished(texts)
@@ -325,7 +327,7 @@
 	defer cancel()
 	for range handBackTries {
 		r.mu.Lock()
-		texts, held := j.unfinished(), j.held
+		texts, held := j.unfinished(1), j.held
 		owned := r.jobs[j.sub.Job] == j
 		r.mu.Unlock()
 		if !owned || held.Done() {
@@ -388,7 +390,7 @@
 	key := keyOf(it)
 	return silltarget.Query{
 		Pool: key.pool, Zone: r.cfg.Zone, Model: key.model, MinVersion: key.min, Exact: key.exact,
-		Prefer: it.job.groupTarget[it.item.Group], FreeOnly: true,
+		Prefer: it.job.groupTarget[it.item.Group], Avoid: it.avoid, FreeOnly: true,
 	}
 }
 
--- a/internal/silljob/score.go
+++ b/internal/silljob/score.go
@@ -94,11 +94,7 @@
 	it.events = nil
 	j := it.job
 	j.pending = append(j.pending, result)
-	start := !j.writing && r.jobs[j.sub.Job] == j
-	j.writing = j.writing || start
 	r.mu.Unlock()
-	if start {
-		j.group.Go(func(ctx context.Context) { r.list(ctx, j) })
-	}
+	j.signal()
 	r.nudge()
 }
--- a/internal/silljob/store.go
+++ b/internal/silljob/store.go
@@ -1,8 +1,10 @@
 package silljob
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
@@ -149,17 +151,31 @@
 	return decodeLists[Progress](snapshot.Rows)
 }
 
-// Append lists results behind those that are listed, as the owner that held.
-// After silltable.ErrUnknown the caller reads the state before it goes on.
-func (s *Store) Append(ctx context.Context, job ID, held Versioned, results []Result, waiting int) (Versioned, error) {
-	writes, err := encodeList(ResultTable, job, held.Listed, results)
-	if err != nil {
-		return held, err
+// Update is what an owner writes of a job at once.
+type Update struct {
+	// Results are listed behind those that are listed already.
+	Results []Result
+	// Texts replace the saved texts that are not whole; nil leaves them.
+	Texts []Progress
+	// Waiting is the number of items that no target has begun.
+	Waiting int
+}
+
+// Write writes an update of a job as the owner that held. After
+// silltable.ErrUnknown the caller reads the state before it goes on.
+func (s *Store) Write(ctx context.Context, job ID, held Versioned, u Update) (Versioned, error) {
+	var writes []silltable.Write
+	if len(u.Results) > 0 {
+		list, err := encodeList(ResultTable, job, held.Listed, u.Results)
+		if err != nil {
+			return held, err
+		}
+		writes = list
 	}
 	next := held.State
-	next.Listed += len(results)
-	next.Waiting = waiting
-	return s.replace(ctx, job, held, next, writes)
+	next.Listed += len(u.Results)
+	next.Waiting = u.Waiting
+	return s.save(ctx, job, held, next, writes, u.Texts)
 }
 
 // Claim makes owner the one that runs a job.
@@ -175,31 +191,44 @@
 func (s *Store) HandBack(ctx context.Context, job ID, held Versioned, texts []Progress) error {
 	next := held.State
 	next.Owner = ""
-	_, err := s.save(ctx, job, held, next, texts)
+	_, err := s.save(ctx, job, held, next, nil, texts)
 	return err
 }
 
-// Save keeps the texts that are not whole, for the case that the owner is lost.
-func (s *Store) Save(ctx context.Context, job ID, held Versioned, texts []Progress) (Versioned, error) {
-	return s.save(ctx, job, held, held.State, texts)
-}
-
-func (s *Store) save(ctx context.Context, job ID, held Versioned, next State, texts []Progress) (Versioned, error) {
-	var writes []silltable.Write
+// save writes rows and a state, and as many of the texts as fit besides.
+func (s *Store) save(ctx context.Context, job ID, held Versioned, next State, writes []silltable.Write, texts []Progress) (Versioned, error) {
+	texts = fittingTexts(texts, maxTxnBytes-sizeOf(writes))
 	if len(texts) > 0 {
 		list, err := encodeList(ProgressTable, job, 0, texts)
 		if err != nil {
 			return held, err
 		}
-		// Texts too long for one transaction are left out: they are made again.
-		if sizeOf(list) <= maxTxnBytes && len(list) < maxTxnRows {
-			writes = list
-			next.Progressed = true
-		}
+		writes = append(writes, list...)
+		next.Progressed = true
 	}
 	return s.replace(ctx, job, held, next, writes)
 }
 
+// textOverhead is the room for what is saved of a text besides its events.
+const textOverhead = 128
+
+// fittingTexts returns the longest texts that fit into a size. The others would
+// have to be made again, which costs the least for them.
+func fittingTexts(texts []Progress, size int) []Progress {
+	texts = slices.Clone(texts)
+	slices.SortFunc(texts, func(a, b Progress) int { return cmp.Compare(len(b.Events), len(a.Events)) })
+	for i, p := range texts {
+		for _, e := range p.Events {
+			size -= len(e)
+		}
+		size -= textOverhead
+		if size < 0 {
+			return texts[:i]
+		}
+	}
+	return texts
+}
+
 // replace writes rows of a job and its state, if the state is still the one held.
 func (s *Store) replace(ctx context.Context, job ID, held Versioned, next State, writes []silltable.Write) (Versioned, error) {
 	row, err := encodeState(job, &next)
--- a/internal/silltarget/target.go
+++ b/internal/silltarget/target.go
@@ -62,8 +62,10 @@
 )
 
 const (
-	// fullFor is how long a target that turned a request away gets no other one.
-	fullFor = 60 * time.Millisecond
+	// fullFor is how long a target that turned a request away gets no other one;
+	// each further one in a row doubles it, maxFullDoublings times at most.
+	fullFor          = 60 * time.Millisecond
+	maxFullDoublings = 2
 	// restFirst is how long a target rests after its first failure; each further
 	// failure in a row doubles it.
 	restFirst = 400 * time.Millisecond
@@ -87,6 +89,8 @@
 	running int
 	// failures counts the failures since the last success.
 	failures int
+	// refusals counts the requests turned away since the last success.
+	refusals int
 	// restUntil is when the target may get requests again.
 	restUntil time.Time
 	// elsewhere is the load by other processes, as last told.
@@ -114,10 +118,11 @@
 func (t *target) note(now time.Time, o Outcome) {
 	switch o {
 	case Answered:
-		t.failures = 0
+		t.failures, t.refusals = 0, 0
 		t.restUntil = time.Time{}
 	case Full:
-		t.rest(now, fullFor)
+		t.rest(now, fullFor<<min(t.refusals, maxFullDoublings))
+		t.refusals++
 	case Misdirected:
 		t.rest(now, misdirectedFor)
 	case Unreachable:
--- a/internal/sillversion/plan.go
+++ b/internal/sillversion/plan.go
@@ -1,9 +1,11 @@
 // Package sillversion moves model engines to the weight versions that trainers
 // name, by orders that one process at a time gives.
 //
-// Each engine is given to one model, so that a new version costs one load on
-// the engines of its model alone. An engine with the version before may still
-// serve the open jobs; it loads the new one when no item waits for an engine.
+// Each engine is given to one model, so that a new version costs loads on the
+// engines of its model alone. The version before still serves the open jobs, and
+// loads are what engines lack most: so half of a model's engines load each
+// version and the other half the next one. An engine that can no longer serve
+// the newest job goes first.
 package sillversion
 
 import (
@@ -183,7 +185,7 @@
 		if !ok || r.pending != nil || held >= w.Version || now.Before(r.notBefore) || e.State != silltarget.Ready {
 			continue
 		}
-		if held >= w.Oldest && w.Waiting > 0 {
+		if held >= w.Oldest && (w.Waiting > 0 || p.enough(engines, r.home, w.Version)) {
 			continue
 		}
 		loads = append(loads, Load{Target: e, Model: r.home, Version: w.Version, Orders: r.orders})
@@ -194,6 +196,23 @@
 	return loads
 }
 
+// enough returns whether half of a model's engines have its newest version or
+// are loading it.
+func (p *Planner) enough(engines []silltarget.Entry, model sillid.ModelID, version sillid.WeightVersion) bool {
+	count, newest := 0, 0
+	for _, e := range engines {
+		r := p.records[e.ID]
+		if r.home != model {
+			continue
+		}
+		count++
+		if r.loaded[model] >= version || r.pending != nil {
+			newest++
+		}
+	}
+	return newest*2 >= count
+}
+
 func (p *Planner) lag(l Load, wanted map[sillid.ModelID]Wanted) sillid.WeightVersion {
 	return wanted[l.Model].Version - p.records[l.Target.ID].loaded[l.Model]
 }
