Log to stdout through a queue that never waits, errors as one line

Cause: errors were logged with stacks, 1 KB a line, and a reader of the log who stops would have stopped the process. Change: silllog.NewQueued; bounded by sampling; silllog.Err. Processes count as gone after 1.7 s in place of 2.2 s. Measured: unit tests only.

--- a/cmd/wasabisill/platform.go
+++ b/cmd/wasabisill/platform.go
@@ -35,10 +35,11 @@
 	if err != nil {
 		return &exitError{code: exitUsage, err: err}
 	}
-	log, err := silllog.New("info")
+	log, queue, err := silllog.NewQueued("info")
 	if err != nil {
 		return err
 	}
+	defer queue.Close()
 	if n := settings.Direct.Cores; n > 0 {
 		runtime.GOMAXPROCS(n)
 	}
@@ -63,7 +64,7 @@
 			return
 		case <-hangups:
 			_, err := sillplatform.LoadSettings()
-			log.Info("Read the settings again.", zap.Error(err))
+			log.Info("Read the settings again.", silllog.Err(err))
 		}
 	}
 }
--- a/internal/sillcluster/members.go
+++ b/internal/sillcluster/members.go
@@ -20,10 +20,10 @@
 
 const (
 	// RenewEvery is the time between two renewals of a process's row.
-	RenewEvery = 700 * time.Millisecond
+	RenewEvery = 500 * time.Millisecond
 	// Lapse is how long a row may stay as it is before its process counts as
 	// gone: two renewals may be lost.
-	Lapse = 2200 * time.Millisecond
+	Lapse = 1700 * time.Millisecond
 )
 
 // Run names one run of a gateway process. It is fresh at every start.
--- a/internal/silldirect/service.go
+++ b/internal/silldirect/service.go
@@ -22,6 +22,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silljob"
 	"github.com/wasabisill/wasabisill/internal/silllease"
+	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/sillmeter"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/internal/sillversion"
@@ -170,7 +171,7 @@
 
 func (s *Service) resetJobs(rows []silltable.Row, _ time.Duration) {
 	if err := s.view.board.Apply(rows); err != nil {
-		s.Log.Error("Job state can't be read.", zap.Error(err))
+		s.Log.Error("Job state can't be read.", silllog.Err(err))
 	}
 }
 
@@ -196,7 +197,7 @@
 
 func (s *Service) resetMembers(rows []silltable.Row, _ time.Duration) {
 	if err := s.members.Reset(sillclock.Boot(), rows); err != nil {
-		s.Log.Error("Row of a gateway can't be read.", zap.Error(err))
+		s.Log.Error("Row of a gateway can't be read.", silllog.Err(err))
 	}
 }
 
@@ -206,7 +207,7 @@
 		s.members.Refresh(now)
 	}
 	if err := s.members.Apply(now, changes); err != nil {
-		s.Log.Error("Row of a gateway can't be read.", zap.Error(err))
+		s.Log.Error("Row of a gateway can't be read.", silllog.Err(err))
 	}
 }
 
@@ -242,13 +243,13 @@
 	}
 	write, err := sillcluster.Encode(m)
 	if err != nil {
-		s.Log.Error("Row of this gateway can't be encoded.", zap.Error(err))
+		s.Log.Error("Row of this gateway can't be encoded.", silllog.Err(err))
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	if _, err := s.seams.Table.Commit(ctx, silltable.Txn{Writes: []silltable.Write{write}}); err != nil {
-		s.Log.Info("Row of this gateway not renewed.", zap.Bool("leaving", leaving), zap.Error(err))
+		s.Log.Info("Row of this gateway not renewed.", zap.Bool("leaving", leaving), silllog.Err(err))
 	}
 }
 
@@ -370,11 +371,11 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
-		s.Log.Warn("Requests were cut at the end of the grace.", zap.Error(err))
-		server.Close()
+		s.Log.Warn("Requests were cut at the end of the grace.", silllog.Err(err))
+		_ = server.Close()
 	}
 	work.Wait()
-	readyServer.Close()
+	_ = readyServer.Close()
 	background.Stop()
 	s.Log.Info("Stopped.")
 }
--- a/internal/silldirect/view.go
+++ b/internal/silldirect/view.go
@@ -10,6 +10,7 @@
 
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
 	"github.com/wasabisill/wasabisill/internal/silljob"
+	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/internal/sillversion"
@@ -55,7 +56,7 @@
 func (v *view) applyConfig(row silltable.Row) {
 	c, err := v.seams.DecodeCatalog(row.Value)
 	if err != nil {
-		v.log.Error("Configuration can't be read.", zap.Uint64("revision", uint64(row.Revision)), zap.Error(err))
+		v.log.Error("Configuration can't be read.", zap.Uint64("revision", uint64(row.Revision)), silllog.Err(err))
 		return
 	}
 	if v.catalog.Offer(c) {
@@ -67,7 +68,7 @@
 func (v *view) applyNamed(row silltable.Row) {
 	model, version, err := v.seams.DecodeNamed(row.Value)
 	if err != nil {
-		v.log.Error("Named version can't be read.", zap.String("key", row.Key), zap.Error(err))
+		v.log.Error("Named version can't be read.", zap.String("key", row.Key), silllog.Err(err))
 		return
 	}
 	v.mu.Lock()
@@ -85,7 +86,7 @@
 	id := v.targetID(row.Key)
 	e, err := v.seams.DecodeTarget(id, row.Value)
 	if err != nil {
-		v.log.Info("Entry of the registry left out.", zap.String("target", id), zap.Error(err))
+		v.log.Info("Entry of the registry left out.", zap.String("target", id), silllog.Err(err))
 		return
 	}
 	v.directory.Apply(e)
--- a/internal/sillevent/event.go
+++ b/internal/sillevent/event.go
@@ -86,7 +86,7 @@
 }
 
 func endOf(err error, pending int) error {
-	if err == io.EOF && pending > 0 {
+	if errors.Is(err, io.EOF) && pending > 0 {
 		return ErrTorn
 	}
 	return err
--- a/internal/sillevent/event_test.go
+++ b/internal/sillevent/event_test.go
@@ -35,7 +35,7 @@
 func TestReader(t *testing.T) {
 	t.Run("whole", func(t *testing.T) {
 		events, err := read(t, "id: 0\ndata: a\n\nid: 1\ndata: b\ndata: c\n\n")
-		if err != io.EOF {
+		if !errors.Is(err, io.EOF) {
 			t.Fatal(err)
 		}
 		checkData(t, events, "a", "b\nc")
@@ -52,7 +52,7 @@
 	})
 	t.Run("comments", func(t *testing.T) {
 		events, err := read(t, ": hello\n\n\nid: 0\ndata: a\n\n: bye\n\n")
-		if err != io.EOF {
+		if !errors.Is(err, io.EOF) {
 			t.Fatal(err)
 		}
 		checkData(t, events, "a")
--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/wasabisill/wasabisill/internal/silldialect"
 	"github.com/wasabisill/wasabisill/internal/sillevent"
+	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
@@ -64,7 +65,7 @@
 		r.cfg.Log.Info("Attempt at an item failed.", zap.String("request", string(it.item.ID)),
 			zap.String("job", string(it.job.sub.Job)), zap.String("target", string(g.ID)),
 			zap.Stringer("outcome", outcome), zap.Int("events-before", before), zap.Int("events", len(it.events)),
-			zap.Duration("took", now.Sub(started)), zap.Error(err))
+			zap.Duration("took", now.Sub(started)), silllog.Err(err))
 	}
 	switch v {
 	case whole:
@@ -187,7 +188,7 @@
 	for {
 		e, err := reader.Next()
 		now := time.Now()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return whole, silltarget.Answered, nil
 		}
 		if err != nil {
--- a/internal/silljob/owned.go
+++ b/internal/silljob/owned.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
@@ -182,10 +183,10 @@
 		r.written(j, after, u.Results)
 		return true
 	case errors.Is(err, silltable.ErrConflict), errors.Is(err, silltable.ErrUnknown):
-		r.cfg.Log.Info("Reading a job again after a write.", zap.String("job", string(j.sub.Job)), zap.Error(err))
+		r.cfg.Log.Info("Reading a job again after a write.", zap.String("job", string(j.sub.Job)), silllog.Err(err))
 		return r.reconcile(ctx, j)
 	default:
-		r.cfg.Log.Info("Results not written.", zap.String("job", string(j.sub.Job)), zap.Int("results", len(u.Results)), zap.Error(err))
+		r.cfg.Log.Info("Results not written.", zap.String("job", string(j.sub.Job)), zap.Int("results", len(u.Results)), silllog.Err(err))
 		return false
 	}
 }
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -12,6 +12,7 @@
 	"github.com/wasabisill/wasabisill/internal/silldialect"
 	"github.com/wasabisill/wasabisill/internal/sillforward"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
@@ -216,7 +217,7 @@
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		if err := r.read(ctx, job, v, claim); err != nil {
-			r.cfg.Log.Info("Job not taken over.", zap.String("job", string(job)), zap.Bool("claim", claim), zap.Error(err))
+			r.cfg.Log.Info("Job not taken over.", zap.String("job", string(job)), zap.Bool("claim", claim), silllog.Err(err))
 		}
 	})
 }
@@ -334,7 +335,7 @@
 			return
 		}
 		err := r.cfg.Store.HandBack(ctx, j.sub.Job, held, texts)
-		r.cfg.Log.Info("Handing a job back.", zap.String("job", string(j.sub.Job)), zap.Int("texts", len(texts)), zap.Error(err))
+		r.cfg.Log.Info("Handing a job back.", zap.String("job", string(j.sub.Job)), zap.Int("texts", len(texts)), silllog.Err(err))
 		if err == nil {
 			j.group.Cancel()
 			return
--- a/internal/silllog/log.go
+++ b/internal/silllog/log.go
@@ -3,27 +3,69 @@
 package silllog
 
 import (
+	"os"
+	"time"
+
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
 
+const (
+	// queueLines is the number of lines that wait for a slow reader of the log;
+	// lines beyond it are dropped and counted.
+	queueLines = 8192
+	// sampleEvery, sampleFirst and sampleThen bound the volume: of lines with one
+	// message within sampleEvery, the first sampleFirst and then each
+	// sampleThen-th are written.
+	sampleEvery = time.Second
+	sampleFirst = 200
+	sampleThen  = 50
+)
+
 // New returns a logger that writes JSON lines of at least the level to the
 // standard error stream.
 func New(level string) (*zap.Logger, error) {
-	l, err := zapcore.ParseLevel(level)
+	l, err := parseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	return zap.New(zapcore.NewCore(newEncoder(), zapcore.Lock(os.Stderr), l)), nil
+}
+
+// NewQueued returns a logger that writes JSON lines to the standard output and
+// never waits for its reader. Close the queue at the end of the process.
+func NewQueued(level string) (*zap.Logger, *Queue, error) {
+	l, err := parseLevel(level)
 	if err != nil {
-		return nil, eris.Wrapf(err, "silllog.New: level %q; choose debug, info, warn or error", level)
+		return nil, nil, err
+	}
+	queue := newQueue(os.Stdout, queueLines)
+	core := zapcore.NewCore(newEncoder(), queue, l)
+	return zap.New(zapcore.NewSamplerWithOptions(core, sampleEvery, sampleFirst, sampleThen)), queue, nil
+}
+
+func parseLevel(level string) (zapcore.Level, error) {
+	l, err := zapcore.ParseLevel(level)
+	return l, eris.Wrapf(err, "silllog: level %q; choose debug, info, warn or error", level)
+}
+
+func newEncoder() zapcore.Encoder {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.EncodeDuration = zapcore.SecondsDurationEncoder
+	cfg.TimeKey = "time"
+	cfg.NameKey = "part"
+	cfg.MessageKey = "message"
+	cfg.CallerKey = zapcore.OmitKey
+	cfg.StacktraceKey = zapcore.OmitKey
+	return zapcore.NewJSONEncoder(cfg)
+}
+
+// Err returns the field of an error, as one line without its stack.
+func Err(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
 	}
-	cfg := zap.NewProductionConfig()
-	cfg.Level = zap.NewAtomicLevelAt(l)
-	cfg.DisableStacktrace = true
-	cfg.DisableCaller = true
-	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	cfg.EncoderConfig.TimeKey = "time"
-	cfg.EncoderConfig.NameKey = "part"
-	cfg.EncoderConfig.MessageKey = "message"
-	cfg.Sampling = nil
-	log, err := cfg.Build()
-	return log, eris.Wrap(err, "silllog.New")
+	return zap.String("error", err.Error())
 }
--- a/internal/sillmeter/meter.go
+++ b/internal/sillmeter/meter.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
@@ -121,7 +122,7 @@
 func (m *Meter) write(ctx context.Context) {
 	txn, windows, err := m.changed()
 	if err != nil {
-		m.cfg.Log.Error("Counts can't be encoded.", zap.Error(err))
+		m.cfg.Log.Error("Counts can't be encoded.", silllog.Err(err))
 		return
 	}
 	if len(windows) == 0 {
@@ -130,7 +131,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if _, err := m.cfg.Table.Commit(ctx, txn); err != nil {
-		m.cfg.Log.Info("Counts not written.", zap.Int("windows", len(windows)), zap.Error(err))
+		m.cfg.Log.Info("Counts not written.", zap.Int("windows", len(windows)), silllog.Err(err))
 		m.again(windows)
 	}
 }
@@ -230,7 +231,7 @@
 			continue
 		}
 		if err := r.report(ctx, w); err != nil {
-			r.cfg.Log.Info("Window not reported.", zap.Int64("window", int64(w)), zap.Error(err))
+			r.cfg.Log.Info("Window not reported.", zap.Int64("window", int64(w)), silllog.Err(err))
 			return
 		}
 		r.sent[w] = true
--- a/internal/silltransport/conn.go
+++ b/internal/silltransport/conn.go
@@ -32,9 +32,7 @@
 	inlineBody = 8 << 10
 )
 
-var (
-	errTooManySkipped = errors.New("too many answers to other requests")
-)
+var errTooManySkipped = errors.New("too many answers to other requests")
 
 // past is a deadline that has passed; it wakes blocked reads and writes.
 var past = time.Unix(1, 0)
@@ -55,7 +53,7 @@
 }
 
 func (c *conn) close() {
-	c.closed.Do(func() { c.tcp.Close() })
+	c.closed.Do(func() { _ = c.tcp.Close() })
 }
 
 // usable returns whether the peer still holds the connection open and has sent
@@ -82,7 +80,7 @@
 
 // exchange writes a request and reads the head of its answer.
 func (c *conn) exchange(ctx context.Context, req *Request) (*http.Response, error) {
-	stop := context.AfterFunc(ctx, func() { c.tcp.SetDeadline(past) })
+	stop := context.AfterFunc(ctx, func() { _ = c.tcp.SetDeadline(past) })
 	fail := func(sent bool, err error) (*http.Response, error) {
 		stop()
 		c.close()
@@ -236,7 +234,7 @@
 	}
 	n, err := b.body.Read(p)
 	switch {
-	case err == io.EOF:
+	case errors.Is(err, io.EOF):
 		b.finish()
 	case err != nil:
 		if b.ctx.Err() != nil {
@@ -254,7 +252,7 @@
 		b.conn.close()
 		return
 	}
-	rest := b.conn.expires.Sub(time.Now())
+	rest := time.Until(b.conn.expires)
 	if rest <= 0 {
 		b.conn.close()
 		return
--- a/internal/silltransport/transport.go
+++ b/internal/silltransport/transport.go
@@ -142,7 +142,7 @@
 	}
 	tcp := raw.(*net.TCPConn)
 	if err := setUserTimeout(tcp, p.cfg.SilenceTimeout); err != nil {
-		tcp.Close()
+		_ = tcp.Close()
 		return nil, err
 	}
 	if p.cfg.Dialed != nil {
--- a/internal/sillversion/controller.go
+++ b/internal/sillversion/controller.go
@@ -8,6 +8,7 @@
 
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllease"
+	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
@@ -133,7 +134,7 @@
 	defer cancel()
 	report, err := c.cfg.Report(ctx, e)
 	if err != nil {
-		c.cfg.Log.Info("Engine did not report.", zap.String("target", string(e.ID)), zap.Error(err))
+		c.cfg.Log.Info("Engine did not report.", zap.String("target", string(e.ID)), silllog.Err(err))
 		return nil
 	}
 	return &report
--- a/internal/sillwatch/watch.go
+++ b/internal/sillwatch/watch.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 )
 
@@ -179,7 +180,7 @@
 	f.mu.Lock()
 	if f.away.IsZero() {
 		f.away = f.cfg.Now()
-		f.cfg.Log.Warn("Table is away.", zap.Error(err))
+		f.cfg.Log.Warn("Table is away.", silllog.Err(err))
 	}
 	f.mu.Unlock()
 	sleep(ctx, retryEvery)
