Reach the store through a peer while it turns this instance away

Cause: for 9 s a third of the gateways answered reads of jobs with 503, and the jobs of an owner among them waited for a takeover and then for the trainer. Ruled out: the new owner's work (all but two items listed 1.5 s after it). Change: sillrelay: after a failed call, calls go to the service through one of two other gateways, those of the zone in front; a probe finds the service back.

--- a/internal/silldirect/seams.go
+++ b/internal/silldirect/seams.go
@@ -18,6 +18,8 @@
 type Seams struct {
 	Table *silltable.Store
 	Feed  *silltable.Feed
+	// Peers sends calls to other gateways.
+	Peers *silltransport.Pool
 	// Targets sends requests to targets.
 	Targets *silltransport.Pool
 	Dialect silldialect.Dialect
--- a/internal/silldirect/service.go
+++ b/internal/silldirect/service.go
@@ -24,6 +24,7 @@
 	"github.com/wasabisill/wasabisill/internal/silllease"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/sillmeter"
+	"github.com/wasabisill/wasabisill/internal/sillrelay"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/internal/sillversion"
 	"github.com/wasabisill/wasabisill/internal/sillwatch"
@@ -88,6 +89,10 @@
 	view     *view
 	members  *sillcluster.Members
 	run      sillcluster.Run
+	relay    *sillrelay.Relay
+	// table and feed are the platform's tables, through a peer if need be.
+	table    *silltable.Store
+	feed     *silltable.Feed
 	meter    *sillmeter.Meter
 	cache    *silljob.Cache
 	jobs     *sillwatch.Follower
@@ -104,15 +109,20 @@
 		cache: silljob.NewCache(), registry: prometheus.NewRegistry(),
 	}
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	s.relay = sillrelay.New(sillrelay.Config{
+		Table: seams.Table, Feed: seams.Feed, Pool: seams.Peers, Peers: s.peers, ProbeKey: seams.ConfigKey,
+		Registerer: s.registry, Log: log,
+	})
+	s.table, s.feed = s.relay.Table(), s.relay.Feed()
 	s.meter = sillmeter.NewMeter(sillmeter.MeterConfig{
-		Table: seams.Table, Length: settings.UsageWindow, Run: string(s.run), Log: log,
+		Table: s.table, Length: settings.UsageWindow, Run: string(s.run), Log: log,
 	})
 	s.Forwarder = sillforward.New(sillforward.Config{
 		Directory: s.view.directory, Pool: seams.Targets, Dialect: seams.Dialect, Zone: settings.Zone,
 		Began: s.began, Metrics: sillforward.NewMetrics(s.registry), Log: log,
 	})
 	s.jobs = s.follower(silljob.StateTable, true, pauseFast, s.resetJobs, s.applyJobs)
-	store := &silljob.Store{Table: seams.Table, Feed: seams.Feed}
+	store := &silljob.Store{Table: s.table, Feed: s.feed}
 	s.Reader = &silljob.Reader{Store: store, Board: s.view.board, Cache: s.cache, Age: s.boardAge}
 	s.Runner = silljob.NewRunner(silljob.RunnerConfig{
 		Self: silljob.NodeRun(s.run), Store: store, Board: s.view.board, Cache: s.cache,
@@ -160,10 +170,26 @@
 	return s.members.Alive(sillclock.Boot(), sillcluster.Run(run))
 }
 
+// peers returns the other gateways, those of this availability zone in front.
+func (s *Service) peers() []string {
+	var near, far []string
+	for _, m := range s.members.Live(sillclock.Boot()) {
+		switch {
+		case m.Instance == s.settings.Instance:
+		case m.Zone == s.settings.Zone:
+			near = append(near, m.Address)
+		default:
+			far = append(far, m.Address)
+		}
+	}
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	return append(near, far...)
+}
+
 // follower returns a follower of one table.
 func (s *Service) follower(table string, partitioned bool, gather time.Duration, reset func([]silltable.Row, time.Duration), apply func([]silltable.Change, time.Duration)) *sillwatch.Follower {
 	return sillwatch.New(sillwatch.Config{
-		Feed: s.seams.Feed, Table: table, Partitioned: partitioned,
+		Feed: s.feed, Table: table, Partitioned: partitioned,
 		Wait: feedWait, Answer: feedAnswer, Pause: gather,
 		Reset: reset, Apply: apply, Log: s.Log, Now: sillclock.Boot,
 	})
@@ -238,7 +264,7 @@
 
 func (s *Service) writeMember(ctx context.Context, leaving bool) {
 	m := sillcluster.Member{
-		Instance: s.settings.Instance, Run: s.run, Zone: s.settings.Zone,
+		Instance: s.settings.Instance, Run: s.run, Address: s.settings.peerAddress(), Zone: s.settings.Zone,
 		Leaving: leaving, Renewal: s.renewals.Add(1),
 	}
 	write, err := sillcluster.Encode(m)
@@ -248,7 +274,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	if _, err := s.seams.Table.Commit(ctx, silltable.Txn{Writes: []silltable.Write{write}}); err != nil {
+	if _, err := s.table.Commit(ctx, silltable.Txn{Writes: []silltable.Write{write}}); err != nil {
 		s.Log.Info("Row of this gateway not renewed.", zap.Bool("leaving", leaving), silllog.Err(err))
 	}
 }
@@ -279,7 +305,7 @@
 			RenewEvery: dutyRenew, PollEvery: dutyPoll, MaxPollEvery: dutyPollMost,
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
-		Store: s.seams.Table, Now: sillclock.Boot, Rank: s.dutyRank, CallTimeout: dutyCall,
+		Store: s.table, Now: sillclock.Boot, Rank: s.dutyRank, CallTimeout: dutyCall,
 		SettleTime: s.settings.LeaseBound/leaseHalf + settleBeyond,
 		Task:       s.carryOutDuties, Log: s.Log, Metrics: silllease.NewMetrics(s.registry),
 	})
@@ -302,7 +328,7 @@
 	group.Go(func(ctx context.Context) { controller.Run(ctx, guard) })
 	if s.settings.ReportsUsage {
 		reporter := sillmeter.NewReporter(sillmeter.ReporterConfig{
-			Table: s.seams.Table, Length: s.settings.UsageWindow, Settle: usageSettle, Late: s.settings.UsageLate,
+			Table: s.table, Length: s.settings.UsageWindow, Settle: usageSettle, Late: s.settings.UsageLate,
 			Send: s.usageSender(guard), Log: s.Log,
 		})
 		group.Go(reporter.Run)
@@ -335,6 +361,10 @@
 	if err != nil {
 		return eris.Wrapf(err, "silldirect.Run: readiness address %s", s.settings.Ready)
 	}
+	peers, err := net.Listen("tcp", s.settings.peerAddress())
+	if err != nil {
+		return eris.Wrapf(err, "silldirect.Run: address for other gateways %s", s.settings.peerAddress())
+	}
 	background := sillgroup.New(context.WithoutCancel(ctx))
 	work := sillgroup.New(context.WithoutCancel(ctx))
 	for _, f := range s.followers() {
@@ -349,18 +379,21 @@
 	}
 	server := &http.Server{Handler: s.seams.Handler(s), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
 	readyServer := &http.Server{Handler: s.seams.ReadyHandler(s), ReadHeaderTimeout: headerTimeout}
+	peerServer := &http.Server{Handler: s.relay.Handler(), ReadHeaderTimeout: headerTimeout}
+	background.Go(s.relay.Run)
+	background.Go(func(context.Context) { _ = peerServer.Serve(peers) })
 	background.Go(func(context.Context) { _ = server.Serve(callers) })
 	background.Go(func(context.Context) { _ = readyServer.Serve(ready) })
 	s.Log.Info("Started.", zap.String("instance", string(s.settings.Instance)), zap.String("run", string(s.run)),
 		zap.String("callers", s.settings.Callers), zap.String("zone", string(s.settings.Zone)))
 	<-ctx.Done()
-	s.stop(work, background, server, readyServer)
+	s.stop(work, background, server, readyServer, peerServer)
 	return nil
 }
 
 // stop hands work over, lets the balancer notice, and ends once every request
 // is answered or the grace is nearly over.
-func (s *Service) stop(work, background *sillgroup.Group, server, readyServer *http.Server) {
+func (s *Service) stop(work, background *sillgroup.Group, server *http.Server, others ...*http.Server) {
 	deadline := time.Now().Add(s.settings.Grace - stopMargin)
 	s.stopping.Store(true)
 	s.Log.Info("Stopping.", zap.Duration("grace", s.settings.Grace))
@@ -375,7 +408,9 @@
 		_ = server.Close()
 	}
 	work.Wait()
-	_ = readyServer.Close()
+	for _, o := range others {
+		_ = o.Close()
+	}
 	background.Stop()
 	s.Log.Info("Stopped.")
 }
--- a/internal/silldirect/settings.go
+++ b/internal/silldirect/settings.go
@@ -6,6 +6,8 @@
 import (
 	"errors"
 	"fmt"
+	"net"
+	"strconv"
 	"time"
 
 	"github.com/wasabisill/wasabisill/pkg/sillid"
@@ -18,6 +20,8 @@
 	// Callers and Ready are the addresses that callers and the balancer's checks use.
 	Callers string
 	Ready   string
+	// Metrics is the address of the counters for operators; empty for none.
+	Metrics string
 	// IP, FirstPort and LastPort are where other gateways reach this process.
 	IP        string
 	FirstPort int
@@ -36,6 +40,11 @@
 	MemoryBytes int64
 }
 
+// peerAddress is where other gateways reach the process.
+func (s *Settings) peerAddress() string {
+	return net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort))
+}
+
 // Validate returns every fault of the settings.
 func (s *Settings) Validate() error {
 	var faults []error
