--- a/internal/sillforward/plan.go
+++ b/internal/sillforward/plan.go
@@ -57,6 +57,7 @@
 
 // progress is what is known of a request between two attempts.
 type progress struct {
+	// attempts counts the targets that were asked.
 	attempts int
 	// mayHaveRun is whether some attempt may have run.
 	mayHaveRun bool
@@ -82,9 +83,10 @@
 	return tryNext
 }
 
-// patience is how long one attempt may take. The last one gets all that is left.
+// patience is how long an attempt may take, which p counts already. The last
+// one gets all that is left.
 func patience(r *sillcatalog.Route, p progress, usual, left time.Duration) time.Duration {
-	if r.Kind != sillcatalog.Idempotent || p.attempts+1 >= r.Attempts {
+	if r.Kind != sillcatalog.Idempotent || p.attempts >= r.Attempts {
 		return left
 	}
 	least := time.Duration(patienceShare * float64(r.Objective))
--- /dev/null
+++ b/internal/silltransport/transport_test.go
@@ -0,0 +1,396 @@
+package silltransport
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
+)
+
+// peer is a server whose connections a test answers byte by byte.
+type peer struct {
+	listener net.Listener
+	group    *sillgroup.Group
+	mu       sync.Mutex
+	accepted int
+	requests []string
+	conns    []net.Conn
+}
+
+// newPeer answers each request, as it came, with what answer writes; answer
+// returns false to close the connection.
+func newPeer(t *testing.T, answer func(conn net.Conn, request string) bool) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &peer{listener: l, group: sillgroup.New(context.Background())}
+	p.group.Go(func(context.Context) {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.accepted++
+			p.conns = append(p.conns, conn)
+			p.mu.Unlock()
+			p.group.Go(func(context.Context) { p.serve(conn, answer) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		p.mu.Lock()
+		for _, conn := range p.conns {
+			_ = conn.Close()
+		}
+		p.mu.Unlock()
+		p.group.Stop()
+	})
+	return p
+}
+
+func (p *peer) serve(conn net.Conn, answer func(net.Conn, string) bool) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		request, err := readRequest(reader)
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		p.requests = append(p.requests, request)
+		p.mu.Unlock()
+		if !answer(conn, request) {
+			return
+		}
+	}
+}
+
+// readRequest reads a request as its bytes.
+func readRequest(r *bufio.Reader) (string, error) {
+	var b strings.Builder
+	length := 0
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return "", err
+		}
+		b.WriteString(line)
+		if v, ok := strings.CutPrefix(line, "Content-Length: "); ok {
+			for _, c := range strings.TrimSpace(v) {
+				length = length*10 + int(c-'0')
+			}
+		}
+		if line == "\r\n" {
+			break
+		}
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return b.String() + string(body), err
+}
+
+func (p *peer) address() string { return p.listener.Addr().String() }
+
+func (p *peer) counts() (accepted, requests int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.accepted, len(p.requests)
+}
+
+func newTestPool(belongs func(*Request, http.Header) bool) *Pool {
+	return NewPool(Config{
+		ConnectTimeout: time.Second, SilenceTimeout: time.Second, IdleTimeout: time.Minute, Belongs: belongs,
+	})
+}
+
+func sameID(req *Request, answer http.Header) bool { return answer.Get("Id") == req.Header.Get("Id") }
+
+func request(id string) *Request {
+	return &Request{Method: "POST", Target: "/a", Host: "h.example", Header: http.Header{"Id": {id}}, Body: []byte("body")}
+}
+
+func send(t *testing.T, p *Pool, address string, req *Request) (int, string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	resp, err := p.Send(ctx, address, req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b), err
+}
+
+func checkBody(t *testing.T, p *Pool, address, id, want string) {
+	t.Helper()
+	_, body, err := send(t, p, address, request(id))
+	if err != nil || body != want {
+		t.Fatalf("request %s got %q, %v; want %q", id, body, err, want)
+	}
+}
+
+func idOf(request string) string {
+	_, rest, _ := strings.Cut(request, "Id: ")
+	id, _, _ := strings.Cut(rest, "\r\n")
+	return id
+}
+
+func answerWith(id, extra, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + extra + "Content-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string { return string(rune('0'+n/10)) + string(rune('0'+n%10)) }
+
+func TestRequestIsSentUnchanged(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, r string) bool {
+		_, _ = io.WriteString(c, answerWith(idOf(r), "", "ok"))
+		return true
+	})
+	req := &Request{
+		Method: "PATCH", Target: "/a/../b//c%2Fd?x=1&x=2", Host: "h.example:99",
+		Header: http.Header{"Id": {"1"}, "X-Twice": {"a", "b"}}, Body: []byte("bytes"),
+	}
+	if _, _, err := send(t, newTestPool(sameID), p.address(), req); err != nil {
+		t.Fatal(err)
+	}
+	got := p.requests[0]
+	if !strings.HasPrefix(got, "PATCH /a/../b//c%2Fd?x=1&x=2 HTTP/1.1\r\nHost: h.example:99\r\n") {
+		t.Errorf("sent %q", got)
+	}
+	for _, want := range []string{"X-Twice: a\r\n", "X-Twice: b\r\n", "Content-Length: 5\r\n", "\r\n\r\nbytes"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("%q lacks %q", got, want)
+		}
+	}
+	for _, unasked := range []string{"Accept-Encoding", "User-Agent", "Connection"} {
+		if strings.Contains(got, unasked) {
+			t.Errorf("%q has a header %s of its own", got, unasked)
+		}
+	}
+}
+
+func TestConnectionsAreShared(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, r string) bool {
+		_, _ = io.WriteString(c, answerWith(idOf(r), "", "ok"))
+		return true
+	})
+	pool := newTestPool(sameID)
+	for _, id := range []string{"1", "2", "3"} {
+		checkBody(t, pool, p.address(), id, "ok")
+	}
+	if accepted, requests := p.counts(); accepted != 1 || requests != 3 {
+		t.Errorf("%d connections for %d requests", accepted, requests)
+	}
+}
+
+func TestConnectionIsNotKept(t *testing.T) {
+	for _, tc := range []struct{ name, extra string }{
+		{"close", "Connection: close\r\n"},
+		{"no time left", "Keep-Alive: timeout=0\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPeer(t, func(c net.Conn, r string) bool {
+				_, _ = io.WriteString(c, answerWith(idOf(r), tc.extra, "ok"))
+				return true
+			})
+			pool := newTestPool(sameID)
+			checkBody(t, pool, p.address(), "1", "ok")
+			checkBody(t, pool, p.address(), "2", "ok")
+			if accepted, _ := p.counts(); accepted != 2 {
+				t.Errorf("%d connections, want 2", accepted)
+			}
+		})
+	}
+}
+
+// TestForeignAnswers sends an answer of another request: behind an answer, and
+// where the next answer is due.
+func TestForeignAnswers(t *testing.T) {
+	t.Run("extra behind the answer", func(t *testing.T) {
+		p := newPeer(t, func(c net.Conn, r string) bool {
+			_, _ = io.WriteString(c, answerWith(idOf(r), "", "ok")+answerWith("0", "", "no"))
+			return true
+		})
+		pool := newTestPool(sameID)
+		checkBody(t, pool, p.address(), "1", "ok")
+		checkBody(t, pool, p.address(), "2", "ok")
+		if accepted, _ := p.counts(); accepted != 2 {
+			t.Errorf("a connection with bytes left was used again")
+		}
+	})
+	t.Run("late in place of the answer", func(t *testing.T) {
+		p := newPeer(t, func(c net.Conn, r string) bool {
+			_, _ = io.WriteString(c, answerWith("0", "", "no")+answerWith(idOf(r), "", "ok"))
+			return true
+		})
+		checkBody(t, newTestPool(sameID), p.address(), "1", "ok")
+	})
+	t.Run("none of its own", func(t *testing.T) {
+		p := newPeer(t, func(c net.Conn, r string) bool {
+			_, _ = io.WriteString(c, answerWith("0", "", "no"))
+			return false
+		})
+		_, body, err := send(t, newTestPool(sameID), p.address(), request("1"))
+		if err == nil || NotSent(err) {
+			t.Errorf("got %q, %v; want an error of a request that was sent", body, err)
+		}
+	})
+}
+
+func TestTornAnswers(t *testing.T) {
+	for _, tc := range []struct{ name, answer string }{
+		{"in the head", "HTTP/1.1 200 OK\r\nId: 1\r\nConte"},
+		{"in the body", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nabc"},
+		{"in a chunk", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"},
+		{"before the last chunk", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"},
+		{"no HTTP", "\x00\x01 what is this"},
+		{"nothing", ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPeer(t, func(c net.Conn, _ string) bool {
+				_, _ = io.WriteString(c, tc.answer)
+				return false
+			})
+			_, body, err := send(t, newTestPool(sameID), p.address(), request("1"))
+			var e *Error
+			if !errors.As(err, &e) || !e.Sent {
+				t.Errorf("got %q, %v; want an error of a request that was sent", body, err)
+			}
+			if _, requests := p.counts(); requests != 1 {
+				t.Errorf("the request was sent %d times", requests)
+			}
+		})
+	}
+}
+
+// TestClosedConnectionIsNotUsed has the peer close a resting connection: the
+// next request must not be lost on it.
+func TestClosedConnectionIsNotUsed(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, r string) bool {
+		_, _ = io.WriteString(c, answerWith(idOf(r), "", "ok"))
+		return idOf(r) != "1"
+	})
+	pool := newTestPool(sameID)
+	checkBody(t, pool, p.address(), "1", "ok")
+	waitUntil(t, func() bool {
+		pool.mu.Lock()
+		defer pool.mu.Unlock()
+		list := pool.idle[p.address()]
+		return len(list) == 1 && !list[0].quiet()
+	})
+	checkBody(t, pool, p.address(), "2", "ok")
+}
+
+func TestUnreachableIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	if _, _, err := send(t, newTestPool(nil), address, request("1")); !NotSent(err) {
+		t.Errorf("error %v; want one of a request that was not sent", err)
+	}
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	gone := make(chan struct{})
+	arrived := make(chan struct{})
+	p := newPeer(t, func(c net.Conn, _ string) bool {
+		close(arrived)
+		_, _ = c.Read(make([]byte, 1))
+		close(gone)
+		return false
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	group := sillgroup.New(ctx)
+	defer group.Stop()
+	group.Go(func(context.Context) {
+		<-arrived
+		cancel()
+	})
+	_, err := newTestPool(sameID).Send(ctx, p.address(), request("1"))
+	if !errors.Is(err, context.Canceled) || NotSent(err) {
+		t.Errorf("error %v", err)
+	}
+	select {
+	case <-gone:
+	case <-time.After(5 * time.Second):
+		t.Error("the peer still waits")
+	}
+}
+
+// TestEarlyAnswer has the peer answer before it read a long body: the rest of
+// the body must not become another request's.
+func TestEarlyAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	group := sillgroup.New(t.Context())
+	defer group.Stop()
+	defer l.Close()
+	group.Go(func(context.Context) {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, answerWith("1", "", "early"))
+		time.Sleep(50 * time.Millisecond)
+	})
+	pool := newTestPool(sameID)
+	req := request("1")
+	req.Body = make([]byte, 8<<20)
+	_, body, err := send(t, pool, l.Addr().String(), req)
+	if err == nil && body != "early" {
+		t.Errorf("body %q", body)
+	}
+	if pool.pop(l.Addr().String()) != nil {
+		t.Error("the connection was kept")
+	}
+}
+
+func TestSweepClosesOldConnections(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, r string) bool {
+		_, _ = io.WriteString(c, answerWith(idOf(r), "Keep-Alive: timeout=5\r\n", "ok"))
+		return true
+	})
+	pool := newTestPool(sameID)
+	checkBody(t, pool, p.address(), "1", "ok")
+	pool.Sweep(time.Now())
+	if c := pool.pop(p.address()); c == nil {
+		t.Fatal("a fresh connection was closed")
+	} else {
+		pool.put(c)
+	}
+	pool.Sweep(time.Now().Add(6 * time.Second))
+	if pool.pop(p.address()) != nil {
+		t.Error("an old connection was kept")
+	}
+}
+
+// waitUntil polls a condition that other goroutines bring about.
+func waitUntil(t *testing.T, ok func() bool) {
+	t.Helper()
+	for range 500 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the condition did not come true")
+}
--- a/internal/sillversion/plan.go
+++ b/internal/sillversion/plan.go
@@ -178,6 +178,7 @@
 // candidates returns the engines that are due for a load, the most urgent first.
 func (p *Planner) candidates(now time.Time, engines []silltarget.Entry, wanted map[sillid.ModelID]Wanted) []Load {
 	var loads []Load
+	planned := make(map[sillid.ModelID]int)
 	for _, e := range engines {
 		r := p.records[e.ID]
 		w, ok := wanted[r.home]
@@ -185,9 +186,10 @@
 		if !ok || r.pending != nil || held >= w.Version || now.Before(r.notBefore) || e.State != silltarget.Ready {
 			continue
 		}
-		if held >= w.Oldest && (w.Waiting > 0 || p.enough(engines, r.home, w.Version)) {
+		if held >= w.Oldest && (w.Waiting > 0 || p.enough(engines, r.home, w.Version, planned[r.home])) {
 			continue
 		}
+		planned[r.home]++
 		loads = append(loads, Load{Target: e, Model: r.home, Version: w.Version, Orders: r.orders})
 	}
 	slices.SortStableFunc(loads, func(a, b Load) int {
@@ -196,10 +198,10 @@
 	return loads
 }
 
-// enough returns whether half of a model's engines have its newest version or
-// are loading it.
-func (p *Planner) enough(engines []silltarget.Entry, model sillid.ModelID, version sillid.WeightVersion) bool {
-	count, newest := 0, 0
+// enough returns whether half of a model's engines have its newest version, are
+// loading it or are planned to.
+func (p *Planner) enough(engines []silltarget.Entry, model sillid.ModelID, version sillid.WeightVersion, planned int) bool {
+	count, newest := 0, planned
 	for _, e := range engines {
 		r := p.records[e.ID]
 		if r.home != model {
