Test batch jobs: acceptance, owners, successors, lost answers, slow engines

Cause: a submission before Run had set the runner's group crashed the process; seen as a data race in TestJobRuns and a crash in TestItemReachesEngineUnchanged under load, which failed first. Change: the group is made with the runner. Tests with a stand-in of engines and a table in memory.

--- /dev/null
+++ b/internal/silljob/help_test.go
@@ -0,0 +1,217 @@
+package silljob
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabisill/wasabisill/internal/sillcatalog"
+	"github.com/wasabisill/wasabisill/internal/sillforward"
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/sillmemtable"
+	"github.com/wasabisill/wasabisill/internal/sillstandtarget"
+	"github.com/wasabisill/wasabisill/internal/silltarget"
+	"github.com/wasabisill/wasabisill/internal/silltransport"
+	"github.com/wasabisill/wasabisill/internal/sillwatch"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
+)
+
+type (
+	behaviour = sillstandtarget.Behaviour
+	call      = sillstandtarget.Call
+	versions  = map[sillid.ModelID]sillid.WeightVersion
+)
+
+// cluster is some gateways that run jobs, before one table and some engines.
+type cluster struct {
+	t       *testing.T
+	table   *sillmemtable.Table
+	store   *Store
+	engines []*sillstandtarget.Target
+	scorer  *sillstandtarget.Target
+	catalog *sillcatalog.Holder
+
+	mu    sync.Mutex
+	nodes map[NodeRun]*node
+}
+
+// node is one gateway.
+type node struct {
+	runner    *Runner
+	reader    *Reader
+	board     *Board
+	directory *silltarget.Directory
+	group     *sillgroup.Group
+	alive     bool
+}
+
+const testModel sillid.ModelID = "m"
+
+// newCluster starts engines with two slots each that do what plan says.
+func newCluster(t *testing.T, engines int, plan func(engine int, c call, n int) behaviour) *cluster {
+	t.Helper()
+	c := &cluster{t: t, table: &sillmemtable.Table{}, catalog: &sillcatalog.Holder{}, nodes: make(map[NodeRun]*node)}
+	c.store = &Store{Table: c.table.Store(), Feed: c.table.Feed()}
+	for i := range engines {
+		e := sillstandtarget.Start(sillid.TargetID(fmt.Sprintf("engine-%d", i)), func(ca call, n int) behaviour { return plan(i, ca, n) })
+		t.Cleanup(e.Close)
+		c.engines = append(c.engines, e)
+	}
+	c.scorer = sillstandtarget.Start("scorer", func(call, int) behaviour { return behaviour{} })
+	t.Cleanup(c.scorer.Close)
+	catalog := &sillcatalog.Catalog{Version: 1, Routes: []sillcatalog.Route{{
+		ID: "score", Host: "h", Prefix: "/score/", Kind: sillcatalog.Idempotent, Attempts: 2, Open: true,
+		Objective: 100 * time.Millisecond, Timeout: time.Second, Shares: []sillcatalog.Share{{Pool: "scorers", Weight: 1}},
+	}}}
+	c.catalog.Offer(catalog.Index())
+	return c
+}
+
+// start starts a gateway; jobs fall to the one of the first name that is alive.
+func (c *cluster) start(run NodeRun) *node {
+	n := &node{board: NewBoard(), directory: silltarget.NewDirectory(), group: sillgroup.New(context.Background()), alive: true}
+	for _, e := range c.engines {
+		n.directory.Apply(e.Entry("p", 2, versions{testModel: 1}))
+	}
+	n.directory.Apply(c.scorer.Entry("scorers", 8, nil))
+	pool := silltransport.NewPool(silltransport.Config{ConnectTimeout: time.Second, SilenceTimeout: time.Second, IdleTimeout: time.Minute})
+	dialect := sillstandtarget.Dialect()
+	forwarder := sillforward.New(sillforward.Config{
+		Directory: n.directory, Pool: pool, Dialect: dialect, Metrics: sillforward.NewMetrics(nil), Log: zap.NewNop(),
+		Began: func(sillid.OrganisationID, time.Time) {},
+	})
+	follower := sillwatch.New(sillwatch.Config{
+		Feed: c.table.Feed(), Table: StateTable, Partitioned: true, Wait: 200 * time.Millisecond, Answer: time.Second,
+		Pause: time.Millisecond, Log: zap.NewNop(), Now: time.Now,
+		Reset: func(rows []row, _ time.Duration) { _ = n.board.Apply(rows) },
+		Apply: func(changes []change, _ time.Duration) {
+			for _, ch := range changes {
+				_ = n.board.Apply([]row{ch.Row})
+			}
+		},
+	})
+	cache := NewCache()
+	n.runner = NewRunner(RunnerConfig{
+		Self: run, Store: c.store, Board: n.board, Cache: cache, Directory: n.directory, Pool: pool, Dialect: dialect,
+		Forwarder: forwarder, Catalog: c.catalog, Owner: func(sillid.ModelID) NodeRun { return run },
+		Rank:  func(sillid.ModelID) (int, bool) { return 0, c.isAlive(run) },
+		Alive: c.isAlive, Metrics: NewMetrics(nil), Log: zap.NewNop(),
+	})
+	n.reader = &Reader{Store: c.store, Board: n.board, Cache: cache, Age: func() (time.Duration, bool) { return follower.Age(time.Now()) }}
+	c.mu.Lock()
+	c.nodes[run] = n
+	c.mu.Unlock()
+	n.group.Go(follower.Run)
+	n.group.Go(n.runner.Run)
+	c.t.Cleanup(n.group.Stop)
+	return n
+}
+
+func (c *cluster) isAlive(run NodeRun) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.nodes[run]
+	return n != nil && n.alive
+}
+
+// kill has a gateway count as gone. It goes on by itself, like one that was
+// paused or cut off.
+func (c *cluster) kill(run NodeRun) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[run].alive = false
+}
+
+// submission returns a job of so many items, in groups of two, each with a scorer.
+func submission(job ID, items int) *Submission {
+	sub := &Submission{
+		Job: job, Organisation: "org", Route: "r", Pool: "p", Host: "h", Model: testModel, MinVersion: 1,
+		Attempts: 3, SubmittedMS: time.Now().UnixMilli(), GiveUpAfterMS: 60_000,
+	}
+	for i := range items {
+		id := ItemID(fmt.Sprintf("%s-item-%02d", job, i))
+		sub.Items = append(sub.Items, Item{
+			ID: id, Path: "/generate/1", Header: http.Header{"Other": {"x"}}, Body: []byte("body of " + string(id)),
+			Group:  fmt.Sprintf("g%d", i/2),
+			Scorer: &Scorer{ID: sillid.RequestID("score-of-" + string(id)), Host: "h", Path: "/score/1", Body: []byte("s")},
+		})
+	}
+	return sub
+}
+
+// submit accepts a job at a gateway.
+func (n *node) submit(t *testing.T, sub *Submission) {
+	t.Helper()
+	if _, err := n.runner.Submit(t.Context(), sub); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// results reads a job at a gateway until it has at least so many results.
+func (n *node) results(t *testing.T, job ID, count int) []Result {
+	t.Helper()
+	var all []Result
+	deadline := time.Now().Add(20 * time.Second)
+	for len(all) < count && time.Now().Before(deadline) {
+		page, err := n.reader.Results(t.Context(), job, "org", len(all), 200*time.Millisecond)
+		if err == nil {
+			all = append(all, page.Results...)
+		}
+	}
+	if len(all) < count {
+		t.Fatalf("%d results of job %s, want %d or more", len(all), job, count)
+	}
+	return all
+}
+
+// checkWhole checks that each item stands once, with its whole text and a score.
+func checkWhole(t *testing.T, sub *Submission, results []Result, events int) {
+	t.Helper()
+	seen := make(map[ItemID]bool)
+	for _, r := range results {
+		if seen[r.Item] {
+			t.Errorf("item %s stands twice", r.Item)
+		}
+		seen[r.Item] = true
+		if !r.Completed || r.Score != "signed-scorer" {
+			t.Errorf("item %s: completed %t, score %q", r.Item, r.Completed, r.Score)
+		}
+		if want := textOf(r.Item, events); r.Text != want {
+			t.Errorf("item %s has the text %q, want %q", r.Item, r.Text, want)
+		}
+	}
+	if len(seen) != len(sub.Items) {
+		t.Errorf("%d items have results, want %d", len(seen), len(sub.Items))
+	}
+}
+
+func textOf(item ItemID, events int) string {
+	text := ""
+	for i := range events {
+		if i > 0 {
+			text += "\n"
+		}
+		text += sillstandtarget.EventText(sillid.RequestID(item), i)
+	}
+	return text
+}
+
+// eventually polls a condition that other goroutines bring about.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 2000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("it did not come about that %s", what)
+}
+
+// staleBoard is the age of a board that was read long ago.
+func staleBoard() (time.Duration, bool) { return time.Hour, true }
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -78,12 +78,13 @@
 		claiming:    make(map[ID]bool),
 		orphanSince: make(map[ID]time.Time),
 		wake:        make(chan struct{}, 1),
+		// Attempts outlive the context of Run until their jobs are handed back.
+		group: sillgroup.New(context.Background()),
 	}
 }
 
 // Run runs owned jobs until ctx ends, then hands them back.
 func (r *Runner) Run(ctx context.Context) {
-	r.group = sillgroup.New(context.WithoutCancel(ctx))
 	defer r.group.Stop()
 	r.group.Go(r.dispatchLoop)
 	ticker := time.NewTicker(reviewEvery)
--- /dev/null
+++ b/internal/silljob/runner_test.go
@@ -0,0 +1,400 @@
+package silljob
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wasabisill/wasabisill/internal/silltable"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
+)
+
+type (
+	row    = silltable.Row
+	change = silltable.Change
+)
+
+const testEvents = 6
+
+func wholeStream(int, call, int) behaviour {
+	return behaviour{Events: testEvents, Pace: time.Millisecond, Version: 1}
+}
+
+func TestJobRuns(t *testing.T) {
+	c := newCluster(t, 2, wholeStream)
+	a, b := c.start("a"), c.start("b")
+	sub := submission("job", 10)
+	a.submit(t, sub)
+	results := b.results(t, "job", 10)
+	checkWhole(t, sub, results, testEvents)
+	if again := a.results(t, "job", 10); !slices.EqualFunc(results, again, sameResult) {
+		t.Error("two gateways list different results")
+	}
+	for _, r := range results {
+		if !slices.Equal(r.Versions, []sillid.WeightVersion{1}) {
+			t.Errorf("versions %v", r.Versions)
+		}
+	}
+	page, err := b.reader.Results(t.Context(), "job", "org", 7, 0)
+	if err != nil || page.Total != 10 || len(page.Results) != 3 || page.Results[0].Item != results[7].Item {
+		t.Errorf("page from position 7: %+v, %v", page, err)
+	}
+}
+
+func sameResult(a, b Result) bool {
+	return a.Item == b.Item && a.Text == b.Text && a.Score == b.Score && slices.Equal(a.Versions, b.Versions)
+}
+
+func TestItemReachesEngineUnchanged(t *testing.T) {
+	c := newCluster(t, 1, wholeStream)
+	a := c.start("a")
+	sub := submission("job", 1)
+	a.submit(t, sub)
+	a.results(t, "job", 1)
+	got := c.engines[0].Calls()[0]
+	if got.Request != "job-item-00" || got.Organisation != "org" || got.Path != "/generate/1" ||
+		got.Body != "body of job-item-00" || got.Header.Get("Other") != "x" {
+		t.Errorf("the engine got %+v", got)
+	}
+}
+
+// TestBrokenStreamsGoOn breaks each run of an item after two events.
+func TestBrokenStreamsGoOn(t *testing.T) {
+	c := newCluster(t, 3, func(int, call, int) behaviour {
+		return behaviour{Events: testEvents, BreakAfter: 2, Pace: time.Millisecond, Version: 1}
+	})
+	a := c.start("a")
+	sub := submission("job", 4)
+	a.submit(t, sub)
+	checkWhole(t, sub, a.results(t, "job", 4), testEvents)
+	for _, e := range c.engines {
+		for _, ca := range e.Calls() {
+			if ca.After >= 0 && ca.After%2 != 1 {
+				t.Errorf("a run goes on after event %d", ca.After)
+			}
+		}
+	}
+}
+
+// TestVersionsOfAText changes the weights in the middle of each text.
+func TestVersionsOfAText(t *testing.T) {
+	c := newCluster(t, 1, func(int, call, int) behaviour {
+		return behaviour{Events: testEvents, Version: 1, Next: 2, NextAt: 3}
+	})
+	a := c.start("a")
+	a.submit(t, submission("job", 2))
+	for _, r := range a.results(t, "job", 2) {
+		if !slices.Equal(r.Versions, []sillid.WeightVersion{1, 2}) {
+			t.Errorf("versions %v, want 1 and 2", r.Versions)
+		}
+	}
+}
+
+// TestOldWeightsMakeNoEvent has an engine claim a version in its entry that it
+// does not have.
+func TestOldWeightsMakeNoEvent(t *testing.T) {
+	var asked atomic.Int32
+	c := newCluster(t, 1, func(int, call, int) behaviour {
+		version := sillid.WeightVersion(1)
+		if asked.Add(1) > 3 {
+			version = 2
+		}
+		return behaviour{Events: testEvents, Version: version}
+	})
+	a := c.start("a")
+	a.directory.Apply(c.engines[0].Entry("p", 2, versions{testModel: 2}))
+	sub := submission("job", 1)
+	sub.MinVersion = 2
+	a.submit(t, sub)
+	for _, r := range a.results(t, "job", 1) {
+		if !slices.Equal(r.Versions, []sillid.WeightVersion{2}) {
+			t.Errorf("versions %v, want 2 alone", r.Versions)
+		}
+	}
+}
+
+func TestSingleVersion(t *testing.T) {
+	var asked atomic.Int32
+	c := newCluster(t, 1, func(int, call, int) behaviour {
+		if asked.Add(1) == 1 {
+			return behaviour{Events: testEvents, Version: 1, Next: 2, NextAt: 3}
+		}
+		return behaviour{Events: testEvents, Version: 2}
+	})
+	a := c.start("a")
+	sub := submission("job", 1)
+	sub.SingleVersion = true
+	a.submit(t, sub)
+	results := a.results(t, "job", 1)
+	checkWhole(t, sub, results, testEvents)
+	if !slices.Equal(results[0].Versions, []sillid.WeightVersion{2}) {
+		t.Errorf("versions %v, want 2 alone", results[0].Versions)
+	}
+}
+
+func TestItemsGivenUp(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		status int
+		calls  int
+	}{
+		{"impossible", http.StatusUnprocessableEntity, 1},
+		{"failed at each run", http.StatusInternalServerError, 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCluster(t, 1, func(int, call, int) behaviour { return behaviour{Status: tc.status} })
+			a := c.start("a")
+			a.submit(t, submission("job", 1))
+			if r := a.results(t, "job", 1)[0]; r.Completed {
+				t.Errorf("result %+v", r)
+			}
+			if n := len(c.engines[0].Calls()); n != tc.calls {
+				t.Errorf("%d runs, want %d", n, tc.calls)
+			}
+		})
+	}
+}
+
+// TestSilentEngine has one of two engines stop in the middle of every stream.
+func TestSilentEngine(t *testing.T) {
+	c := newCluster(t, 2, func(engine int, _ call, _ int) behaviour {
+		if engine == 0 {
+			return behaviour{Silent: true}
+		}
+		return behaviour{Events: testEvents, Version: 1}
+	})
+	a := c.start("a")
+	sub := submission("job", 2)
+	a.submit(t, sub)
+	checkWhole(t, sub, a.results(t, "job", 2), testEvents)
+}
+
+func TestEndStopsItems(t *testing.T) {
+	c := newCluster(t, 1, func(int, call, int) behaviour {
+		return behaviour{Events: 1000, Pace: 10 * time.Millisecond, Version: 1}
+	})
+	a, b := c.start("a"), c.start("b")
+	a.submit(t, submission("job", 4))
+	eventually(t, "items run", func() bool { return len(c.engines[0].Calls()) == 2 })
+	for range 2 {
+		if err := b.reader.End(t.Context(), "job", "org"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	eventually(t, "the engine is free", func() bool { return c.engines[0].Left() == 2 })
+	if n := len(c.engines[0].Calls()); n != 2 {
+		t.Errorf("%d items ran, want 2", n)
+	}
+	if _, err := b.reader.Body(t.Context(), "job", "org", "job-item-00"); !errors.Is(err, ErrNoItem) {
+		t.Errorf("body of an ended job: %v", err)
+	}
+}
+
+// TestOwnerIsReplaced has the owner count as gone while it goes on: its
+// successor finishes the job, and nothing that the old owner writes is listed.
+func TestOwnerIsReplaced(t *testing.T) {
+	c := newCluster(t, 2, func(int, call, int) behaviour {
+		return behaviour{Events: testEvents, Pace: 20 * time.Millisecond, Version: 1}
+	})
+	a := c.start("a")
+	sub := submission("job", 12)
+	a.submit(t, sub)
+	a.results(t, "job", 2)
+	c.kill("a")
+	b := c.start("b")
+	results := b.results(t, "job", 12)
+	checkWhole(t, sub, results, testEvents)
+	if again := a.results(t, "job", 12); !slices.EqualFunc(results, again, sameResult) {
+		t.Error("the old owner's gateway lists other results")
+	}
+	held, err := c.store.State(t.Context(), "job")
+	if err != nil || held.Owner != "b" || held.Listed != 12 {
+		t.Errorf("state %+v, %v", held, err)
+	}
+}
+
+// TestSuccessorGoesOnWithTexts hands a job back in the middle of its texts.
+func TestSuccessorGoesOnWithTexts(t *testing.T) {
+	c := newCluster(t, 1, func(int, call, int) behaviour {
+		return behaviour{Events: 40, Pace: 15 * time.Millisecond, Version: 1}
+	})
+	a := c.start("a")
+	sub := submission("job", 2)
+	a.submit(t, sub)
+	eventually(t, "texts are under way", func() bool {
+		a.runner.mu.Lock()
+		defer a.runner.mu.Unlock()
+		j := a.runner.jobs["job"]
+		return j != nil && eventsOf(j.unfinished(5)) >= 10
+	})
+	a.group.Cancel()
+	b := c.start("b")
+	checkWhole(t, sub, b.results(t, "job", 2), 40)
+	gone := 0
+	for _, ca := range c.engines[0].Calls() {
+		if ca.After >= 4 {
+			gone++
+		}
+	}
+	if gone != 2 {
+		t.Errorf("%d of 2 texts were gone on with", gone)
+	}
+}
+
+// TestLostOwnersTextsAreSaved kills the owner without a word after a second.
+func TestLostOwnersTextsAreSaved(t *testing.T) {
+	c := newCluster(t, 1, func(int, call, int) behaviour {
+		return behaviour{Events: 120, Pace: 15 * time.Millisecond, Version: 1}
+	})
+	a := c.start("a")
+	sub := submission("job", 1)
+	a.submit(t, sub)
+	eventually(t, "texts are saved", func() bool {
+		held, err := c.store.State(t.Context(), "job")
+		return err == nil && held.Progressed
+	})
+	c.kill("a")
+	b := c.start("b")
+	checkWhole(t, sub, b.results(t, "job", 1), 120)
+	calls := c.engines[0].Calls()
+	if last := calls[len(calls)-1]; last.After < worthSaving-1 {
+		t.Errorf("the successor goes on after event %d", last.After)
+	}
+}
+
+// TestItemsComeAgain ends a job in the middle of a text, and has the item come
+// again in the next one.
+func TestItemsComeAgain(t *testing.T) {
+	c := newCluster(t, 1, func(int, call, int) behaviour {
+		return behaviour{Events: 30, Pace: 10 * time.Millisecond, Version: 1}
+	})
+	a := c.start("a")
+	first := submission("first", 1)
+	a.submit(t, first)
+	eventually(t, "the text is under way", func() bool {
+		a.runner.mu.Lock()
+		defer a.runner.mu.Unlock()
+		j := a.runner.jobs["first"]
+		return j != nil && len(j.unfinished(5)) == 1
+	})
+	if err := a.reader.End(t.Context(), "first", "org"); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the job is closed", func() bool { return c.engines[0].Left() == 1 })
+	second := submission("second", 1)
+	second.Items[0] = first.Items[0]
+	a.submit(t, second)
+	checkWhole(t, second, a.results(t, "second", 1), 30)
+	calls := c.engines[0].Calls()
+	if last := calls[len(calls)-1]; last.After < 4 {
+		t.Errorf("the text was begun anew after event %d", last.After)
+	}
+}
+
+// TestLostAnswersOfTheTable loses the answer of every third write, after it
+// took effect.
+func TestLostAnswersOfTheTable(t *testing.T) {
+	c := newCluster(t, 2, wholeStream)
+	var writes atomic.Int32
+	c.table.Fault = func(_ context.Context, name string) error {
+		if name == "commit-answer" && writes.Add(1)%3 == 0 {
+			return silltable.ErrUnknown
+		}
+		return nil
+	}
+	a := c.start("a")
+	sub := submission("job", 20)
+	a.submit(t, sub)
+	checkWhole(t, sub, a.results(t, "job", 20), testEvents)
+}
+
+// TestTableAway refuses every write for a while: nothing is lost, and the reads
+// meanwhile list nothing that is not stored.
+func TestTableAway(t *testing.T) {
+	c := newCluster(t, 2, wholeStream)
+	var away atomic.Bool
+	c.table.Fault = func(_ context.Context, name string) error {
+		if away.Load() && name == "commit" {
+			return silltable.ErrUnavailable
+		}
+		return nil
+	}
+	a := c.start("a")
+	sub := submission("job", 8)
+	a.submit(t, sub)
+	away.Store(true)
+	time.Sleep(300 * time.Millisecond)
+	held, err := c.store.State(t.Context(), "job")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if page, err := a.reader.Results(t.Context(), "job", "org", held.Listed, 0); err != nil || len(page.Results) != 0 {
+		t.Errorf("read %d results that are not stored, %v", len(page.Results), err)
+	}
+	away.Store(false)
+	checkWhole(t, sub, a.results(t, "job", 8), testEvents)
+}
+
+func TestByUrgency(t *testing.T) {
+	job := func(submitted int64) *ownedJob { return &ownedJob{sub: &Submission{SubmittedMS: submitted}} }
+	old, young := job(1), job(2)
+	item := func(j *ownedJob, id ItemID, tokens, events int) *itemRun {
+		return &itemRun{job: j, item: &Item{ID: id, ExpectedTokens: tokens}, events: make([]string, events)}
+	}
+	list := []*itemRun{
+		item(young, "young-long", 900, 0), item(old, "old-short", 10, 0), item(old, "old-long", 800, 0),
+		item(old, "old-begun", 5, 3), item(young, "young-begun", 1, 1),
+	}
+	slices.SortFunc(list, byUrgency)
+	var got []ItemID
+	for _, it := range list {
+		got = append(got, it.item.ID)
+	}
+	want := []ItemID{"old-begun", "old-long", "old-short", "young-begun", "young-long"}
+	if !slices.Equal(got, want) {
+		t.Errorf("order %v, want %v", got, want)
+	}
+}
+
+func TestWorthMoving(t *testing.T) {
+	const usual = 40 * time.Millisecond
+	for _, tc := range []struct {
+		name   string
+		events int
+		here   time.Duration
+		want   bool
+	}{
+		{"usual pace", 50, usual, false},
+		{"a little slower", 50, 60 * time.Millisecond, false},
+		{"three times slower", 50, 120 * time.Millisecond, true},
+		{"slower but short", 4, 70 * time.Millisecond, false},
+		{"unknown pace", 50, 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if got := worthMoving(tc.events, tc.here, usual); got != tc.want {
+				t.Errorf("worth moving: %t", got)
+			}
+		})
+	}
+}
+
+// TestItemsLeaveSlowEngines has one of two engines turn ten times slower.
+func TestItemsLeaveSlowEngines(t *testing.T) {
+	c := newCluster(t, 2, func(engine int, _ call, _ int) behaviour {
+		if engine == 0 {
+			return behaviour{Events: 60, Pace: 200 * time.Millisecond, Version: 1}
+		}
+		return behaviour{Events: 60, Pace: 10 * time.Millisecond, Version: 1}
+	})
+	a := c.start("a")
+	sub := submission("job", 4)
+	a.submit(t, sub)
+	checkWhole(t, sub, a.results(t, "job", 4), 60)
+	if n := c.engines[0].Left(); n == 0 {
+		t.Error("no item left the slow engine")
+	}
+}
