--- a/cmd/wasabisill/platform.go
+++ b/cmd/wasabisill/platform.go
@@ -49,7 +49,7 @@
 	group := sillgroup.New(ctx)
 	defer group.Stop()
 	group.Go(func(ctx context.Context) { reloadOnHangup(ctx, log) })
-	return sillplatform.New(settings, log).Run(ctx)
+	return sillplatform.New(settings, log).Run(ctx, func() {})
 }
 
 // reloadOnHangup checks the settings at each SIGHUP. What they hold is fixed for
--- /dev/null
+++ b/internal/sillcluster/members_test.go
@@ -0,0 +1,112 @@
+package sillcluster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wasabisill/wasabisill/internal/silltable"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
+)
+
+var start = time.Unix(1000, 0)
+
+func change(t *testing.T, m Member) silltable.Change {
+	t.Helper()
+	w, err := Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return silltable.Change{Row: silltable.Row{Key: w.Key, Value: w.Value}}
+}
+
+func members(t *testing.T, count int) *Members {
+	t.Helper()
+	s := NewMembers()
+	for i := range count {
+		name := fmt.Sprintf("i%d", i)
+		m := Member{Instance: sillid.InstanceID(name), Run: Run("run-" + name)}
+		if err := s.Apply(start, []silltable.Change{change(t, m)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s
+}
+
+func checkAlive(t *testing.T, s *Members, now time.Time, run Run, want bool) {
+	t.Helper()
+	if got := s.Alive(now, run); got != want {
+		t.Errorf("%s is alive: %t, want %t", run, got, want)
+	}
+}
+
+func TestRowsLapse(t *testing.T) {
+	s := members(t, 1)
+	checkAlive(t, s, start.Add(Lapse-time.Millisecond), "run-i0", true)
+	checkAlive(t, s, start.Add(Lapse), "run-i0", false)
+	if err := s.Apply(start.Add(Lapse), []silltable.Change{change(t, Member{Instance: "i0", Run: "run-i0", Renewal: 2})}); err != nil {
+		t.Fatal(err)
+	}
+	checkAlive(t, s, start.Add(Lapse), "run-i0", true)
+}
+
+func TestNewRunReplacesTheOld(t *testing.T) {
+	s := members(t, 1)
+	if err := s.Apply(start, []silltable.Change{change(t, Member{Instance: "i0", Run: "next"})}); err != nil {
+		t.Fatal(err)
+	}
+	checkAlive(t, s, start, "run-i0", false)
+	checkAlive(t, s, start, "next", true)
+}
+
+func TestOutageIsNotHeldAgainstMembers(t *testing.T) {
+	s := members(t, 1)
+	later := start.Add(10 * time.Second)
+	s.Refresh(later)
+	checkAlive(t, s, later.Add(Lapse/2), "run-i0", true)
+	checkAlive(t, s, later.Add(Lapse), "run-i0", false)
+}
+
+func TestLeavingMembersGetNoWork(t *testing.T) {
+	s := members(t, 2)
+	if err := s.Apply(start, []silltable.Change{change(t, Member{Instance: "i0", Run: "run-i0", Leaving: true})}); err != nil {
+		t.Fatal(err)
+	}
+	checkAlive(t, s, start, "run-i0", true)
+	if live := s.Live(start); len(live) != 1 || live[0].Instance != "i1" {
+		t.Errorf("live %v", live)
+	}
+	if _, ok := s.Rank(start, "m", "i0"); ok {
+		t.Error("a leaving member has a rank")
+	}
+}
+
+func TestRanksAreAPermutation(t *testing.T) {
+	s := members(t, 5)
+	for _, name := range []string{"a", "b", "c"} {
+		seen := make(map[int]bool)
+		for i := range 5 {
+			rank, ok := s.Rank(start, name, sillid.InstanceID(fmt.Sprintf("i%d", i)))
+			if !ok || seen[rank] || rank < 0 || rank > 4 {
+				t.Errorf("%s: rank %d of i%d, ok %t", name, rank, i, ok)
+			}
+			seen[rank] = true
+		}
+		first, ok := s.First(start, name)
+		if rank, _ := s.Rank(start, name, first.Instance); !ok || rank != 0 {
+			t.Errorf("%s: the first has rank %d", name, rank)
+		}
+	}
+}
+
+func TestUnreadableRowsAreLeftOut(t *testing.T) {
+	s := members(t, 1)
+	err := s.Apply(start, []silltable.Change{
+		{Row: silltable.Row{Key: Key("bad"), Value: []byte("?")}},
+		change(t, Member{Instance: "good", Run: "run-good"}),
+	})
+	if err == nil {
+		t.Error("no error for a row that can't be read")
+	}
+	checkAlive(t, s, start, "run-good", true)
+}
--- a/internal/silldirect/service.go
+++ b/internal/silldirect/service.go
@@ -79,6 +79,8 @@
 type Service struct {
 	// Log is the logger of the process.
 	Log *zap.Logger
+	// Addresses is set once the gateway has started.
+	Addresses Addresses
 	// Forwarder, Runner and Reader serve callers.
 	Forwarder *sillforward.Forwarder
 	Runner    *silljob.Runner
@@ -101,6 +103,13 @@
 	renewals atomic.Uint64
 }
 
+// Addresses are the addresses that a started gateway got.
+type Addresses struct {
+	Callers string
+	Ready   string
+	Peers   string
+}
+
 // New wires a gateway.
 func New(settings *Settings, seams *Seams, log *zap.Logger) *Service {
 	s := &Service{
@@ -140,9 +149,20 @@
 // Ready returns whether the process takes new callers.
 func (s *Service) Ready() bool { return !s.stopping.Load() && s.Catalog() != nil }
 
-// Metrics serves the counters of the process.
-func (s *Service) Metrics() http.Handler {
-	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
+// metricsHandler serves the counters of the process.
+func (s *Service) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
+	return mux
+}
+
+// listenMetrics opens the address of the counters; nil if there is none.
+func (s *Service) listenMetrics() (net.Listener, error) {
+	if s.settings.Metrics == "" {
+		return nil, nil
+	}
+	l, err := net.Listen("tcp", s.settings.Metrics)
+	return l, eris.Wrapf(err, "silldirect.listenMetrics: %s", s.settings.Metrics)
 }
 
 func (s *Service) began(organisation sillid.OrganisationID, at time.Time) {
@@ -264,7 +284,7 @@
 
 func (s *Service) writeMember(ctx context.Context, leaving bool) {
 	m := sillcluster.Member{
-		Instance: s.settings.Instance, Run: s.run, Address: s.settings.peerAddress(), Zone: s.settings.Zone,
+		Instance: s.settings.Instance, Run: s.run, Address: s.Addresses.Peers, Zone: s.settings.Zone,
 		Leaving: leaving, Renewal: s.renewals.Add(1),
 	}
 	write, err := sillcluster.Encode(m)
@@ -351,8 +371,9 @@
 	}
 }
 
-// Run serves until ctx ends, and then stops within the grace.
-func (s *Service) Run(ctx context.Context) error {
+// Run serves until ctx ends, and then stops within the grace. It calls started
+// once it listens.
+func (s *Service) Run(ctx context.Context, started func()) error {
 	callers, err := net.Listen("tcp", s.settings.Callers)
 	if err != nil {
 		return eris.Wrapf(err, "silldirect.Run: callers' address %s", s.settings.Callers)
@@ -365,6 +386,13 @@
 	if err != nil {
 		return eris.Wrapf(err, "silldirect.Run: address for other gateways %s", s.settings.peerAddress())
 	}
+	metrics, err := s.listenMetrics()
+	if err != nil {
+		return err
+	}
+	s.Addresses = Addresses{
+		Callers: callers.Addr().String(), Ready: ready.Addr().String(), Peers: peers.Addr().String(),
+	}
 	background := sillgroup.New(context.WithoutCancel(ctx))
 	work := sillgroup.New(context.WithoutCancel(ctx))
 	for _, f := range s.followers() {
@@ -384,10 +412,15 @@
 	background.Go(func(context.Context) { _ = peerServer.Serve(peers) })
 	background.Go(func(context.Context) { _ = server.Serve(callers) })
 	background.Go(func(context.Context) { _ = readyServer.Serve(ready) })
+	metricsServer := &http.Server{Handler: s.metricsHandler(), ReadHeaderTimeout: headerTimeout}
+	if metrics != nil {
+		background.Go(func(context.Context) { _ = metricsServer.Serve(metrics) })
+	}
 	s.Log.Info("Started.", zap.String("instance", string(s.settings.Instance)), zap.String("run", string(s.run)),
-		zap.String("callers", s.settings.Callers), zap.String("zone", string(s.settings.Zone)))
+		zap.String("callers", s.Addresses.Callers), zap.String("zone", string(s.settings.Zone)))
+	started()
 	<-ctx.Done()
-	s.stop(work, background, server, readyServer, peerServer)
+	s.stop(work, background, server, readyServer, peerServer, metricsServer)
 	return nil
 }
 
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -128,13 +128,16 @@
 }
 
 // Submit accepts a job. It returns false if the job had been accepted before.
-// Errors are those of Store.Accept.
+// Errors: ErrForeign and those of Store.Accept.
 func (r *Runner) Submit(ctx context.Context, sub *Submission) (bool, error) {
 	owner := r.cfg.Owner(sub.Model)
 	held, accepted, err := r.cfg.Store.Accept(ctx, sub, owner)
 	if err != nil {
 		return false, err
 	}
+	if held.Organisation != sub.Organisation {
+		return false, ErrForeign
+	}
 	r.cfg.Log.Info("Job accepted.", zap.String("job", string(sub.Job)), zap.Bool("new", accepted),
 		zap.String("owner", string(held.Owner)), zap.Int("items", held.Total),
 		zap.String("model", string(sub.Model)), zap.Uint64("min-version", uint64(sub.MinVersion)))
--- a/internal/silljob/store.go
+++ b/internal/silljob/store.go
@@ -18,8 +18,8 @@
 	ErrNoJob = errors.New("no such job: check its id")
 	// ErrNoItem is returned for an item that the job does not have, or has no more.
 	ErrNoItem = errors.New("no such item in the job, or the job has ended")
-	// ErrReplaced is returned to an owner that another process has replaced.
-	ErrReplaced = errors.New("another process runs the job now")
+	// ErrForeign is returned for a job whose id another organisation has taken.
+	ErrForeign = errors.New("another organisation has a job of this id: choose another id")
 )
 
 // Store reads and writes the rows of jobs. It is safe for concurrent use.
--- /dev/null
+++ b/internal/sillmeter/meter_test.go
@@ -0,0 +1,156 @@
+package sillmeter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/sillmemtable"
+	"github.com/wasabisill/wasabisill/internal/silltable"
+)
+
+const length = 5 * time.Second
+
+func newTestMeter(table *sillmemtable.Table, run string) *Meter {
+	return NewMeter(MeterConfig{Table: table.Store(), Length: length, Run: run, Log: zap.NewNop()})
+}
+
+// sink takes reports.
+type sink struct {
+	sent []string
+	err  error
+}
+
+func (s *sink) send(_ context.Context, w Window, counts Counts) error {
+	s.sent = append(s.sent, fmt.Sprint(w, counts))
+	return s.err
+}
+
+func newTestReporter(table *sillmemtable.Table, s *sink) *Reporter {
+	return NewReporter(ReporterConfig{
+		Table: table.Store(), Length: length, Settle: 4 * time.Second, Late: 10 * time.Second, Send: s.send, Log: zap.NewNop(),
+	})
+}
+
+func TestWindowsOfAllProcessesAddUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &sillmemtable.Table{}
+		group := sillgroup.New(t.Context())
+		meters := []*Meter{newTestMeter(table, "a"), newTestMeter(table, "b")}
+		for _, m := range meters {
+			group.Go(m.Run)
+		}
+		started := time.Now()
+		first := windowOf(started, length)
+		at := endOf(first, length)
+		for i, m := range meters {
+			m.Began("one", at.Add(time.Second))
+			m.Began("one", at.Add(2*time.Second))
+			m.Began("two", at.Add(time.Second))
+			m.Began("", at.Add(time.Second))
+			if i == 0 {
+				m.Began("one", at.Add(length))
+			}
+		}
+		time.Sleep(2 * time.Second)
+		group.Stop()
+		s := &sink{}
+		newTestReporter(table, s).reportDue(t.Context(), at.Add(length+4*time.Second))
+		want := fmt.Sprint(first+1, Counts{"one": 4, "two": 2})
+		if len(s.sent) == 0 || s.sent[len(s.sent)-1] != want {
+			t.Errorf("reports %v, want the last to be %s", s.sent, want)
+		}
+	})
+}
+
+func TestWindowsSettle(t *testing.T) {
+	table := &sillmemtable.Table{}
+	s := &sink{}
+	r := newTestReporter(table, s)
+	end := endOf(100, length)
+	r.reportDue(t.Context(), end.Add(4*time.Second-time.Millisecond))
+	before := len(s.sent)
+	r.reportDue(t.Context(), end.Add(4*time.Second))
+	if len(s.sent) != before+1 {
+		t.Errorf("%d reports before the window settled and %d after", before, len(s.sent))
+	}
+	r.reportDue(t.Context(), end.Add(4*time.Second))
+	if len(s.sent) != before+1 {
+		t.Error("a window is reported twice by one reporter")
+	}
+}
+
+// TestRepeatsAreExact loses the answer of a report; counts change meanwhile,
+// and another process goes on.
+func TestRepeatsAreExact(t *testing.T) {
+	table := &sillmemtable.Table{}
+	m := newTestMeter(table, "a")
+	m.Began("one", endOf(99, length))
+	m.write(t.Context())
+	now := endOf(100, length).Add(4 * time.Second)
+	first := &sink{err: errors.New("no answer")}
+	if err := newTestReporter(table, first).report(t.Context(), 100); err == nil {
+		t.Error("a report without an answer counts as taken")
+	}
+	m.Began("one", endOf(99, length))
+	m.write(t.Context())
+	second := &sink{}
+	newTestReporter(table, second).reportDue(t.Context(), now)
+	if len(first.sent) != 1 || second.sent[len(second.sent)-1] != first.sent[0] {
+		t.Errorf("reports %v and %v", first.sent, second.sent)
+	}
+}
+
+// TestRacingReporters has another process freeze the window in between.
+func TestRacingReporters(t *testing.T) {
+	table := &sillmemtable.Table{}
+	var once atomic.Bool
+	other := &sink{}
+	table.Fault = func(ctx context.Context, call string) error {
+		if call == "list" && !once.Swap(true) {
+			return newTestReporter(table, other).report(ctx, 100)
+		}
+		return nil
+	}
+	m := newTestMeter(table, "a")
+	m.Began("one", endOf(99, length))
+	m.write(t.Context())
+	mine := &sink{}
+	if err := newTestReporter(table, mine).report(t.Context(), 100); err != nil {
+		t.Fatal(err)
+	}
+	if mine.sent[0] != other.sent[0] {
+		t.Errorf("reports %v and %v", mine.sent, other.sent)
+	}
+}
+
+func TestCountsAreWrittenAgain(t *testing.T) {
+	table := &sillmemtable.Table{}
+	var away atomic.Bool
+	table.Fault = func(context.Context, string) error {
+		if away.Load() {
+			return silltable.ErrUnavailable
+		}
+		return nil
+	}
+	m := newTestMeter(table, "a")
+	away.Store(true)
+	m.Began("one", endOf(99, length))
+	m.write(t.Context())
+	away.Store(false)
+	m.write(t.Context())
+	s := &sink{}
+	if err := newTestReporter(table, s).report(t.Context(), 100); err != nil {
+		t.Fatal(err)
+	}
+	if want := fmt.Sprint(Window(100), Counts{"one": 1}); s.sent[0] != want {
+		t.Errorf("report %s, want %s", s.sent[0], want)
+	}
+}
--- a/internal/silltransport/transport_test.go
+++ b/internal/silltransport/transport_test.go
@@ -60,7 +60,7 @@
 }
 
 func (p *peer) serve(conn net.Conn, answer func(net.Conn, string) bool) {
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
@@ -322,7 +322,10 @@
 		<-arrived
 		cancel()
 	})
-	_, err := newTestPool(sameID).Send(ctx, p.address(), request("1"))
+	resp, err := newTestPool(sameID).Send(ctx, p.address(), request("1"))
+	if err == nil {
+		_ = resp.Body.Close()
+	}
 	if !errors.Is(err, context.Canceled) || NotSent(err) {
 		t.Errorf("error %v", err)
 	}
@@ -342,13 +345,13 @@
 	}
 	group := sillgroup.New(t.Context())
 	defer group.Stop()
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	group.Go(func(context.Context) {
 		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
-		defer conn.Close()
+		defer func() { _ = conn.Close() }()
 		_, _ = io.WriteString(conn, answerWith("1", "", "early"))
 		time.Sleep(50 * time.Millisecond)
 	})
