Log each decision on a request: answered, denied, item sent and done, results read

Cause: a served request left no line, so a complaint about a late one had no trail. Change: one line each, with the configuration's version, target, attempt, versions.

--- a/internal/silldirect/view.go
+++ b/internal/silldirect/view.go
@@ -89,7 +89,11 @@
 		v.log.Info("Entry of the registry left out.", zap.String("target", id), silllog.Err(err))
 		return
 	}
-	v.directory.Apply(e)
+	if v.directory.Apply(e) {
+		v.log.Info("Target registered.", zap.String("target", id), zap.String("pool", string(e.Pool)),
+			zap.String("address", e.Address), zap.String("state", string(e.State)), zap.Any("versions", e.Versions),
+			zap.Uint64("revision", uint64(row.Revision)))
+	}
 }
 
 // applyTargets takes changes of the registry. A target whose entry vanished in
--- a/internal/sillforward/forward.go
+++ b/internal/sillforward/forward.go
@@ -25,8 +25,10 @@
 
 // Request is one request of a caller.
 type Request struct {
-	ID           sillid.RequestID
-	Route        *sillcatalog.Route
+	ID    sillid.RequestID
+	Route *sillcatalog.Route
+	// Version is the configuration that the route is of.
+	Version      sillid.BundleVersion
 	Pool         sillid.PoolID
 	Organisation sillid.OrganisationID
 	Method       string
@@ -40,6 +42,9 @@
 	Deadline time.Time
 }
 
+// field names the request in a line of the log.
+func (r *Request) field() zap.Field { return zap.String("request", string(r.ID)) }
+
 // Answer is a target's answer. Body is whole, unless Stream is set.
 type Answer struct {
 	Status int
@@ -95,14 +100,18 @@
 		}
 		p.attempts++
 		tried[grant.ID] = true
+		sentAt := time.Now()
 		a, outcome, ran := f.attempt(ctx, req, grant, p)
 		if a != nil {
+			f.cfg.Log.Info("Answered.", req.field(), zap.Uint64("config", uint64(req.Version)),
+				zap.String("target", string(grant.ID)), zap.Int("attempt", p.attempts), zap.Int("status", a.Status),
+				zap.Duration("took", time.Since(sentAt)))
 			return a, nil
 		}
 		p.last = outcome
 		p.mayHaveRun = p.mayHaveRun || ran
 		f.cfg.Metrics.retry(outcome)
-		f.cfg.Log.Info("Attempt failed.", zap.String("request", string(req.ID)),
+		f.cfg.Log.Info("Attempt failed.", req.field(),
 			zap.String("target", string(grant.ID)), zap.Int("attempt", p.attempts),
 			zap.Stringer("outcome", outcome), zap.Bool("may-have-run", ran))
 	}
@@ -110,8 +119,9 @@
 
 func (f *Forwarder) refused(req *Request, p progress, r *Refusal) *Refusal {
 	f.cfg.Metrics.refuse(r.Reason)
-	f.cfg.Log.Info("Gave a request up.", zap.String("request", string(req.ID)),
-		zap.String("reason", string(r.Reason)), zap.Bool("not-run", r.NotRun), zap.Int("attempts", p.attempts))
+	f.cfg.Log.Info("Gave a request up.", req.field(), zap.String("route", string(req.Route.ID)),
+		zap.Uint64("config", uint64(req.Version)), zap.String("reason", string(r.Reason)), zap.Bool("not-run", r.NotRun),
+		zap.Int("attempts", p.attempts), zap.Duration("left", time.Until(req.Deadline)))
 	return r
 }
 
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -421,5 +421,8 @@
 	if !it.fits(it.job.sub) {
 		it.discard()
 	}
+	r.cfg.Log.Info("Item sent.", zap.String("request", string(it.item.ID)), zap.String("job", string(it.job.sub.Job)),
+		zap.String("target", string(grant.ID)), zap.Int("events", len(it.events)),
+		zap.Uint64("version", uint64(grant.Versions[it.job.sub.Model])), zap.Uint64("min-version", uint64(it.job.sub.MinVersion)))
 	it.job.group.Go(func(ctx context.Context) { r.attempt(ctx, it, grant) })
 }
--- a/internal/silljob/score.go
+++ b/internal/silljob/score.go
@@ -58,7 +58,7 @@
 		return nil, scorePause
 	}
 	answer, err := r.cfg.Forwarder.Do(ctx, &sillforward.Request{
-		ID: s.ID, Route: route, Pool: route.Pool(rand.Float64()), Method: http.MethodPost,
+		ID: s.ID, Route: route, Version: catalog.Version, Pool: route.Pool(rand.Float64()), Method: http.MethodPost,
 		Target: s.Path, Host: s.Host, Header: make(http.Header), Body: s.Body,
 		Deadline: time.Now().Add(route.Timeout),
 	})
@@ -84,7 +84,10 @@
 
 // finish takes the result of an item and has it listed.
 func (r *Runner) finish(it *itemRun, result Result, gaveUp string) {
-	if gaveUp != "" {
+	if gaveUp == "" {
+		r.cfg.Log.Info("Item done.", zap.String("request", string(it.item.ID)), zap.String("job", string(it.job.sub.Job)),
+			zap.Int("bytes", len(result.Text)), zap.Any("versions", result.Versions), zap.String("score", result.Score))
+	} else {
 		r.cfg.Metrics.aborted.WithLabelValues(gaveUp).Inc()
 		r.cfg.Log.Info("Gave an item up.", zap.String("request", string(it.item.ID)),
 			zap.String("job", string(it.job.sub.Job)), zap.String("why", gaveUp), zap.Int("failures", it.failures))
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -38,9 +38,9 @@
 	d.changed = make(chan struct{})
 }
 
-// Apply takes what a target registered. A new run under the same id begins
-// without the failures of the old one.
-func (d *Directory) Apply(e Entry) {
+// Apply takes what a target registered, and returns whether that changed
+// anything. A new run under the same id begins without the failures of the old one.
+func (d *Directory) Apply(e Entry) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := d.targets[e.ID]
@@ -51,12 +51,14 @@
 		}
 		d.targets[e.ID] = fresh
 		d.wake()
-		return
+		return true
 	}
 	e.Versions = newest(t.entry.Versions, e.Versions)
+	changed := t.entry.State != e.State || !maps.Equal(t.entry.Versions, e.Versions) || !t.lapsedAt.IsZero()
 	t.entry = e
 	t.lapsedAt = time.Time{}
 	d.wake()
+	return changed
 }
 
 // newest merges versions: within one run of a target they only grow, and an
