--- a/internal/silljob/runner_test.go
+++ b/internal/silljob/runner_test.go
@@ -80,6 +80,21 @@
 	}
 }
 
+// TestMissingEvents has each first run leave an event out.
+func TestMissingEvents(t *testing.T) {
+	c := newCluster(t, 1, func(_ int, _ call, n int) behaviour {
+		b := behaviour{Events: testEvents, Version: 1}
+		if n == 1 {
+			b.Skip = 3
+		}
+		return b
+	})
+	a := c.start("a")
+	sub := submission("job", 2)
+	a.submit(t, sub)
+	checkWhole(t, sub, a.results(t, "job", 2), testEvents)
+}
+
 // TestVersionsOfAText changes the weights in the middle of each text.
 func TestVersionsOfAText(t *testing.T) {
 	c := newCluster(t, 1, func(int, call, int) behaviour {
@@ -295,13 +310,15 @@
 	}
 }
 
-// TestLostAnswersOfTheTable loses the answer of every third write, after it
+// TestLostAnswersOfTheTable loses the answer of every second write, after it
 // took effect.
 func TestLostAnswersOfTheTable(t *testing.T) {
-	c := newCluster(t, 2, wholeStream)
+	c := newCluster(t, 2, func(int, call, int) behaviour {
+		return behaviour{Events: testEvents, Pace: 10 * time.Millisecond, Version: 1}
+	})
 	var writes atomic.Int32
 	c.table.Fault = func(_ context.Context, name string) error {
-		if name == "commit-answer" && writes.Add(1)%3 == 0 {
+		if name == "commit-answer" && writes.Add(1)%2 == 0 {
 			return silltable.ErrUnknown
 		}
 		return nil
--- a/internal/sillmeter/meter_test.go
+++ b/internal/sillmeter/meter_test.go
@@ -113,13 +113,16 @@
 	table := &sillmemtable.Table{}
 	var once atomic.Bool
 	other := &sink{}
+	m := newTestMeter(table, "a")
 	table.Fault = func(ctx context.Context, call string) error {
-		if call == "list" && !once.Swap(true) {
-			return newTestReporter(table, other).report(ctx, 100)
+		if call != "list" || once.Swap(true) {
+			return nil
 		}
-		return nil
+		err := newTestReporter(table, other).report(ctx, 100)
+		m.Began("one", endOf(99, length))
+		m.write(ctx)
+		return err
 	}
-	m := newTestMeter(table, "a")
 	m.Began("one", endOf(99, length))
 	m.write(t.Context())
 	mine := &sink{}
--- a/internal/sillstandtarget/target.go
+++ b/internal/sillstandtarget/target.go
@@ -70,6 +70,8 @@
 	Events int
 	// BreakAfter, if not 0, ends a stream after so many events of this run.
 	BreakAfter int
+	// Skip, if not 0, is an event that a stream leaves out.
+	Skip int
 	// Pace is the time for each event, or for a plain answer.
 	Pace time.Duration
 	// Version makes the events; NextAt is the event from which Next makes them.
@@ -246,6 +248,9 @@
 			_ = controller.Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if b.Skip != 0 && id == b.Skip {
+			continue
+		}
 		if b.Next != 0 && id == b.NextAt && version != b.Next {
 			version = b.Next
 			_, _ = fmt.Fprintf(w, "%s: %d\n", versionField, version)
