Wire the gateway without agents by fx; split its service by concern

Cause: house style; service.go held membership, feeds, duties, listeners and the stop in one file of 449 lines.

--- /dev/null
+++ b/internal/silldirect/followers.go
@@ -0,0 +1,98 @@
+package silldirect
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabisill/wasabisill/internal/sillclock"
+	"github.com/wasabisill/wasabisill/internal/sillcluster"
+	"github.com/wasabisill/wasabisill/internal/silljob"
+	"github.com/wasabisill/wasabisill/internal/silllog"
+	"github.com/wasabisill/wasabisill/internal/silltable"
+	"github.com/wasabisill/wasabisill/internal/sillwatch"
+)
+
+const (
+	// feedWait is how long one call of a feed waits; a silent connection is
+	// found after it and feedAnswer.
+	feedWait = 800 * time.Millisecond
+	// feedAnswer bounds a call of a feed beyond its wait.
+	feedAnswer = 500 * time.Millisecond
+	// pauseFast and pauseSlow are the times for which changes gather before a
+	// feed is asked again: fast for jobs and configuration, slow for the rest.
+	pauseFast = 15 * time.Millisecond
+	pauseSlow = 150 * time.Millisecond
+)
+
+// followers keep the process's views of the platform's tables.
+type followers struct {
+	operator, registry, members, jobs *sillwatch.Follower
+}
+
+func newFollowers(seams *Seams, t tables, v *view, m *membership, log *zap.Logger) *followers {
+	f := followerFactory{feed: t.feed, log: log}
+	return &followers{
+		operator: f.make(seams.Operator, pauseFast, v.resetOperator, v.applyOperator),
+		registry: f.make(seams.Registry, pauseSlow, v.resetTargets, v.applyTargets),
+		members:  f.make(sillcluster.Table, pauseSlow, m.reset, m.apply),
+		jobs:     f.partitioned().make(silljob.StateTable, pauseFast, v.resetJobs, v.applyJobs),
+	}
+}
+
+// all returns the followers in the order in which they start.
+func (f *followers) all() []*sillwatch.Follower {
+	return []*sillwatch.Follower{f.operator, f.registry, f.members, f.jobs}
+}
+
+// boardAge returns how old the view of the jobs is.
+func (f *followers) boardAge() (time.Duration, bool) { return f.jobs.Age(sillclock.Boot()) }
+
+// followerFactory makes followers that differ in their table and what they feed.
+type followerFactory struct {
+	feed  *silltable.Feed
+	parts bool
+	log   *zap.Logger
+}
+
+func (f followerFactory) partitioned() followerFactory {
+	f.parts = true
+	return f
+}
+
+func (f followerFactory) make(table string, gather time.Duration, reset func([]silltable.Row, time.Duration), apply func([]silltable.Change, time.Duration)) *sillwatch.Follower {
+	return sillwatch.New(sillwatch.Config{
+		Feed: f.feed, Table: table, Partitioned: f.parts,
+		Wait: feedWait, Answer: feedAnswer, Pause: gather,
+		Reset: reset, Apply: apply, Log: f.log, Now: sillclock.Boot,
+	})
+}
+
+// resetJobs takes the states of all jobs.
+func (v *view) resetJobs(rows []silltable.Row, _ time.Duration) {
+	if err := v.board.Apply(rows); err != nil {
+		v.log.Error("Job state can't be read.", silllog.Err(err))
+	}
+}
+
+func (v *view) applyJobs(changes []silltable.Change, outage time.Duration) {
+	v.resetJobs(rowsOf(changes), outage)
+}
+
+// resetOperator takes the operator's configuration and the named versions.
+func (v *view) resetOperator(rows []silltable.Row, _ time.Duration) { v.takeOperator(rows) }
+
+func (v *view) applyOperator(changes []silltable.Change, _ time.Duration) {
+	v.takeOperator(rowsOf(changes))
+}
+
+// rowsOf returns the rows of changes that were not removed.
+func rowsOf(changes []silltable.Change) []silltable.Row {
+	rows := make([]silltable.Row, 0, len(changes))
+	for _, c := range changes {
+		if !c.Removed {
+			rows = append(rows, c.Row)
+		}
+	}
+	return rows
+}
--- a/internal/silldirect/view.go
+++ b/internal/silldirect/view.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// applyOperator takes rows of the operator's table.
-func (v *view) applyOperator(rows []silltable.Row) {
+// takeOperator takes rows of the operator's table.
+func (v *view) takeOperator(rows []silltable.Row) {
 	for _, row := range rows {
 		switch {
 		case row.Key == v.seams.ConfigKey:
--- /dev/null
+++ b/internal/silldirect/wire.go
@@ -0,0 +1,88 @@
+package silldirect
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"go.uber.org/zap"
+
+	"github.com/wasabisill/wasabisill/internal/sillforward"
+	"github.com/wasabisill/wasabisill/internal/silljob"
+	"github.com/wasabisill/wasabisill/internal/sillmeter"
+	"github.com/wasabisill/wasabisill/internal/sillrelay"
+	"github.com/wasabisill/wasabisill/internal/silltable"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
+)
+
+// newRegistry returns the registry of the process's metrics.
+func newRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
+// tables are the platform's tables, reached through a peer if need be.
+type tables struct {
+	store *silltable.Store
+	feed  *silltable.Feed
+}
+
+func newRelay(seams *Seams, m *membership, r *prometheus.Registry, log *zap.Logger) *sillrelay.Relay {
+	return sillrelay.New(sillrelay.Config{
+		Table: seams.Table, Feed: seams.Feed, Pool: seams.Peers, Peers: m.peers, ProbeKey: seams.ConfigKey,
+		Registerer: r, Log: log,
+	})
+}
+
+func newTables(r *sillrelay.Relay) tables {
+	return tables{store: r.Table(), feed: r.Feed()}
+}
+
+func newMeter(s *Settings, t tables, m *membership, log *zap.Logger) *sillmeter.Meter {
+	return sillmeter.NewMeter(sillmeter.MeterConfig{Table: t.store, Length: s.UsageWindow, Run: string(m.run), Log: log})
+}
+
+func newForwarder(s *Settings, seams *Seams, v *view, m *sillmeter.Meter, r *prometheus.Registry, log *zap.Logger) *sillforward.Forwarder {
+	began := m.Began
+	if !s.ReportsUsage {
+		began = func(sillid.OrganisationID, time.Time) {}
+	}
+	return sillforward.New(sillforward.Config{
+		Directory: v.directory, Pool: seams.Targets, Dialect: seams.Dialect, Zone: s.Zone,
+		Began: began, Metrics: sillforward.NewMetrics(r), Log: log,
+	})
+}
+
+func newStore(t tables) *silljob.Store {
+	return &silljob.Store{Table: t.store, Feed: t.feed}
+}
+
+func newReader(st *silljob.Store, v *view, c *silljob.Cache, f *followers) *silljob.Reader {
+	return &silljob.Reader{Store: st, Board: v.board, Cache: c, Age: f.boardAge}
+}
+
+// runnerParts are what the runner of jobs is made of.
+type runnerParts struct {
+	settings  *Settings
+	seams     *Seams
+	members   *membership
+	view      *view
+	store     *silljob.Store
+	cache     *silljob.Cache
+	forwarder *sillforward.Forwarder
+}
+
+func newRunnerParts(s *Settings, seams *Seams, m *membership, v *view, st *silljob.Store, c *silljob.Cache, f *sillforward.Forwarder) runnerParts {
+	return runnerParts{settings: s, seams: seams, members: m, view: v, store: st, cache: c, forwarder: f}
+}
+
+func newRunner(p runnerParts, r *prometheus.Registry, log *zap.Logger) *silljob.Runner {
+	return silljob.NewRunner(silljob.RunnerConfig{
+		Self: silljob.NodeRun(p.members.run), Store: p.store, Board: p.view.board, Cache: p.cache,
+		Directory: p.view.directory, Pool: p.seams.Targets, Dialect: p.seams.Dialect,
+		Forwarder: p.forwarder, Catalog: p.view.catalog, Zone: p.settings.Zone,
+		Owner: p.members.owner, Rank: p.members.rank, Alive: p.members.alive,
+		Metrics: silljob.NewMetrics(r), Log: log,
+	})
+}
