--- a/internal/sillswap/swap_test.go
+++ b/internal/sillswap/swap_test.go
@@ -66,6 +66,12 @@
 				}
 				return err
 			},
+			FetchPeer: func(context.Context, string, *sillwire.FetchWeights) ([]byte, error) {
+				return nil, errNotHeld
+			},
+			Exchange: func(context.Context, string, *sillwire.WeightStatus) (*sillwire.WeightStatus, error) {
+				return nil, errors.New("no answer")
+			},
 			TakeOut: func(out bool) { b.out = out },
 			Hold:    time.Minute,
 			Metrics: NewMetrics(prometheus.NewRegistry()),
@@ -107,6 +113,29 @@
 	}
 }
 
+// TestToldOutStaysOut asks a target for its status before its engine is known.
+// The group holds it to be out from then on, and hears of nothing earlier than
+// the end of its load; so it must load without waiting for the others.
+func TestToldOutStaysOut(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		engine := b.loaded()
+		b.set(Engine{})
+		b.runner.TakePlan(sillweight.Plan{Model: "m", Version: 2, Groups: 1, Spare: 1, Members: []sillweight.Member{
+			{Target: "first"}, {Target: "t"}, {Target: "last"},
+		}})
+		ask := &sillwire.WeightStatus{Target: "first", Model: "m", Version: 2, State: string(sillweight.Waiting)}
+		if got := b.runner.Status(ask).State; got != string(sillweight.Out) {
+			t.Fatalf("status without an engine %q", got)
+		}
+		b.set(engine)
+		pause(3 * time.Second)
+		assertInt(t, "version", int(b.loaded().Version), 2)
+		if got := b.runner.Status(ask).State; got != string(sillweight.Done) {
+			t.Errorf("status %q, want done", got)
+		}
+	})
+}
+
 func TestRunner(t *testing.T) {
 	t.Run("weights are held for the engine, and dropped in the end", func(t *testing.T) {
 		inBubble(t, func(t *testing.T, b *bench) {
