--- a/internal/silldirect/duties.go
+++ b/internal/silldirect/duties.go
@@ -11,6 +11,7 @@
 
 	"github.com/wasabisill/wasabisill/internal/sillclock"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/silljob"
 	"github.com/wasabisill/wasabisill/internal/silllease"
 	"github.com/wasabisill/wasabisill/internal/sillmeter"
 	"github.com/wasabisill/wasabisill/internal/sillversion"
@@ -37,20 +38,21 @@
 	usageSettle = 4 * time.Second
 )
 
-// duties are what one gateway at a time does for all: orders of weights and
-// reports of usage.
+// duties are what one gateway at a time does for all: orders of weights,
+// reports of usage and the removal of old jobs.
 type duties struct {
 	settings *Settings
 	seams    *Seams
 	tables   tables
 	members  *membership
 	view     *view
+	store    *silljob.Store
 	registry *prometheus.Registry
 	log      *zap.Logger
 }
 
-func newDuties(s *Settings, seams *Seams, t tables, m *membership, v *view, r *prometheus.Registry, log *zap.Logger) *duties {
-	return &duties{settings: s, seams: seams, tables: t, members: m, view: v, registry: r, log: log}
+func newDuties(s *Settings, seams *Seams, t tables, m *membership, v *view, st *silljob.Store, r *prometheus.Registry, log *zap.Logger) *duties {
+	return &duties{settings: s, seams: seams, tables: t, members: m, view: v, store: st, registry: r, log: log}
 }
 
 // run competes for the lease of the duties and carries them out, until ctx ends.
@@ -77,6 +79,8 @@
 		Order: d.seams.Order, Report: d.seams.Report, Now: sillclock.Boot, Log: d.log,
 	})
 	group.Go(func(ctx context.Context) { controller.Run(ctx, guard) })
+	retention := &silljob.Retention{Store: d.store, Board: d.view.board, Keep: d.settings.KeepJobs, Log: d.log}
+	group.Go(retention.Run)
 	if d.settings.ReportsUsage {
 		reporter := sillmeter.NewReporter(sillmeter.ReporterConfig{
 			Table: d.tables.store, Length: d.settings.UsageWindow, Settle: usageSettle, Late: d.settings.UsageLate,
--- a/internal/silldirect/followers.go
+++ b/internal/silldirect/followers.go
@@ -76,6 +76,11 @@
 }
 
 func (v *view) applyJobs(changes []silltable.Change, outage time.Duration) {
+	for _, c := range changes {
+		if job, ok := silljob.JobOf(c.Row.Key); ok && c.Removed {
+			v.board.Remove(job)
+		}
+	}
 	v.resetJobs(rowsOf(changes), outage)
 }
 
--- a/internal/silldirect/settings.go
+++ b/internal/silldirect/settings.go
@@ -35,6 +35,8 @@
 	UsageWindow  time.Duration
 	UsageLate    time.Duration
 	ReportsUsage bool
+	// KeepJobs is how long after its submission an ended job can be read.
+	KeepJobs time.Duration
 	// Cores and MemoryBytes are what the process may use; 0 for no limit.
 	Cores       int
 	MemoryBytes int64
@@ -59,6 +61,7 @@
 	need(s.Grace > 0, "give a time to stop above 0 s")
 	need(s.LeaseBound > 0, "give a bound for leases above 0 s")
 	need(!s.ReportsUsage || s.UsageWindow > 0, "give usage windows a length above 0 s")
+	need(s.KeepJobs > 0, "give ended jobs a time to be kept above 0 s")
 	need(s.FirstPort <= s.LastPort, "give the ports between gateways in ascending order")
 	if len(faults) == 0 {
 		return nil
--- a/internal/silljob/board.go
+++ b/internal/silljob/board.go
@@ -51,7 +51,7 @@
 func (b *Board) Apply(rows []silltable.Row) error {
 	var failure error
 	for _, row := range rows {
-		job, ok := jobOf(row.Key)
+		job, ok := JobOf(row.Key)
 		if !ok {
 			continue
 		}
--- a/internal/silljob/help_test.go
+++ b/internal/silljob/help_test.go
@@ -64,12 +64,27 @@
 	}
 	c.scorer = sillstandtarget.Start("scorer", func(call, int) behaviour { return behaviour{} })
 	t.Cleanup(c.scorer.Close)
+	c.route("p")
+	return c
+}
+
+// route puts the next configuration in force, in which a pool serves the jobs;
+// none removes their route.
+func (c *cluster) route(pool sillid.PoolID) {
 	catalog := &sillcatalog.Catalog{Version: 1, Routes: []sillcatalog.Route{{
 		ID: "score", Host: "h", Prefix: "/score/", Kind: sillcatalog.Idempotent, Attempts: 2, Open: true,
 		Objective: 100 * time.Millisecond, Timeout: time.Second, Shares: []sillcatalog.Share{{Pool: "scorers", Weight: 1}},
 	}}}
+	if held := c.catalog.Get(); held != nil {
+		catalog.Version = held.Version + 1
+	}
+	if pool != "" {
+		catalog.Routes = append(catalog.Routes, sillcatalog.Route{
+			ID: "r", Host: "h", Prefix: "/generate/", Kind: sillcatalog.Jobs, Attempts: 3,
+			Shares: []sillcatalog.Share{{Pool: pool, Weight: 1}},
+		})
+	}
 	c.catalog.Offer(catalog.Index())
-	return c
 }
 
 // start starts a gateway; jobs fall to the one of the first name that is alive.
--- a/internal/silljob/move.go
+++ b/internal/silljob/move.go
@@ -50,7 +50,7 @@
 }
 
 func (r *Runner) moveIfSlow(now time.Time, it *itemRun, free map[demandKey]int) {
-	here, usual := r.cfg.Directory.Pace(it.target), r.cfg.Directory.UsualPace(it.job.sub.Pool)
+	here, usual := r.cfg.Directory.Pace(it.target), r.cfg.Directory.UsualPace(it.job.pool)
 	if !worthMoving(len(it.events), here, usual) {
 		return
 	}
--- a/internal/silljob/owned.go
+++ b/internal/silljob/owned.go
@@ -17,6 +17,8 @@
 type ownedJob struct {
 	sub   *Submission
 	items []*itemRun
+	// pool serves the job's route in the configuration in force.
+	pool sillid.PoolID
 	// held is the newest state that this process wrote or read as the owner.
 	held Versioned
 	// pending are results that are not listed yet.
@@ -32,7 +34,7 @@
 }
 
 func newOwnedJob(ctx context.Context, sub *Submission, held Versioned) *ownedJob {
-	j := &ownedJob{sub: sub, held: held, group: sillgroup.New(ctx), groupTarget: make(map[string]sillid.TargetID), finished: make(chan struct{}, 1)}
+	j := &ownedJob{sub: sub, pool: sub.Pool, held: held, group: sillgroup.New(ctx), groupTarget: make(map[string]sillid.TargetID), finished: make(chan struct{}, 1)}
 	for i := range sub.Items {
 		j.items = append(j.items, &itemRun{job: j, item: &sub.Items[i]})
 	}
--- /dev/null
+++ b/internal/silljob/retain.go
@@ -0,0 +1,118 @@
+package silljob
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabisill/wasabisill/internal/silllog"
+	"github.com/wasabisill/wasabisill/internal/silltable"
+)
+
+const (
+	// retainEvery is the time between two looks for jobs whose rows may go.
+	retainEvery = 10 * time.Second
+	// retainMargin is kept beyond the promised time, for clocks that differ.
+	retainMargin = time.Minute
+	// retainWhole is how long a job is kept whose items all have results and
+	// that nobody ended.
+	retainWhole = time.Hour
+	// dropTimeout bounds the removal of one job.
+	dropTimeout = 5 * time.Second
+)
+
+// Retention removes the rows of jobs that nobody may ask for any more. One
+// process at a time runs it.
+type Retention struct {
+	Store *Store
+	Board *Board
+	// Keep is how long after its submission an ended job can be read.
+	Keep time.Duration
+	Log  *zap.Logger
+}
+
+// Run removes old jobs until ctx ends.
+func (r *Retention) Run(ctx context.Context) {
+	ticker := time.NewTicker(retainEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			r.dropOld(ctx, now)
+		}
+	}
+}
+
+func (r *Retention) dropOld(ctx context.Context, now time.Time) {
+	for _, job := range r.Board.old(now, r.Keep+retainMargin, retainWhole) {
+		err := r.drop(ctx, job)
+		r.Log.Info("Removed an old job.", zap.String("job", string(job)), silllog.Err(err))
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (r *Retention) drop(ctx context.Context, job ID) error {
+	ctx, cancel := context.WithTimeout(ctx, dropTimeout)
+	defer cancel()
+	if err := r.Store.Drop(ctx, job); err != nil {
+		return err
+	}
+	r.Board.Remove(job)
+	return nil
+}
+
+// old returns the jobs whose rows may go: ended ones submitted longer than
+// ended ago, and whole ones submitted longer than whole ago.
+func (b *Board) old(now time.Time, ended, whole time.Duration) []ID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var jobs []ID
+	for job, v := range b.states {
+		age := now.Sub(time.UnixMilli(v.SubmittedMS))
+		if (v.Ended && age > ended) || (v.Done() && age > whole) {
+			jobs = append(jobs, job)
+		}
+	}
+	return jobs
+}
+
+// Remove forgets a job.
+func (b *Board) Remove(job ID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.states, job)
+}
+
+// Drop deletes the rows of a job, the state row last, so that a removal that
+// broke off is found again.
+func (s *Store) Drop(ctx context.Context, job ID) error {
+	for _, table := range []string{ResultTable, ProgressTable, ContentTable, StateTable} {
+		snapshot, err := s.Feed.Read(ctx, table, partition(job), "")
+		if err != nil {
+			return err
+		}
+		rows := snapshot.Rows
+		for len(rows) > 0 {
+			n := min(len(rows), maxTxnRows)
+			if err := s.deleteRows(ctx, rows[:n]); err != nil {
+				return err
+			}
+			rows = rows[n:]
+		}
+	}
+	return nil
+}
+
+func (s *Store) deleteRows(ctx context.Context, rows []silltable.Row) error {
+	txn := silltable.Txn{}
+	for _, row := range rows {
+		txn.Writes = append(txn.Writes, silltable.Write{Key: row.Key, Delete: true})
+	}
+	_, err := s.Table.Commit(ctx, txn)
+	return err
+}
--- a/internal/silljob/rows.go
+++ b/internal/silljob/rows.go
@@ -49,8 +49,8 @@
 
 func partition(job ID) string { return url.PathEscape(string(job)) }
 
-// jobOf returns the job that a row of the table belongs to.
-func jobOf(key string) (ID, bool) {
+// JobOf returns the job that a row of the table belongs to.
+func JobOf(key string) (ID, bool) {
 	parts := strings.SplitN(key, "/", 3)
 	if len(parts) < 3 {
 		return "", false
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -355,6 +355,7 @@
 	if r.leaving {
 		return
 	}
+	r.followRoutes()
 	full := make(map[demandKey]bool)
 	for _, it := range r.waitingItems(now) {
 		key := keyOf(it)
@@ -370,6 +371,46 @@
 	}
 }
 
+// followRoutes has each job run where the configuration in force sends its
+// route. The items of a job whose route is gone are given up.
+func (r *Runner) followRoutes() {
+	catalog := r.cfg.Catalog.Get()
+	if catalog == nil {
+		return
+	}
+	for _, j := range r.jobs {
+		route := catalog.RouteByID(j.sub.Route)
+		if route == nil {
+			// The route may go on under another name.
+			route = catalog.Route(j.sub.Host, j.sub.Items[0].Path)
+		}
+		switch {
+		case route == nil:
+			r.giveUpWaiting(j)
+		case !route.Serves(j.pool):
+			from := j.pool
+			j.pool = route.Pool(0)
+			r.cfg.Log.Info("Route of a job moved.", zap.String("job", string(j.sub.Job)), zap.String("from", string(from)),
+				zap.String("to", string(j.pool)), zap.Uint64("config", uint64(catalog.Version)))
+		}
+	}
+}
+
+// giveUpWaiting gives up the items of a job that do not run.
+func (r *Runner) giveUpWaiting(j *ownedJob) {
+	for _, it := range j.items {
+		if it.phase == waiting {
+			it.phase = finished
+			j.pending = append(j.pending, Result{Item: it.item.ID})
+			r.cfg.Metrics.aborted.WithLabelValues("route removed").Inc()
+		}
+	}
+	if len(j.pending) > 0 {
+		r.cfg.Log.Info("Gave up items of a removed route.", zap.String("job", string(j.sub.Job)), zap.Int("count", len(j.pending)))
+		j.signal()
+	}
+}
+
 // demandKey is what the targets of an item must offer.
 type demandKey struct {
 	pool  sillid.PoolID
@@ -380,7 +421,7 @@
 
 func keyOf(it *itemRun) demandKey {
 	sub := it.job.sub
-	return demandKey{pool: sub.Pool, model: sub.Model, min: sub.MinVersion, exact: exactVersion(it)}
+	return demandKey{pool: it.job.pool, model: sub.Model, min: sub.MinVersion, exact: exactVersion(it)}
 }
 
 // exactVersion is the version that must go on with a text, or 0 if any may.
--- a/internal/silljob/runner_test.go
+++ b/internal/silljob/runner_test.go
@@ -415,3 +415,29 @@
 		t.Error("no item left the slow engine")
 	}
 }
+
+// TestRouteMoves moves the route of a job to another pool while its items wait.
+func TestRouteMoves(t *testing.T) {
+	c := newCluster(t, 2, wholeStream)
+	a := c.start("a")
+	a.directory.Remove("engine-0")
+	a.directory.Remove("engine-1")
+	a.directory.Apply(c.engines[1].Entry("q", 2, versions{testModel: 1}))
+	sub := submission("job", 3)
+	a.submit(t, sub)
+	c.route("q")
+	checkWhole(t, sub, a.results(t, "job", 3), testEvents)
+}
+
+func TestRouteIsRemoved(t *testing.T) {
+	c := newCluster(t, 1, wholeStream)
+	a := c.start("a")
+	a.directory.Remove("engine-0")
+	a.submit(t, submission("job", 3))
+	c.route("")
+	for _, r := range a.results(t, "job", 3) {
+		if r.Completed {
+			t.Errorf("result %+v of a removed route", r)
+		}
+	}
+}
