--- a/cmd/wasabisill/platform.go
+++ b/cmd/wasabisill/platform.go
@@ -18,7 +18,7 @@
 
 const platformHelp = `Run a gateway on the prepared platform: it serves callers and trainers and calls the targets itself.
 
-The settings file is the one that the platform writes; the environment variable WASABISILL_CONFIG names it. The gateway runs until SIGTERM. It then counts as not ready, hands its jobs to other gateways, answers what it has begun and ends within the grace of the settings. SIGHUP reads the settings again and cuts nothing.`
+The settings file is the one that the platform writes; the environment variable ` + sillplatform.SettingsVariable + ` names it. The gateway runs until SIGTERM. It then counts as not ready, hands its jobs to other gateways, answers what it has begun and ends within the grace of the settings. SIGHUP reads the settings again and cuts nothing.`
 
 // memoryShare is the part of the instance's memory that the heap may grow to;
 // the rest is for stacks, buffers of sockets and the program itself.
--- a/internal/sillcatalog/catalog.go
+++ b/internal/sillcatalog/catalog.go
@@ -38,12 +38,8 @@
 	Objective time.Duration
 	// Attempts is the number of targets that one request may be sent to; at least 1.
 	Attempts int
-	// Priority ranks the requests; 0 is first.
-	Priority int
 	// Open routes need no key.
 	Open bool
-	// Resumable streams go on at another target after their last event.
-	Resumable bool
 	// SingleVersion routes take only samples made by one weight version.
 	SingleVersion bool
 	// GiveUpAfter is how long after its submission an item of a job may be given up.
@@ -58,9 +54,8 @@
 
 // Organisation is a customer with its keys.
 type Organisation struct {
-	ID       sillid.OrganisationID
-	Keys     []string
-	Priority int
+	ID   sillid.OrganisationID
+	Keys []string
 }
 
 // Model is a model that the targets of a pool serve.
@@ -71,8 +66,8 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	HeaderBytes int
-	BodyBytes   int64
+	// BodyBytes bounds the body of a request; 0 for no bound.
+	BodyBytes int64
 }
 
 // Catalog is one version of the configuration. It never changes.
--- a/internal/silldialect/dialect.go
+++ b/internal/silldialect/dialect.go
@@ -39,8 +39,6 @@
 	Load *silltarget.Load
 	// Version is the weight version at the first event; 0 if not told.
 	Version sillid.WeightVersion
-	// RetryAfter is how long the target wants to be left alone; 0 if not told.
-	RetryAfter time.Duration
 }
 
 // Dialect translates attempts and answers. Its fields are safe for concurrent use.
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -311,15 +311,6 @@
 	return 0
 }
 
-// Usable returns whether a target is listed as ready in the run that the grant
-// was given for.
-func (d *Directory) Usable(g Grant) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	t := d.targets[g.ID]
-	return t != nil && t == g.from && t.entry.State == Ready
-}
-
 // Free returns the number of free slots at the targets that a query takes.
 func (d *Directory) Free(now time.Time, q Query) int {
 	d.mu.Lock()
--- a/internal/silltarget/directory_test.go
+++ b/internal/silltarget/directory_test.go
@@ -165,9 +165,7 @@
 		g := checkPick(t, d, start, Query{}, "a")
 		d.Remove("a")
 		d.Done(start, g, Answered)
-		if d.Usable(g) {
-			t.Error("a removed target is usable")
-		}
+		checkPick(t, d, start, Query{Resting: true}, "")
 	})
 }
 
--- /dev/null
+++ b/internal/sillversion/controller_test.go
@@ -0,0 +1,78 @@
+package sillversion
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/silllease"
+	"github.com/wasabisill/wasabisill/internal/silltarget"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
+)
+
+// given is an order that an engine got.
+type given struct {
+	orders uint64
+	fence  sillid.Epoch
+}
+
+// runController runs a controller before one engine that answers as reply says.
+func runController(t *testing.T, mayAct bool, reply func(l Load) Reply, report Report) []given {
+	t.Helper()
+	var mu sync.Mutex
+	var orders []given
+	synctest.Test(t, func(t *testing.T) {
+		c := NewController(Config{
+			Engines: func() map[sillid.PoolID][]silltarget.Entry {
+				return map[sillid.PoolID][]silltarget.Entry{"p": newFleet(1, versions{"a": 1}).engines}
+			},
+			Wanted: func(sillid.PoolID) map[sillid.ModelID]Wanted {
+				return map[sillid.ModelID]Wanted{"a": {Version: 2, Oldest: 2}}
+			},
+			Order: func(_ context.Context, l Load, fence sillid.Epoch) Reply {
+				mu.Lock()
+				defer mu.Unlock()
+				orders = append(orders, given{l.Orders, fence})
+				return reply(l)
+			},
+			Report: func(context.Context, silltarget.Entry) (Report, error) { return report, nil },
+			Now:    time.Now, Log: zap.NewNop(),
+		})
+		group := sillgroup.New(t.Context())
+		guard := silllease.Always(7)
+		guard.MayAct = func(time.Time) bool { return mayAct }
+		group.Go(func(ctx context.Context) { c.Run(ctx, guard) })
+		time.Sleep(time.Second)
+		group.Stop()
+	})
+	return orders
+}
+
+func TestControllerAsksAfterAConflict(t *testing.T) {
+	orders := runController(t, true, func(l Load) Reply {
+		if l.Orders != 5 {
+			return Conflict
+		}
+		return Taken
+	}, Report{Orders: 5})
+	if len(orders) != 2 || orders[0].orders != 0 || orders[1].orders != 5 || orders[1].fence != 7 {
+		t.Errorf("orders %v, want one that expects 0 and one that expects 5, under fence 7", orders)
+	}
+}
+
+func TestControllerGivesNoOrderWithoutTheLease(t *testing.T) {
+	if orders := runController(t, false, func(Load) Reply { return Taken }, Report{}); len(orders) != 0 {
+		t.Errorf("orders %v", orders)
+	}
+}
+
+func TestControllerWaitsForALostAnswer(t *testing.T) {
+	if orders := runController(t, true, func(Load) Reply { return NoReply }, Report{}); len(orders) != 1 {
+		t.Errorf("%d orders in a second, want one", len(orders))
+	}
+}
