Take a text only from its first event on, and none without events

Cause: docs/PROMISES.md had it open that a first event left out is not found. Change: the dialect names the first id; a stream that begins elsewhere or ends without an event is broken. TestMissingEvents/first and /all failed first.

--- a/internal/silldialect/dialect.go
+++ b/internal/silldialect/dialect.go
@@ -47,6 +47,9 @@
 	Outgoing func(h http.Header, a Attempt)
 	// Answer reads the head of an answer.
 	Answer func(resp *http.Response) Told
+	// FirstEvent is the id of the first event of every stream; each next one is
+	// higher by one.
+	FirstEvent int
 	// VersionField is the field of an event that names a new weight version.
 	VersionField string
 }
--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -188,7 +188,7 @@
 	for {
 		e, err := reader.Next()
 		now := time.Now()
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && len(it.events) > 0 {
 			return whole, silltarget.Answered, nil
 		}
 		if err != nil {
@@ -215,7 +215,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	sub := it.job.sub
-	if len(it.events) > 0 && e.ID != it.lastEvent+1 {
+	next := r.cfg.Dialect.FirstEvent
+	if len(it.events) > 0 {
+		next = it.lastEvent + 1
+	}
+	if e.ID != next {
 		return false
 	}
 	if version < sub.MinVersion || (sub.SingleVersion && len(it.versions) > 0 && it.versions[0] != version) {
--- a/internal/silljob/runner_test.go
+++ b/internal/silljob/runner_test.go
@@ -80,19 +80,30 @@
 	}
 }
 
-// TestMissingEvents has each first run leave an event out.
+// TestMissingEvents has each first run leave an event out: the first one, one in
+// the middle, or all.
 func TestMissingEvents(t *testing.T) {
-	c := newCluster(t, 1, func(_ int, _ call, n int) behaviour {
-		b := behaviour{Events: testEvents, Version: 1}
-		if n == 1 {
-			b.Skip = 3
-		}
-		return b
-	})
-	a := c.start("a")
-	sub := submission("job", 2)
-	a.submit(t, sub)
-	checkWhole(t, sub, a.results(t, "job", 2), testEvents)
+	for _, tc := range []struct {
+		name  string
+		first behaviour
+	}{
+		{"first", behaviour{Events: testEvents, SkipTo: 1, Version: 1}},
+		{"middle", behaviour{Events: testEvents, Skip: 3, Version: 1}},
+		{"all", behaviour{Events: testEvents, SkipTo: testEvents, Version: 1}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCluster(t, 1, func(_ int, ca call, n int) behaviour {
+				if n == 1 {
+					return tc.first
+				}
+				return wholeStream(0, ca, n)
+			})
+			a := c.start("a")
+			sub := submission("job", 2)
+			a.submit(t, sub)
+			checkWhole(t, sub, a.results(t, "job", 2), testEvents)
+		})
+	}
 }
 
 // TestVersionsOfAText changes the weights in the middle of each text.
--- a/internal/sillstandtarget/target.go
+++ b/internal/sillstandtarget/target.go
@@ -72,6 +72,8 @@
 	BreakAfter int
 	// Skip, if not 0, is an event that a stream leaves out.
 	Skip int
+	// SkipTo, if not 0, is the first event that a stream does not leave out.
+	SkipTo int
 	// Pace is the time for each event, or for a plain answer.
 	Pace time.Duration
 	// Version makes the events; NextAt is the event from which Next makes them.
@@ -248,7 +250,7 @@
 			_ = controller.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if b.Skip != 0 && id == b.Skip {
+		if id < b.SkipTo || (b.Skip != 0 && id == b.Skip) {
 			continue
 		}
 		if b.Next != 0 && id == b.NextAt && version != b.Next {
