--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -41,8 +41,12 @@
 	whole verdict = iota
 	// broken attempts are tried again, after the last event.
 	broken
-	// failed attempts got an answer of failure from the target.
+	// failed attempts were run and failed by the target; enough of them give the
+	// item up.
 	failed
+	// unserved attempts got another answer than a stream; the item is tried again
+	// after a pause.
+	unserved
 	// impossible items can never be done.
 	impossible
 )
@@ -74,6 +78,8 @@
 		r.finish(it, Result{Item: it.item.ID}, "target can't do it")
 	case failed:
 		r.afterFailure(it, now)
+	case unserved:
+		r.requeue(it, now.Add(failedPause))
 	case broken:
 		r.requeue(it, now)
 	}
@@ -138,9 +144,12 @@
 	case resp.StatusCode == http.StatusUnprocessableEntity:
 		drain(resp.Body)
 		return impossible, silltarget.Answered, nil
-	case resp.StatusCode >= http.StatusMultipleChoices:
+	case resp.StatusCode == http.StatusInternalServerError:
 		drain(resp.Body)
 		return failed, silltarget.Answered, nil
+	case resp.StatusCode >= http.StatusMultipleChoices:
+		drain(resp.Body)
+		return unserved, silltarget.Answered, nil
 	}
 	return r.takeEvents(ctx, it, g, resp, told, watchdog)
 }
--- /dev/null
+++ b/internal/silljob/dispatch.go
@@ -0,0 +1,132 @@
+package silljob
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabisill/wasabisill/internal/silltarget"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
+)
+
+// dispatch starts waiting items at targets with free slots, the most urgent first.
+func (r *Runner) dispatch(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving {
+		return
+	}
+	r.followRoutes()
+	full := make(map[demandKey]bool)
+	for _, it := range r.waitingItems(now) {
+		key := keyOf(it)
+		if full[key] {
+			continue
+		}
+		grant, ok := r.cfg.Directory.Pick(now, r.query(it))
+		if !ok {
+			full[key] = true
+			continue
+		}
+		r.start(it, grant)
+	}
+}
+
+// followRoutes has each job run where the configuration in force sends its
+// route. The items of a job whose route is gone are given up.
+func (r *Runner) followRoutes() {
+	catalog := r.cfg.Catalog.Get()
+	if catalog == nil {
+		return
+	}
+	for _, j := range r.jobs {
+		route := catalog.RouteByID(j.sub.Route)
+		if route == nil {
+			// The route may go on under another name.
+			route = catalog.Route(j.sub.Host, j.sub.Items[0].Path)
+		}
+		switch {
+		case route == nil:
+			r.giveUpWaiting(j)
+		case !route.Serves(j.pool):
+			from := j.pool
+			j.pool = route.Pool(0)
+			r.cfg.Log.Info("Route of a job moved.", zap.String("job", string(j.sub.Job)), zap.String("from", string(from)),
+				zap.String("to", string(j.pool)), zap.Uint64("config", uint64(catalog.Version)))
+		}
+	}
+}
+
+// giveUpWaiting gives up the items of a job that do not run.
+func (r *Runner) giveUpWaiting(j *ownedJob) {
+	for _, it := range j.items {
+		if it.phase == waiting {
+			it.phase = finished
+			j.pending = append(j.pending, Result{Item: it.item.ID})
+			r.cfg.Metrics.aborted.WithLabelValues("route removed").Inc()
+		}
+	}
+	if len(j.pending) > 0 {
+		r.cfg.Log.Info("Gave up items of a removed route.", zap.String("job", string(j.sub.Job)), zap.Int("count", len(j.pending)))
+		j.signal()
+	}
+}
+
+// demandKey is what the targets of an item must offer.
+type demandKey struct {
+	pool  sillid.PoolID
+	model sillid.ModelID
+	min   sillid.WeightVersion
+	exact sillid.WeightVersion
+}
+
+func keyOf(it *itemRun) demandKey {
+	sub := it.job.sub
+	return demandKey{pool: it.job.pool, model: sub.Model, min: sub.MinVersion, exact: exactVersion(it)}
+}
+
+// exactVersion is the version that must go on with a text, or 0 if any may.
+func exactVersion(it *itemRun) sillid.WeightVersion {
+	if it.job.sub.SingleVersion && len(it.versions) > 0 {
+		return it.versions[0]
+	}
+	return 0
+}
+
+func (r *Runner) query(it *itemRun) silltarget.Query {
+	key := keyOf(it)
+	return silltarget.Query{
+		Pool: key.pool, Zone: r.cfg.Zone, Model: key.model, MinVersion: key.min, Exact: key.exact,
+		Prefer: it.job.groupTarget[it.item.Group], Avoid: it.avoid, FreeOnly: true,
+	}
+}
+
+func (r *Runner) waitingItems(now time.Time) []*itemRun {
+	var list []*itemRun
+	for _, j := range r.jobs {
+		if j.held.Ended {
+			continue
+		}
+		for _, it := range j.items {
+			if it.phase == waiting && !now.Before(it.notBefore) {
+				list = append(list, it)
+			}
+		}
+	}
+	slices.SortFunc(list, byUrgency)
+	return list
+}
+
+func (r *Runner) start(it *itemRun, grant silltarget.Grant) {
+	it.phase = running
+	it.job.groupTarget[it.item.Group] = grant.ID
+	if !it.fits(it.job.sub) {
+		it.discard()
+	}
+	r.cfg.Log.Info("Item sent.", zap.String("request", string(it.item.ID)), zap.String("job", string(it.job.sub.Job)),
+		zap.String("target", string(grant.ID)), zap.Int("events", len(it.events)),
+		zap.Uint64("version", uint64(grant.Versions[it.job.sub.Model])), zap.Uint64("min-version", uint64(it.job.sub.MinVersion)))
+	it.job.group.Go(func(ctx context.Context) { r.attempt(ctx, it, grant) })
+}
--- a/internal/silljob/runner_test.go
+++ b/internal/silljob/runner_test.go
@@ -452,3 +452,18 @@
 		}
 	}
 }
+
+// TestOtherFailuresDoNotCount has a target answer with statuses that say nothing
+// of the item more often than an item may fail.
+func TestOtherFailuresDoNotCount(t *testing.T) {
+	c := newCluster(t, 1, func(_ int, ca call, n int) behaviour {
+		if n <= 4 {
+			return behaviour{Status: http.StatusGatewayTimeout}
+		}
+		return wholeStream(0, ca, n)
+	})
+	a := c.start("a")
+	sub := submission("job", 1)
+	a.submit(t, sub)
+	checkWhole(t, sub, a.results(t, "job", 1), testEvents)
+}
