Cut only the first attempt of an idempotent request short

Ruled out: the engine (the text was whole at 29 s), the owner's loss. Change: the first attempt gets its share, each later one all that is left.

--- a/internal/sillforward/forward_test.go
+++ b/internal/sillforward/forward_test.go
@@ -132,6 +132,14 @@
 	checkRefusal(t, err, TimedOut, false)
 }
 
+// TestLongRequest has every target take longer than one attempt may at first.
+func TestLongRequest(t *testing.T) {
+	slow := behaviour{Pace: 600 * time.Millisecond}
+	b := newBench(t, slow, slow, slow, slow)
+	a, err := b.do(t.Context(), route(sillcatalog.Idempotent, 4), 780*time.Millisecond)
+	checkAnswer(t, a, err)
+}
+
 func TestNoTarget(t *testing.T) {
 	b := newBench(t)
 	_, err := b.do(t.Context(), route(sillcatalog.Idempotent, 2), time.Second)
@@ -218,17 +226,19 @@
 		name        string
 		kind        sillcatalog.Kind
 		used        int
+		attempts    int
 		usual, left time.Duration
 		want        time.Duration
 	}{
-		{"part of the objective", sillcatalog.Idempotent, 1, 0, time.Second, 70 * time.Millisecond},
-		{"usual answers", sillcatalog.Idempotent, 1, 40 * time.Millisecond, time.Second, 160 * time.Millisecond},
-		{"half of what is left", sillcatalog.Idempotent, 1, 40 * time.Millisecond, 100 * time.Millisecond, 50 * time.Millisecond},
-		{"last attempt", sillcatalog.Idempotent, 2, 40 * time.Millisecond, time.Second, time.Second},
-		{"not to be repeated", sillcatalog.Once, 1, 40 * time.Millisecond, time.Second, time.Second},
+		{"part of the objective", sillcatalog.Idempotent, 1, 4, 0, time.Second, 70 * time.Millisecond},
+		{"usual answers", sillcatalog.Idempotent, 1, 4, 40 * time.Millisecond, time.Second, 160 * time.Millisecond},
+		{"half of what is left", sillcatalog.Idempotent, 1, 4, 40 * time.Millisecond, 100 * time.Millisecond, 50 * time.Millisecond},
+		{"second attempt of many", sillcatalog.Idempotent, 2, 4, 40 * time.Millisecond, time.Second, time.Second},
+		{"last attempt", sillcatalog.Idempotent, 1, 1, 40 * time.Millisecond, time.Second, time.Second},
+		{"not to be repeated", sillcatalog.Once, 1, 4, 40 * time.Millisecond, time.Second, time.Second},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			if got := patience(route(tc.kind, 2), progress{attempts: tc.used}, tc.usual, tc.left); got != tc.want {
+			if got := patience(route(tc.kind, tc.attempts), progress{attempts: tc.used}, tc.usual, tc.left); got != tc.want {
 				t.Errorf("patience %v, want %v", got, tc.want)
 			}
 		})
--- a/internal/sillforward/plan.go
+++ b/internal/sillforward/plan.go
@@ -83,10 +83,11 @@
 	return tryNext
 }
 
-// patience is how long an attempt may take, which p counts already. The last
-// one gets all that is left.
+// patience is how long an attempt may take, which p counts already. Only the
+// first one is cut short, and only if another may follow: a request that takes
+// long everywhere must get its time at some target.
 func patience(r *sillcatalog.Route, p progress, usual, left time.Duration) time.Duration {
-	if r.Kind != sillcatalog.Idempotent || p.attempts >= r.Attempts {
+	if r.Kind != sillcatalog.Idempotent || p.attempts > 1 || r.Attempts == 1 {
 		return left
 	}
 	least := time.Duration(patienceShare * float64(r.Objective))
