--- a/internal/sillweight/swapper.go
+++ b/internal/sillweight/swapper.go
@@ -117,11 +117,6 @@
 	}
 }
 
-// StayOut has a target that told its group that it is out go on so: the group
-// takes no earlier state of the same version any more. It loads as one that is
-// out, without waiting for the others.
-func (s *Swapper) StayOut() { s.state = Out }
-
 // Status returns what the target tells its group.
 func (s *Swapper) Status() Status {
 	return Status{Target: s.Target, Version: s.plan.Version, State: s.state}
@@ -140,7 +135,7 @@
 	if s.state == Done {
 		s.state = Waiting
 	}
-	if s.loaded >= plan.Version && (s.state == Waiting || s.state == Out) {
+	if s.loaded >= plan.Version && s.state == Waiting {
 		s.state = Done
 	}
 	return append(s.tell(), s.Tick(now)...)
