Explain a request from the logs of several gateways; keep failures complete in them

Cause: an engineer had to search the logs of all gateways by hand, with clocks that differ; and the log thinned every message out alike, failures too, without a count of what it left out. Ruled out: a bound on all lines together (a flood of one kind would hide the others); ordering by time alone (a clock 2 s ahead turns a take-over round); comparing clocks at starts (what a process reads then is old: a test shows it). Change: sillstory and 'wasabisill log explain'; lines that tell of failures, refusals, retries and resumed items are warnings, complete up to 4,000 a second of one message; routine lines as before, 200 and then each 50th; what is left out is counted in the log and in a metric. 'Item sent again.' for later runs. Not done: the cost of logs on against off is not measured in this commit.

--- /dev/null
+++ b/cmd/wasabisill/log.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/wasabisill/wasabisill/internal/sillstory"
+)
+
+const (
+	logHelp     = "Read the logs of gateways."
+	explainHelp = `Print what happened to one request, item or job, from the logs of several gateways.
+
+Name the X-Request-Id of a request, the id of an item or the id of a job, and the files with the logs of all gateways; - is the standard input. The lines stand in order of time; differences of the gateways' clocks are found by changes that all of them learn of, and taken out. A bar marks lines that do not name the request but tell what its gateways and targets went through. Lines that can't be read are counted.`
+)
+
+// maxLogFiles bounds the files of one call: at most some hundred gateways run.
+const maxLogFiles = 512
+
+func newLogCommand() *command {
+	sub := flaggy.NewSubcommand("log")
+	sub.Description = logHelp
+	return &command{sub: sub, children: []*command{newLogExplain()}}
+}
+
+func newLogExplain() *command {
+	sub := flaggy.NewSubcommand("explain")
+	describe(sub, explainHelp)
+	var id string
+	sub.String(&id, "", "id", "id of the request, item or job")
+	files := make([]string, maxLogFiles)
+	for i := range files {
+		sub.AddPositionalValue(&files[i], "file", i+1, false, "file with a log; more may follow")
+		sub.PositionalFlags[i].Hidden = i > 0
+	}
+	return &command{sub: sub, run: func(context.Context) error {
+		if err := required([2]string{"id", id}); err != nil {
+			return err
+		}
+		return explainLogs(os.Stdout, id, named(files))
+	}}
+}
+
+// named returns the values up to the first that was not given.
+func named(values []string) []string {
+	for i, v := range values {
+		if v == "" {
+			return values[:i]
+		}
+	}
+	return values
+}
+
+func explainLogs(w io.Writer, id string, files []string) error {
+	if len(files) == 0 {
+		return &exitError{code: exitUsage, err: errors.New("no log: name the files with the logs of the gateways, or - for the standard input")}
+	}
+	var logs sillstory.Logs
+	for _, file := range files {
+		if err := readLog(&logs, file); err != nil {
+			return err
+		}
+	}
+	story, err := sillstory.Tell(&logs, id)
+	if err != nil {
+		return fmt.Errorf("explain %s: %w", id, err)
+	}
+	return story.Write(w)
+}
+
+func readLog(logs *sillstory.Logs, file string) error {
+	if file == "-" {
+		return logs.Read("stdin", os.Stdin)
+	}
+	f, err := os.Open(file)
+	if err != nil {
+		return fmt.Errorf("open the log: %w", err)
+	}
+	defer func() { _ = f.Close() }()
+	return logs.Read(file, f)
+}
--- a/cmd/wasabisill/main.go
+++ b/cmd/wasabisill/main.go
@@ -45,6 +45,7 @@
 		newDevCommand(),
 		newBundleCommand(),
 		newSettingsCommand(),
+		newLogCommand(),
 		newVersionCommand(),
 	}
 }
--- a/cmd/wasabisill/platform.go
+++ b/cmd/wasabisill/platform.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return &exitError{code: exitUsage, err: err}
 	}
-	log, queue, err := silllog.NewQueued("info")
+	log, queue, err := silllog.NewQueued(os.Stdout, "info")
 	if err != nil {
 		return err
 	}
@@ -49,7 +49,9 @@
 	group := sillgroup.New(ctx)
 	defer group.Stop()
 	group.Go(func(ctx context.Context) { reloadOnHangup(ctx, log) })
-	return sillplatform.New(settings, log).Run(ctx, func() {})
+	service := sillplatform.New(settings, log)
+	service.Register(queue.Collector())
+	return service.Run(ctx, func() {})
 }
 
 // reloadOnHangup checks the settings at each SIGHUP. What they hold is fixed for
--- a/internal/silldirect/membership.go
+++ b/internal/silldirect/membership.go
@@ -121,6 +121,6 @@
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	if _, err := store.Commit(ctx, silltable.Txn{Writes: []silltable.Write{write}}); err != nil {
-		m.log.Info("Row of this gateway not renewed.", zap.Bool("leaving", leaving), silllog.Err(err))
+		m.log.Warn("Row of this gateway not renewed.", zap.Bool("leaving", leaving), silllog.Err(err))
 	}
 }
--- a/internal/silldirect/service.go
+++ b/internal/silldirect/service.go
@@ -95,6 +95,9 @@
 // Catalog returns the configuration in force, or nil if none is known yet.
 func (s *Service) Catalog() *sillcatalog.Catalog { return s.view.catalog.Get() }
 
+// Register adds metrics of the process to those of the gateway.
+func (s *Service) Register(c prometheus.Collector) { s.registry.MustRegister(c) }
+
 // Ready returns whether the process takes new callers.
 func (s *Service) Ready() bool { return !s.stopping.Load() && s.Catalog() != nil }
 
--- a/internal/sillforward/forward.go
+++ b/internal/sillforward/forward.go
@@ -111,7 +111,7 @@
 		p.last = outcome
 		p.mayHaveRun = p.mayHaveRun || ran
 		f.cfg.Metrics.retry(outcome)
-		f.cfg.Log.Info("Attempt failed.", req.field(),
+		f.cfg.Log.Warn("Attempt failed.", req.field(),
 			zap.String("target", string(grant.ID)), zap.Int("attempt", p.attempts),
 			zap.Stringer("outcome", outcome), zap.Bool("may-have-run", ran))
 	}
@@ -119,7 +119,7 @@
 
 func (f *Forwarder) refused(req *Request, p progress, r *Refusal) *Refusal {
 	f.cfg.Metrics.refuse(r.Reason)
-	f.cfg.Log.Info("Gave a request up.", req.field(), zap.String("route", string(req.Route.ID)),
+	f.cfg.Log.Warn("Gave a request up.", req.field(), zap.String("route", string(req.Route.ID)),
 		zap.Uint64("config", uint64(req.Version)), zap.String("reason", string(r.Reason)), zap.Bool("not-run", r.NotRun),
 		zap.Int("attempts", p.attempts), zap.Duration("left", time.Until(req.Deadline)))
 	return r
--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -66,7 +66,7 @@
 		return
 	}
 	if v != whole {
-		r.cfg.Log.Info("Attempt at an item failed.", zap.String("request", string(it.item.ID)),
+		r.cfg.Log.Warn("Attempt at an item failed.", zap.String("request", string(it.item.ID)),
 			zap.String("job", string(it.job.sub.Job)), zap.String("target", string(g.ID)),
 			zap.Stringer("outcome", outcome), zap.Int("events-before", before), zap.Int("events", len(it.events)),
 			zap.Duration("took", now.Sub(started)), silllog.Err(err))
--- a/internal/silljob/dispatch.go
+++ b/internal/silljob/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
@@ -53,7 +54,7 @@
 		case !route.Serves(j.pool):
 			from := j.pool
 			j.pool = route.Pool(0)
-			r.cfg.Log.Info("Route of a job moved.", zap.String("job", string(j.sub.Job)), zap.String("from", string(from)),
+			r.cfg.Log.Warn("Route of a job moved.", zap.String("job", string(j.sub.Job)), zap.String("from", string(from)),
 				zap.String("to", string(j.pool)), zap.Uint64("config", uint64(catalog.Version)))
 		}
 	}
@@ -69,7 +70,7 @@
 		}
 	}
 	if len(j.pending) > 0 {
-		r.cfg.Log.Info("Gave up items of a removed route.", zap.String("job", string(j.sub.Job)), zap.Int("count", len(j.pending)))
+		r.cfg.Log.Warn("Gave up items of a removed route.", zap.String("job", string(j.sub.Job)), zap.Int("count", len(j.pending)))
 		j.signal()
 	}
 }
@@ -125,8 +126,18 @@
 	if !it.fits(it.job.sub) {
 		it.discard()
 	}
-	r.cfg.Log.Info("Item sent.", zap.String("request", string(it.item.ID)), zap.String("job", string(it.job.sub.Job)),
+	r.logSend(it, grant)
+	it.job.group.Go(func(ctx context.Context) { r.attempt(ctx, it, grant) })
+}
+
+// logSend tells where an item goes; a first run is the usual case.
+func (r *Runner) logSend(it *itemRun, grant silltarget.Grant) {
+	it.sends++
+	level, message := zapcore.InfoLevel, "Item sent."
+	if it.sends > 1 || len(it.events) > 0 {
+		level, message = zapcore.WarnLevel, "Item sent again."
+	}
+	r.cfg.Log.Log(level, message, zap.String("request", string(it.item.ID)), zap.String("job", string(it.job.sub.Job)),
 		zap.String("target", string(grant.ID)), zap.Int("events", len(it.events)),
 		zap.Uint64("version", uint64(grant.Versions[it.job.sub.Model])), zap.Uint64("min-version", uint64(it.job.sub.MinVersion)))
-	it.job.group.Go(func(ctx context.Context) { r.attempt(ctx, it, grant) })
 }
--- a/internal/silljob/item.go
+++ b/internal/silljob/item.go
@@ -32,6 +32,8 @@
 	lastEvent int
 	// versions are the weight versions that made an event, ascending.
 	versions []sillid.WeightVersion
+	// sends counts the runs since this process owns the job.
+	sends int
 	// failures counts the runs that the target itself failed.
 	failures int
 	// scoreFailures counts the failed answers of the scorer.
--- a/internal/silljob/move.go
+++ b/internal/silljob/move.go
@@ -65,7 +65,7 @@
 	}
 	free[key]--
 	r.cfg.Metrics.moves.Inc()
-	r.cfg.Log.Info("Moving an item.", zap.String("request", string(it.item.ID)), zap.String("job", string(it.job.sub.Job)),
+	r.cfg.Log.Warn("Moving an item.", zap.String("request", string(it.item.ID)), zap.String("job", string(it.job.sub.Job)),
 		zap.String("target", string(it.target)), zap.Int("events", len(it.events)),
 		zap.Duration("pace", here), zap.Duration("usual-pace", usual))
 	if it.avoid == nil {
--- a/internal/silljob/owned.go
+++ b/internal/silljob/owned.go
@@ -185,10 +185,10 @@
 		r.written(j, after, u.Results)
 		return true
 	case errors.Is(err, silltable.ErrConflict), errors.Is(err, silltable.ErrUnknown):
-		r.cfg.Log.Info("Reading a job again after a write.", zap.String("job", string(j.sub.Job)), silllog.Err(err))
+		r.cfg.Log.Warn("Reading a job again after a write.", zap.String("job", string(j.sub.Job)), silllog.Err(err))
 		return r.reconcile(ctx, j)
 	default:
-		r.cfg.Log.Info("Results not written.", zap.String("job", string(j.sub.Job)), zap.Int("results", len(u.Results)), silllog.Err(err))
+		r.cfg.Log.Warn("Results not written.", zap.String("job", string(j.sub.Job)), zap.Int("results", len(u.Results)), silllog.Err(err))
 		return false
 	}
 }
--- a/internal/silljob/score.go
+++ b/internal/silljob/score.go
@@ -89,7 +89,7 @@
 			zap.Int("bytes", len(result.Text)), zap.Any("versions", result.Versions), zap.String("score", result.Score))
 	} else {
 		r.cfg.Metrics.aborted.WithLabelValues(gaveUp).Inc()
-		r.cfg.Log.Info("Gave an item up.", zap.String("request", string(it.item.ID)),
+		r.cfg.Log.Warn("Gave an item up.", zap.String("request", string(it.item.ID)),
 			zap.String("job", string(it.job.sub.Job)), zap.String("why", gaveUp), zap.Int("failures", it.failures))
 	}
 	r.mu.Lock()
--- a/internal/silljob/takeover.go
+++ b/internal/silljob/takeover.go
@@ -83,7 +83,7 @@
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		if err := r.read(ctx, job, v, claim); err != nil {
-			r.cfg.Log.Info("Job not taken over.", zap.String("job", string(job)), zap.Bool("claim", claim), silllog.Err(err))
+			r.cfg.Log.Warn("Job not taken over.", zap.String("job", string(job)), zap.Bool("claim", claim), silllog.Err(err))
 		}
 	})
 }
--- a/internal/silllog/log.go
+++ b/internal/silllog/log.go
@@ -3,25 +3,18 @@
 package silllog
 
 import (
+	"io"
 	"os"
-	"time"
+	"strings"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
 
-const (
-	// queueLines is the number of lines that wait for a slow reader of the log;
-	// lines beyond it are dropped and counted.
-	queueLines = 8192
-	// sampleEvery, sampleFirst and sampleThen bound the volume: of lines with one
-	// message within sampleEvery, the first sampleFirst and then each
-	// sampleThen-th are written.
-	sampleEvery = time.Second
-	sampleFirst = 200
-	sampleThen  = 50
-)
+// queueLines is the number of lines that wait for a slow reader of the log;
+// lines beyond it are dropped and counted.
+const queueLines = 8192
 
 // New returns a logger that writes JSON lines of at least the level to the
 // standard error stream.
@@ -33,16 +26,15 @@
 	return zap.New(zapcore.NewCore(newEncoder(), zapcore.Lock(os.Stderr), l)), nil
 }
 
-// NewQueued returns a logger that writes JSON lines to the standard output and
-// never waits for its reader. Close the queue at the end of the process.
-func NewQueued(level string) (*zap.Logger, *Queue, error) {
+// NewQueued returns a logger that writes JSON lines to out, commonly the standard
+// output, and never waits for its reader. Close the queue at the end of the process.
+func NewQueued(out io.Writer, level string) (*zap.Logger, *Queue, error) {
 	l, err := parseLevel(level)
 	if err != nil {
 		return nil, nil, err
 	}
-	queue := newQueue(os.Stdout, queueLines)
-	core := zapcore.NewCore(newEncoder(), queue, l)
-	return zap.New(zapcore.NewSamplerWithOptions(core, sampleEvery, sampleFirst, sampleThen)), queue, nil
+	queue := newQueue(out, queueLines)
+	return zap.New(boundedCore(queue, l)), queue, nil
 }
 
 func parseLevel(level string) (zapcore.Level, error) {
@@ -67,5 +59,5 @@
 	if err == nil {
 		return zap.Skip()
 	}
-	return zap.String("error", err.Error())
+	return zap.String("error", strings.ReplaceAll(err.Error(), "\n", "; "))
 }
--- a/internal/silllog/log_test.go
+++ b/internal/silllog/log_test.go
@@ -3,11 +3,16 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // stuck is a writer that blocks until it is released.
@@ -65,6 +70,9 @@
 	if f.String != "step: cause" {
 		t.Errorf("field %q", f.String)
 	}
+	if f := Err(errors.Join(errors.New("one"), errors.New("two"))); f.String != "one; two" {
+		t.Errorf("field %q of two errors", f.String)
+	}
 }
 
 func TestLevel(t *testing.T) {
@@ -72,3 +80,42 @@
 		t.Error("an unknown level is taken")
 	}
 }
+
+// logMany writes lines of one message, 1,000 a second for three seconds, and
+// returns the log.
+func logMany(t *testing.T, write func(*zap.Logger)) (written string, q *Queue) {
+	t.Helper()
+	var out bytes.Buffer
+	synctest.Test(t, func(*testing.T) {
+		q = newQueue(&out, queueLines)
+		log := zap.New(boundedCore(q, zapcore.InfoLevel))
+		for range 3000 {
+			write(log)
+			time.Sleep(time.Millisecond)
+		}
+		q.Close()
+	})
+	return out.String(), q
+}
+
+func TestVolume(t *testing.T) {
+	t.Run("lines of what goes well are thinned out and counted", func(t *testing.T) {
+		log, q := logMany(t, func(l *zap.Logger) { l.Info("Served.") })
+		n := strings.Count(log, `"message":"Served."`)
+		if n < 600 || n > 800 {
+			t.Errorf("%d lines written, want the first 200 of each second and each 50th", n)
+		}
+		if q.LeftOut() != int64(3000-n) {
+			t.Errorf("%d left out by the count, %d by the log", q.LeftOut(), 3000-n)
+		}
+		if !strings.Contains(log, `"message":"Left lines out.","alike":"Served.","lines":`+fmt.Sprint(3000-n)) {
+			t.Error("the log does not tell how many lines it left out")
+		}
+	})
+	t.Run("failures are complete", func(t *testing.T) {
+		log, q := logMany(t, func(l *zap.Logger) { l.Warn("Failed.") })
+		if n := strings.Count(log, `"message":"Failed."`); n != 3000 || q.LeftOut() != 0 {
+			t.Errorf("%d of 3000 lines written, %d left out", n, q.LeftOut())
+		}
+	})
+}
--- a/internal/silllog/queue.go
+++ b/internal/silllog/queue.go
@@ -5,8 +5,13 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 )
@@ -19,10 +24,19 @@
 	dropped atomic.Int64
 	group   *sillgroup.Group
 	closing sync.Once
+
+	// mu guards leftOut: lines beyond the bound of their message since the last
+	// summary, and total, those of the whole life.
+	mu      sync.Mutex
+	leftOut map[string]int64
+	total   int64
 }
 
+// summaryEvery is the time between two lines that tell what was left out.
+const summaryEvery = 10 * time.Second
+
 func newQueue(out io.Writer, size int) *Queue {
-	q := &Queue{out: out, lines: make(chan []byte, size), group: sillgroup.New(context.Background())}
+	q := &Queue{out: out, lines: make(chan []byte, size), group: sillgroup.New(context.Background()), leftOut: make(map[string]int64)}
 	q.group.Go(q.run)
 	return q
 }
@@ -43,10 +57,59 @@
 // Dropped returns the number of lines that were dropped.
 func (q *Queue) Dropped() int64 { return q.dropped.Load() }
 
+// leaveOut counts a line that is not written because there are many like it.
+func (q *Queue) leaveOut(message string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.leftOut[message]++
+	q.total++
+}
+
+// LeftOut returns the number of lines beyond the bounds of their messages.
+func (q *Queue) LeftOut() int64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.total
+}
+
+// Collector returns the metric of lines that were not written.
+func (q *Queue) Collector() prometheus.Collector {
+	const name = "wasabisill_log_lines_left_out_total"
+	const help = "Lines of the log that were not written."
+	opts := func(reason string) prometheus.CounterOpts {
+		return prometheus.CounterOpts{Name: name, Help: help, ConstLabels: prometheus.Labels{"reason": reason}}
+	}
+	return collectors{
+		prometheus.NewCounterFunc(opts("many-alike"), func() float64 { return float64(q.LeftOut()) }),
+		prometheus.NewCounterFunc(opts("slow-reader"), func() float64 { return float64(q.Dropped()) }),
+	}
+}
+
+// collectors is several collectors as one.
+type collectors []prometheus.Collector
+
+// Describe implements prometheus.Collector.
+func (c collectors) Describe(ch chan<- *prometheus.Desc) {
+	for _, one := range c {
+		one.Describe(ch)
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c collectors) Collect(ch chan<- prometheus.Metric) {
+	for _, one := range c {
+		one.Collect(ch)
+	}
+}
+
 // run writes lines, several at once if they wait.
 func (q *Queue) run(ctx context.Context) {
+	summary := time.NewTicker(summaryEvery)
+	defer summary.Stop()
 	for {
 		select {
+		case <-summary.C:
+			q.summarize()
 		case line := <-q.lines:
 			q.write(line)
 		case <-ctx.Done():
@@ -78,11 +141,23 @@
 	for len(q.lines) > 0 {
 		q.write(<-q.lines)
 	}
+	q.summarize()
 	if n := q.Dropped(); n > 0 {
 		_, _ = fmt.Fprintf(q.out, "{\"level\":\"warn\",\"message\":\"Dropped lines of the log.\",\"lines\":%d}\n", n)
 	}
 }
 
+// summarize writes how many lines of each message were left out.
+func (q *Queue) summarize() {
+	q.mu.Lock()
+	counts := q.leftOut
+	q.leftOut = make(map[string]int64)
+	q.mu.Unlock()
+	for _, message := range slices.Sorted(maps.Keys(counts)) {
+		_, _ = fmt.Fprintf(q.out, "{\"level\":\"info\",\"message\":\"Left lines out.\",\"alike\":%q,\"lines\":%d}\n", message, counts[message])
+	}
+}
+
 // Close writes the lines that wait and ends the queue.
 func (q *Queue) Close() {
 	q.closing.Do(q.group.Stop)
--- a/internal/sillmeter/meter.go
+++ b/internal/sillmeter/meter.go
@@ -131,7 +131,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if _, err := m.cfg.Table.Commit(ctx, txn); err != nil {
-		m.cfg.Log.Info("Counts not written.", zap.Int("windows", len(windows)), silllog.Err(err))
+		m.cfg.Log.Warn("Counts not written.", zap.Int("windows", len(windows)), silllog.Err(err))
 		m.again(windows)
 	}
 }
@@ -231,7 +231,7 @@
 			continue
 		}
 		if err := r.report(ctx, w); err != nil {
-			r.cfg.Log.Info("Window not reported.", zap.Int64("window", int64(w)), silllog.Err(err))
+			r.cfg.Log.Warn("Window not reported.", zap.Int64("window", int64(w)), silllog.Err(err))
 			return
 		}
 		r.sent[w] = true
--- a/internal/sillversion/controller.go
+++ b/internal/sillversion/controller.go
@@ -134,7 +134,7 @@
 	defer cancel()
 	report, err := c.cfg.Report(ctx, e)
 	if err != nil {
-		c.cfg.Log.Info("Engine did not report.", zap.String("target", string(e.ID)), silllog.Err(err))
+		c.cfg.Log.Warn("Engine did not report.", zap.String("target", string(e.ID)), silllog.Err(err))
 		return nil
 	}
 	return &report
