Start texts of one version anew that no engine can go on with

Cause: a text of a job that takes one version a text goes on at engines with exactly that version only; once all of them had loaded the next one, the item waited until the job ended. A run whose engine changed its version in the middle lost its whole text, too. Ruled out: full engines (under half of the slots in use), the owner (its other items ran). Change: such a text is discarded if no engine has its version, or if those that have it stay full for 2 s; a change of version in the middle of a run keeps the text for engines that still have the old one; engines with the newest version are picked first, since they load again last. TestSingleVersionIsGone failed first, in both cases. Runs are still cut by each load.

--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -219,7 +219,8 @@
 }
 
 // take adds an event to a text. It returns false if the event does not follow
-// the last one, or was made by a version that the job does not take.
+// the last one, or was made by a version that the job does not take. A text of
+// one version is kept then: another engine may still have that version.
 func (r *Runner) take(it *itemRun, e sillevent.Event, version sillid.WeightVersion) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -231,7 +232,10 @@
 	if e.ID != next {
 		return false
 	}
-	if version < sub.MinVersion || (sub.SingleVersion && len(it.versions) > 0 && it.versions[0] != version) {
+	if sub.SingleVersion && len(it.versions) > 0 && it.versions[0] != version {
+		return false
+	}
+	if version < sub.MinVersion {
 		it.discard()
 		return false
 	}
--- a/internal/silljob/dispatch.go
+++ b/internal/silljob/dispatch.go
@@ -22,6 +22,7 @@
 	r.followRoutes()
 	full := make(map[demandKey]bool)
 	for _, it := range r.waitingItems(now) {
+		r.dropStranded(now, it)
 		key := keyOf(it)
 		if full[key] {
 			continue
@@ -35,6 +36,28 @@
 	}
 }
 
+// strandedLimit is how long a text waits for a free slot at the engines that may
+// go on with it. Starting anew takes a few times as long.
+const strandedLimit = 2 * time.Second
+
+// dropStranded discards a text that only one version may go on with, if no
+// engine has that version any more or those that have it stay full. Engines load
+// a version every few seconds, so a text that is cut is easily left behind.
+func (r *Runner) dropStranded(now time.Time, it *itemRun) {
+	if exactVersion(it) == 0 {
+		return
+	}
+	if it.strandedSince.IsZero() {
+		it.strandedSince = now
+	}
+	if now.Sub(it.strandedSince) < strandedLimit && r.cfg.Directory.Exists(now, r.query(it)) {
+		return
+	}
+	r.cfg.Log.Warn("Text starts anew.", zap.String("request", string(it.item.ID)), zap.String("job", string(it.job.sub.Job)),
+		zap.Uint64("version", uint64(it.versions[0])), zap.Int("events", len(it.events)), zap.Duration("waited", now.Sub(it.strandedSince)))
+	it.discard()
+}
+
 // followRoutes has each job run where the configuration in force sends its
 // route. The items of a job whose route is gone are given up.
 func (r *Runner) followRoutes() {
@@ -100,7 +123,7 @@
 	key := keyOf(it)
 	return silltarget.Query{
 		Pool: key.pool, Zone: r.cfg.Zone, Model: key.model, MinVersion: key.min, Exact: key.exact,
-		Prefer: it.job.groupTarget[it.item.Group], Avoid: it.avoid, FreeOnly: true,
+		Prefer: it.job.groupTarget[it.item.Group], Avoid: it.avoid, FreeOnly: true, Newest: it.job.sub.SingleVersion,
 	}
 }
 
@@ -122,6 +145,7 @@
 
 func (r *Runner) start(it *itemRun, grant silltarget.Grant) {
 	it.phase = running
+	it.strandedSince = time.Time{}
 	it.job.groupTarget[it.item.Group] = grant.ID
 	if !it.fits(it.job.sub) {
 		it.discard()
--- a/internal/silljob/item.go
+++ b/internal/silljob/item.go
@@ -40,6 +40,9 @@
 	scoreFailures int
 	// notBefore is when the item may be tried again.
 	notBefore time.Time
+	// strandedSince is since when the text waits for the engines that may go on
+	// with it; zero if it does not wait for certain ones.
+	strandedSince time.Time
 	// target is where the item runs; stop ends the attempt there. Both are
 	// empty while it does not run.
 	target sillid.TargetID
--- a/internal/silljob/runner_test.go
+++ b/internal/silljob/runner_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wasabisill/wasabisill/internal/silltable"
+	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -467,3 +468,52 @@
 	a.submit(t, sub)
 	checkWhole(t, sub, a.results(t, "job", 1), testEvents)
 }
+
+// TestSingleVersionIsGone cuts a text after two events of version 1, in a job that
+// takes one version a text. It starts anew unless an engine goes on with it soon.
+func TestSingleVersionIsGone(t *testing.T) {
+	run := func(t *testing.T, engines int, setUp, afterCut func(c *cluster, n *node)) {
+		var c *cluster
+		var a *node
+		cut := false
+		c = newCluster(t, engines, func(engine int, _ call, _ int) behaviour {
+			if !cut {
+				cut = true
+				afterCut(c, a)
+				return behaviour{Events: testEvents, BreakAfter: 2, Version: 1}
+			}
+			return behaviour{Events: testEvents, Version: 2}
+		})
+		a = c.start("a")
+		setUp(c, a)
+		sub := submission("job", 1)
+		sub.SingleVersion = true
+		a.submit(t, sub)
+		results := a.results(t, "job", 1)
+		checkWhole(t, sub, results, testEvents)
+		if !slices.Equal(results[0].Versions, []sillid.WeightVersion{2}) {
+			t.Errorf("versions %v, want 2 alone", results[0].Versions)
+		}
+	}
+	list := func(c *cluster, n *node, engine int, state silltarget.State, version sillid.WeightVersion) {
+		e := c.engines[engine].Entry("p", 2, versions{testModel: version})
+		e.State = state
+		n.directory.Apply(e)
+	}
+	// take has a slot of an engine with version 1 in use for good.
+	take := func(n *node) {
+		n.directory.Pick(time.Now(), silltarget.Query{Pool: "p", Model: testModel, Exact: 1})
+	}
+	t.Run("no engine has the version any more", func(t *testing.T) {
+		run(t, 1, func(*cluster, *node) {}, func(c *cluster, n *node) { list(c, n, 0, silltarget.Ready, 2) })
+	})
+	t.Run("the engine with the version stays full", func(t *testing.T) {
+		run(t, 2, func(c *cluster, n *node) {
+			list(c, n, 1, silltarget.Draining, 2)
+			take(n)
+		}, func(c *cluster, n *node) {
+			take(n)
+			list(c, n, 1, silltarget.Ready, 2)
+		})
+	})
+}
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -158,6 +158,8 @@
 	MinVersion sillid.WeightVersion
 	// Exact, if not 0, is the only version that is taken.
 	Exact sillid.WeightVersion
+	// Newest prefers targets with newer weights of the model to all others.
+	Newest bool
 	// Prefer is picked if it has a free slot.
 	Prefer sillid.TargetID
 	// FreeOnly holds back targets without a free slot. Otherwise a request may
@@ -200,6 +202,20 @@
 	return Grant{ID: best.entry.ID, Address: best.entry.Address, Versions: best.entry.Versions, from: best}, true
 }
 
+// Exists returns whether some target may take a query's requests, now or once it
+// has a free slot and has rested.
+func (d *Directory) Exists(now time.Time, q Query) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q.FreeOnly, q.Resting = false, true
+	for _, t := range d.targets {
+		if t.admits(now, &q) {
+			return true
+		}
+	}
+	return false
+}
+
 // usualPace is the mean of the known paces of a pool, or 0.
 func (d *Directory) usualPace(pool sillid.PoolID) time.Duration {
 	sum, known := time.Duration(0), 0
@@ -235,6 +251,9 @@
 // better returns whether a is to be picked before b. The share of the slots in
 // use decides, weighed by the pace, so that slow targets get less.
 func better(now time.Time, q *Query, usual time.Duration, a, b *target) bool {
+	if va, vb := a.entry.Versions[q.Model], b.entry.Versions[q.Model]; q.Newest && va != vb {
+		return va > vb
+	}
 	if prefersA, prefersB := a.entry.ID == q.Prefer, b.entry.ID == q.Prefer; prefersA != prefersB {
 		return prefersA
 	}
