Have engines finish texts of one version before they load the next

Change: orders for a model with open jobs of that kind say that runs finish first ('hold'); such orders count for 10 s, at most half of a model's engines at a time, and do not use up the bound of loads at once. A text that is turned away again and again starts anew, too: its waiting time was reset by each send. Tests: TestRunsFinishFirst, TestOrder, TestDemandOfOneVersion.

--- a/internal/silldirect/view.go
+++ b/internal/silldirect/view.go
@@ -167,7 +167,9 @@
 		if m.Pool != pool || (!ok && !open) {
 			continue
 		}
-		wanted[m.ID] = sillversion.Wanted{Version: max(version, firstVersion), Oldest: d.MinVersion, Waiting: d.Waiting}
+		wanted[m.ID] = sillversion.Wanted{
+			Version: max(version, firstVersion), Oldest: d.MinVersion, Waiting: d.Waiting, FinishRuns: d.SingleVersion,
+		}
 	}
 	return wanted
 }
--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -240,6 +240,7 @@
 		return false
 	}
 	it.begun = true
+	it.strandedSince = time.Time{}
 	it.add(e.ID, e.Data, version)
 	return true
 }
--- a/internal/silljob/board.go
+++ b/internal/silljob/board.go
@@ -88,6 +88,8 @@
 	Unlisted int
 	// MinVersion is the newest version that any open job asks for.
 	MinVersion sillid.WeightVersion
+	// SingleVersion is whether any open job takes one version a text only.
+	SingleVersion bool
 }
 
 // Demands returns the demand of each model with open jobs.
@@ -99,6 +101,7 @@
 		d.Waiting += v.Waiting
 		d.Unlisted += v.Total - v.Listed
 		d.MinVersion = max(d.MinVersion, v.MinVersion)
+		d.SingleVersion = d.SingleVersion || v.SingleVersion
 		demands[v.Model] = d
 	}
 	return demands
--- a/internal/silljob/dispatch.go
+++ b/internal/silljob/dispatch.go
@@ -145,7 +145,6 @@
 
 func (r *Runner) start(it *itemRun, grant silltarget.Grant) {
 	it.phase = running
-	it.strandedSince = time.Time{}
 	it.job.groupTarget[it.item.Group] = grant.ID
 	if !it.fits(it.job.sub) {
 		it.discard()
--- a/internal/silljob/job.go
+++ b/internal/silljob/job.go
@@ -104,6 +104,8 @@
 	Model        sillid.ModelID        `cbor:"model"`
 	Pool         sillid.PoolID         `cbor:"pool"`
 	MinVersion   sillid.WeightVersion  `cbor:"min-version"`
+	// SingleVersion asks for texts made by one version each.
+	SingleVersion bool `cbor:"single-version"`
 	// Total is the number of items.
 	Total int `cbor:"total"`
 	// Listed is the number of results; their positions are 0 to Listed-1.
--- a/internal/silljob/store.go
+++ b/internal/silljob/store.go
@@ -39,7 +39,7 @@
 // not accepted; after silltable.ErrUnknown it may be, also later.
 func (s *Store) Accept(ctx context.Context, sub *Submission, owner NodeRun) (Versioned, bool, error) {
 	state := State{
-		Organisation: sub.Organisation, Model: sub.Model, Pool: sub.Pool, MinVersion: sub.MinVersion,
+		Organisation: sub.Organisation, Model: sub.Model, Pool: sub.Pool, MinVersion: sub.MinVersion, SingleVersion: sub.SingleVersion,
 		Total: len(sub.Items), Waiting: len(sub.Items), Owner: owner, Epoch: 1, SubmittedMS: sub.SubmittedMS,
 	}
 	writes, err := encodeSubmission(sub, &state)
--- a/internal/silljob/store_test.go
+++ b/internal/silljob/store_test.go
@@ -39,6 +39,18 @@
 	}
 }
 
+func TestDemandOfOneVersion(t *testing.T) {
+	b := NewBoard()
+	b.Offer("plain", Versioned{State: State{Model: "m", Total: 1}, Revision: 1})
+	if b.Demands()["m"].SingleVersion {
+		t.Error("a job that takes several versions asks for one")
+	}
+	b.Offer("single", Versioned{State: State{Model: "m", Total: 1, SingleVersion: true}, Revision: 2})
+	if !b.Demands()["m"].SingleVersion {
+		t.Error("the job that takes one version is not heard")
+	}
+}
+
 func TestAcceptLargeJob(t *testing.T) {
 	s, _ := newStore()
 	sub := submission("job", 400)
--- a/internal/sillversion/controller.go
+++ b/internal/sillversion/controller.go
@@ -119,7 +119,7 @@
 		reply = c.cfg.Order(callCtx, l, guard.Epoch)
 	}
 	c.cfg.Log.Info("Ordered weights.", zap.String("target", string(l.Target.ID)), zap.String("model", string(l.Model)),
-		zap.Uint64("version", uint64(l.Version)), zap.Uint64("orders", l.Orders), zap.Uint64("fence", uint64(guard.Epoch)),
+		zap.Uint64("version", uint64(l.Version)), zap.Uint64("orders", l.Orders), zap.Bool("finish-runs", l.FinishRuns), zap.Uint64("fence", uint64(guard.Epoch)),
 		zap.Stringer("reply", reply))
 	var told *Report
 	if reply == Conflict {
--- a/internal/sillversion/plan.go
+++ b/internal/sillversion/plan.go
@@ -5,7 +5,8 @@
 // engines of its model alone. The version before still serves the open jobs, and
 // loads are what engines lack most: so half of a model's engines load each
 // version and the other half the next one. An engine that can no longer serve
-// the newest job goes first.
+// the newest job goes first. Where texts must be made by one version, an engine
+// finishes its runs before it loads; elsewhere they go on under the new version.
 package sillversion
 
 import (
@@ -24,6 +25,9 @@
 	loadShare = 0.2
 	// loadLimit is how long an accepted order may take before the engine is asked again.
 	loadLimit = 4 * time.Second
+	// finishLimit is the same for an order that lets the runs finish first, the
+	// longest of which take several seconds.
+	finishLimit = 10 * time.Second
 	// unknownLimit is how long an order without an answer counts as under way.
 	unknownLimit = 1500 * time.Millisecond
 	// refusedPause is how long an engine is left alone that refused an order.
@@ -38,6 +42,8 @@
 	Oldest sillid.WeightVersion
 	// Waiting is the number of items that wait for an engine.
 	Waiting int
+	// FinishRuns is whether runs must not go on under another version.
+	FinishRuns bool
 }
 
 // Load is an order to be given.
@@ -47,12 +53,25 @@
 	Version sillid.WeightVersion
 	// Orders is the number of orders that the engine must have accepted so far.
 	Orders uint64
+	// FinishRuns has the engine finish its runs first. Otherwise they go on under
+	// the new version.
+	FinishRuns bool
+}
+
+// limit is how long the load may take once it was accepted.
+func (l *Load) limit() time.Duration {
+	if l.FinishRuns {
+		return finishLimit
+	}
+	return loadLimit
 }
 
 // order is an order that was given.
 type order struct {
 	model   sillid.ModelID
 	version sillid.WeightVersion
+	// finishRuns is whether the engine finishes its runs before it loads.
+	finishRuns bool
 	// until is when the order no longer counts as under way.
 	until time.Time
 }
@@ -89,9 +108,7 @@
 	slices.SortFunc(engines, func(a, b silltarget.Entry) int { return cmp.Compare(a.ID, b.ID) })
 	p.refresh(now, engines)
 	p.assign(engines, wanted)
-	free := p.freeLoads(len(engines))
-	loads := p.candidates(now, engines, wanted)
-	return loads[:min(len(loads), max(free, 0))]
+	return p.allowed(p.candidates(now, engines, wanted), len(engines))
 }
 
 // refresh takes what the engines say of themselves.
@@ -164,15 +181,37 @@
 	return best
 }
 
-// freeLoads returns how many more engines may load now.
-func (p *Planner) freeLoads(engines int) int {
-	loading := 0
+// allowed returns the first loads that may begin now. Those that load at once are
+// bounded over all models. An engine that finishes its runs first takes no others
+// meanwhile, for seconds: that must not hold other models up, nor take more than
+// half of the engines of its own.
+func (p *Planner) allowed(due []Load, engines int) []Load {
+	free := max(1, int(loadShare*float64(engines)+0.5))
+	finishing := make(map[sillid.ModelID]int)
+	owned := make(map[sillid.ModelID]int)
 	for _, r := range p.records {
-		if r.pending != nil {
-			loading++
+		owned[r.home]++
+		switch {
+		case r.pending == nil:
+		case r.pending.finishRuns:
+			finishing[r.pending.model]++
+		default:
+			free--
+		}
+	}
+	var loads []Load
+	for _, l := range due {
+		switch {
+		case l.FinishRuns && finishing[l.Model] < max(1, owned[l.Model]/2):
+			finishing[l.Model]++
+		case !l.FinishRuns && free > 0:
+			free--
+		default:
+			continue
 		}
+		loads = append(loads, l)
 	}
-	return max(1, int(loadShare*float64(engines)+0.5)) - loading
+	return loads
 }
 
 // candidates returns the engines that are due for a load, those first that lag
@@ -194,7 +233,7 @@
 			continue
 		}
 		planned[r.home]++
-		loads = append(loads, Load{Target: e, Model: r.home, Version: w.Version, Orders: r.orders})
+		loads = append(loads, Load{Target: e, Model: r.home, Version: w.Version, Orders: r.orders, FinishRuns: w.FinishRuns})
 	}
 	return loads
 }
@@ -226,14 +265,14 @@
 // Given notes that an order is on its way, before it is sent.
 func (p *Planner) Given(now time.Time, l Load) {
 	if r := p.records[l.Target.ID]; r != nil {
-		r.pending = &order{model: l.Model, version: l.Version, until: now.Add(unknownLimit)}
+		r.pending = &order{model: l.Model, version: l.Version, finishRuns: l.FinishRuns, until: now.Add(unknownLimit)}
 	}
 }
 
 // Accepted notes that an engine carries an order out.
 func (p *Planner) Accepted(now time.Time, l Load) {
 	if r := p.records[l.Target.ID]; r != nil && r.pending != nil {
-		r.pending.until = now.Add(loadLimit)
+		r.pending.until = now.Add(l.limit())
 		r.orders = l.Orders + 1
 	}
 }
--- a/internal/sillversion/plan_test.go
+++ b/internal/sillversion/plan_test.go
@@ -119,6 +119,41 @@
 	}
 }
 
+// TestRunsFinishFirst lets engines finish texts of one version before they load.
+func TestRunsFinishFirst(t *testing.T) {
+	wanted := map[sillid.ModelID]Wanted{"a": {Version: 2, Oldest: 2, FinishRuns: true}, "b": {Version: 2, Oldest: 2}}
+	// give notes that the engines took the orders and now finish their runs.
+	give := func(f *fleet, loads []Load) (finishing, other int) {
+		for _, l := range loads {
+			f.planner.Given(f.now, l)
+			f.planner.Accepted(f.now, l)
+			if l.FinishRuns != wanted[l.Model].FinishRuns {
+				t.Errorf("load %+v", l)
+			}
+			if l.FinishRuns {
+				finishing++
+			} else {
+				other++
+			}
+		}
+		return finishing, other
+	}
+	f := newFleet(20, versions{"a": 1, "b": 1})
+	finishing, other := give(f, f.next(wanted))
+	if finishing != 5 || other != 4 {
+		t.Errorf("%d loads after runs and %d others, want half of 10 engines and a fifth of 20", finishing, other)
+	}
+	f.now = f.now.Add(loadLimit)
+	finishing, other = give(f, f.next(wanted))
+	if finishing != 0 || other != 4 {
+		t.Errorf("%d loads after runs and %d others while engines finish runs, want 0 and 4", finishing, other)
+	}
+	f.now = f.now.Add(finishLimit)
+	if finishing, _ = give(f, f.next(wanted)); finishing != 5 {
+		t.Errorf("%d loads after runs once the orders have run out, want 5", finishing)
+	}
+}
+
 func TestLoadsWaitForItems(t *testing.T) {
 	f := newFleet(4, versions{"a": 1})
 	if loads := f.next(map[sillid.ModelID]Wanted{"a": {Version: 2, Oldest: 1, Waiting: 7}}); len(loads) != 0 {
