Serve callers without keys where the configuration has no tenants

Cause: a configuration without tenants was read as one whose keys are all gone. Ruled out: the routes (found), the balancer (all gateways alike).

--- a/internal/sillcatalog/catalog.go
+++ b/internal/sillcatalog/catalog.go
@@ -75,8 +75,10 @@
 	Version       sillid.BundleVersion
 	Routes        []Route
 	Organisations []Organisation
-	Models        []Model
-	Limits        Limits
+	// Open is whether requests need no key, as there are no organisations.
+	Open   bool
+	Models []Model
+	Limits Limits
 
 	byHost map[string][]*Route
 	byKey  map[string]*Organisation
