Order more and fewer targets of pools whose number follows their load

Ruled out: sillscale.Zone as it is (it names the instances to stop and drains them; here the platform picks them), the load header alone (the holder sees an eighth of the answers), the usage counts (not by pool). Change: each gateway tells in its row what it has at such pools' targets; the holder of the duties adds it up, and sillscale.Sizer decides: more at once, fewer one by one after 10 s. Fenced and bounded by the lease like the usage reports, whose call it shares in platform/.

--- a/internal/sillcatalog/catalog.go
+++ b/internal/sillcatalog/catalog.go
@@ -64,6 +64,16 @@
 	Pool sillid.PoolID
 }
 
+// Scaling lets the number of a pool's targets follow their load.
+type Scaling struct {
+	Pool sillid.PoolID
+	// Min and Max bound the number in each availability zone.
+	Min int
+	Max int
+	// Boot is how long a target takes to start.
+	Boot time.Duration
+}
+
 // Limits bound what callers may send.
 type Limits struct {
 	// BodyBytes bounds the body of a request; 0 for no bound.
@@ -76,9 +86,10 @@
 	Routes        []Route
 	Organisations []Organisation
 	// Open is whether requests need no key, as there are no organisations.
-	Open   bool
-	Models []Model
-	Limits Limits
+	Open     bool
+	Models   []Model
+	Scalings []Scaling
+	Limits   Limits
 
 	byHost map[string][]*Route
 	byKey  map[string]*Organisation
--- a/internal/sillcluster/members.go
+++ b/internal/sillcluster/members.go
@@ -38,10 +38,21 @@
 	Zone    sillid.ZoneID `cbor:"zone"`
 	// Leaving processes take no new work.
 	Leaving bool `cbor:"leaving"`
+	// Busy is what the process has at the targets of pools whose number follows
+	// their load.
+	Busy []Busy `cbor:"busy,omitempty"`
 	// Renewal counts the renewals of this run.
 	Renewal uint64 `cbor:"renewal"`
 }
 
+// Busy is the number of requests of one process at the targets of a pool in an
+// availability zone.
+type Busy struct {
+	Pool  sillid.PoolID `cbor:"pool"`
+	Zone  sillid.ZoneID `cbor:"zone"`
+	Count int           `cbor:"count"`
+}
+
 // member is a row with the time at which it last changed.
 type member struct {
 	Member
--- a/internal/silldirect/duties.go
+++ b/internal/silldirect/duties.go
@@ -14,6 +14,7 @@
 	"github.com/wasabisill/wasabisill/internal/silljob"
 	"github.com/wasabisill/wasabisill/internal/silllease"
 	"github.com/wasabisill/wasabisill/internal/sillmeter"
+	"github.com/wasabisill/wasabisill/internal/sillscale"
 	"github.com/wasabisill/wasabisill/internal/sillversion"
 )
 
@@ -38,8 +39,8 @@
 	usageSettle = 4 * time.Second
 )
 
-// duties are what one gateway at a time does for all: orders of weights,
-// reports of usage and the removal of old jobs.
+// duties are what one gateway at a time does for all: orders of weights and of
+// targets, reports of usage and the removal of old jobs.
 type duties struct {
 	settings *Settings
 	seams    *Seams
@@ -88,6 +89,12 @@
 		})
 		group.Go(reporter.Run)
 	}
+	if d.settings.ScalesTargets {
+		resizer := sillscale.NewResizer(sillscale.ResizerConfig{
+			Bounds: d.view.scalings, Occupancy: d.occupancy, Order: d.scaleOrder(guard), Now: sillclock.Boot, Log: d.log,
+		})
+		group.Go(resizer.Run)
+	}
 	<-ctx.Done()
 }
 
--- /dev/null
+++ b/internal/silldirect/scaling.go
@@ -0,0 +1,75 @@
+package silldirect
+
+import (
+	"context"
+
+	"github.com/wasabisill/wasabisill/internal/sillclock"
+	"github.com/wasabisill/wasabisill/internal/sillcluster"
+	"github.com/wasabisill/wasabisill/internal/silllease"
+	"github.com/wasabisill/wasabisill/internal/sillscale"
+	"github.com/wasabisill/wasabisill/internal/silltarget"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
+)
+
+// scalings returns the bounds of the pools whose number of targets follows the load.
+func (v *view) scalings() map[sillid.PoolID]sillscale.Bounds {
+	c := v.catalog.Get()
+	if c == nil {
+		return nil
+	}
+	bounds := make(map[sillid.PoolID]sillscale.Bounds, len(c.Scalings))
+	for _, s := range c.Scalings {
+		bounds[s.Pool] = sillscale.Bounds{Min: s.Min, Max: s.Max, Boot: s.Boot}
+	}
+	return bounds
+}
+
+// busy returns this process's requests at the targets of those pools.
+func (v *view) busy() []sillcluster.Busy {
+	var busy []sillcluster.Busy
+	for pool := range v.scalings() {
+		for zone, n := range v.directory.Running(pool) {
+			busy = append(busy, sillcluster.Busy{Pool: pool, Zone: zone, Count: n})
+		}
+	}
+	return busy
+}
+
+// occupancy adds up what all gateways have at the targets of pools.
+func (d *duties) occupancy(pools map[sillid.PoolID]sillscale.Bounds) map[sillscale.Place]sillscale.Occupancy {
+	places := make(map[sillscale.Place]sillscale.Occupancy)
+	for pool := range pools {
+		for _, e := range d.view.directory.Entries(pool) {
+			if e.State != silltarget.Ready {
+				continue
+			}
+			p := sillscale.Place{Pool: pool, Zone: e.Zone}
+			o := places[p]
+			o.Targets++
+			o.Slots = e.Slots
+			places[p] = o
+		}
+	}
+	for _, m := range d.members.members.Live(sillclock.Boot()) {
+		for _, b := range m.Busy {
+			p := sillscale.Place{Pool: b.Pool, Zone: b.Zone}
+			if o, ok := places[p]; ok {
+				o.Busy += b.Count
+				places[p] = o
+			}
+		}
+	}
+	return places
+}
+
+// scaleOrder sends orders while the lease lasts.
+func (d *duties) scaleOrder(guard silllease.Guard) func(context.Context, sillscale.Place, int) error {
+	return func(ctx context.Context, p sillscale.Place, count int) error {
+		if !guard.MayAct(sillclock.Boot().Add(dutyCall)) {
+			return errNotHolder
+		}
+		ctx, cancel := context.WithTimeout(ctx, dutyCall)
+		defer cancel()
+		return d.seams.Scale(ctx, p, count, guard.Epoch)
+	}
+}
--- a/internal/silldirect/service.go
+++ b/internal/silldirect/service.go
@@ -120,6 +120,7 @@
 		return err
 	}
 	s.members.address = s.Addresses.Peers
+	s.members.busy = s.view.busy
 	s.background = sillgroup.New(context.Background())
 	s.work = sillgroup.New(context.Background())
 	for _, f := range s.followers.all() {
--- a/internal/silldirect/settings.go
+++ b/internal/silldirect/settings.go
@@ -35,6 +35,8 @@
 	UsageWindow  time.Duration
 	UsageLate    time.Duration
 	ReportsUsage bool
+	// ScalesTargets is whether the number of targets may be ordered.
+	ScalesTargets bool
 	// KeepJobs is how long after its submission an ended job can be read.
 	KeepJobs time.Duration
 	// Cores and MemoryBytes are what the process may use; 0 for no limit.
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -129,6 +129,20 @@
 	return list
 }
 
+// Running returns the number of this process's requests at the targets of a pool,
+// by availability zone.
+func (d *Directory) Running(pool sillid.PoolID) map[sillid.ZoneID]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	running := make(map[sillid.ZoneID]int)
+	for _, t := range d.targets {
+		if t.entry.Pool == pool && t.running > 0 {
+			running[t.entry.Zone] += t.running
+		}
+	}
+	return running
+}
+
 // SawVersion takes the version of a model that a target's answer told.
 func (d *Directory) SawVersion(id sillid.TargetID, model sillid.ModelID, v sillid.WeightVersion) {
 	d.mu.Lock()
