Refuse requests that a load beyond the targets would make late

Ruled out: a shorter patience (cuts work that targets have begun), waiting longer at the gateway (waits count, too). Change: a target with taken slots is picked only if it is likely to answer within four fifths of the objective, from its time of work and what stands before; else the request waits its moment and is refused with the time after which the load is worked off. Free slots are always taken; scorers wait as before.

--- a/internal/sillforward/forward.go
+++ b/internal/sillforward/forward.go
@@ -38,8 +38,13 @@
 	// Header holds what is passed on, without the headers of the connection.
 	Header http.Header
 	Body   []byte
+	// Arrived is when the request reached this process.
+	Arrived time.Time
 	// Deadline is the earlier one of the caller's and the route's.
 	Deadline time.Time
+	// Patient requests are served late rather than refused: nobody waits for the
+	// answer.
+	Patient bool
 }
 
 // field names the request in a line of the log.
@@ -96,7 +101,7 @@
 		}
 		grant, ok := f.pick(ctx, req, tried)
 		if !ok {
-			return nil, f.refused(req, p, refuse(p, time.Until(req.Deadline)))
+			return nil, f.refused(req, p, f.comeBack(req, refuse(p, time.Until(req.Deadline))))
 		}
 		p.attempts++
 		tried[grant.ID] = true
@@ -117,6 +122,15 @@
 	}
 }
 
+// comeBack sets when a refused caller is likely to be served in time.
+func (f *Forwarder) comeBack(req *Request, r *Refusal) *Refusal {
+	if r.Reason == AllFull || r.Reason == NoTarget {
+		soonest := f.cfg.Directory.Soonest(time.Now(), silltarget.Query{Pool: req.Pool})
+		r.overloaded(soonest, req.Route.Objective)
+	}
+	return r
+}
+
 func (f *Forwarder) refused(req *Request, p progress, r *Refusal) *Refusal {
 	f.cfg.Metrics.refuse(r.Reason)
 	f.cfg.Log.Warn("Gave a request up.", req.field(), zap.String("route", string(req.Route.ID)),
@@ -126,9 +140,9 @@
 }
 
 // pick waits a moment for a target: first for one with a free slot, then for
-// one that queues, then for one that rests.
+// one that queues but answers in time, then for one that rests.
 func (f *Forwarder) pick(ctx context.Context, req *Request, tried map[sillid.TargetID]bool) (silltarget.Grant, bool) {
-	query := silltarget.Query{Pool: req.Pool, Zone: f.cfg.Zone, Avoid: tried}
+	query := silltarget.Query{Pool: req.Pool, Zone: f.cfg.Zone, Avoid: tried, Within: within(req, len(tried), time.Now())}
 	wait := time.NewTimer(min(time.Duration(waitShare*float64(req.Route.Objective)), time.Until(req.Deadline)))
 	defer wait.Stop()
 	for {
@@ -151,7 +165,7 @@
 }
 
 func freeOnly(q silltarget.Query) silltarget.Query {
-	q.FreeOnly = true
+	q.FreeOnly, q.Within = true, 0
 	return q
 }
 
--- a/internal/sillforward/forward_test.go
+++ b/internal/sillforward/forward_test.go
@@ -73,7 +73,7 @@
 func (b *bench) do(ctx context.Context, r *sillcatalog.Route, timeout time.Duration) (*Answer, error) {
 	return b.forwarder.Do(ctx, &Request{
 		ID: "req", Route: r, Pool: "p", Organisation: "org", Method: http.MethodPost, Target: "/x?y=1", Host: "h",
-		Header: http.Header{"Other": {"1"}}, Body: []byte("in"), Deadline: time.Now().Add(timeout),
+		Header: http.Header{"Other": {"1"}}, Body: []byte("in"), Arrived: time.Now(), Deadline: time.Now().Add(timeout),
 	})
 }
 
@@ -244,3 +244,49 @@
 		})
 	}
 }
+
+// TestBeyondTheObjective has every slot taken, and more requests waiting than can
+// be answered within the objective of 100 ms.
+func TestBeyondTheObjective(t *testing.T) {
+	crowded := func(t *testing.T, requests int) *bench {
+		b := newBench(t, behaviour{})
+		for range requests {
+			g, _ := b.directory.Pick(time.Now(), silltarget.Query{Pool: "p"})
+			if b.directory.Pace(g.ID) == 0 {
+				b.directory.Observe(time.Now(), g, nil, 50*time.Millisecond)
+			}
+		}
+		return b
+	}
+	t.Run("refused, to come back once the load is worked off", func(t *testing.T) {
+		b := crowded(t, 19)
+		_, err := b.do(t.Context(), route(sillcatalog.Idempotent, 3), time.Second)
+		checkRefusal(t, err, AllFull, true)
+		var r *Refusal
+		if errors.As(err, &r); r.RetryAfter != 170*time.Millisecond {
+			t.Errorf("to come back after %v, want the 250 ms that it takes less the 80 ms that it may", r.RetryAfter)
+		}
+		if b.calls() > 0 {
+			t.Error("a target got the request")
+		}
+	})
+	t.Run("a short queue is no reason", func(t *testing.T) {
+		a, err := crowded(t, 5).do(t.Context(), route(sillcatalog.Idempotent, 3), time.Second)
+		checkAnswer(t, a, err)
+	})
+	t.Run("targets that are slow for all but have a free slot", func(t *testing.T) {
+		b := newBench(t, behaviour{})
+		g, _ := b.directory.Pick(time.Now(), silltarget.Query{Pool: "p"})
+		b.directory.Observe(time.Now(), g, nil, time.Second)
+		a, err := b.do(t.Context(), route(sillcatalog.Idempotent, 3), time.Second)
+		checkAnswer(t, a, err)
+	})
+	t.Run("a patient request waits", func(t *testing.T) {
+		b := crowded(t, 19)
+		a, err := b.forwarder.Do(t.Context(), &Request{
+			ID: "req", Route: route(sillcatalog.Idempotent, 3), Pool: "p", Method: http.MethodPost, Target: "/x", Host: "h",
+			Header: make(http.Header), Arrived: time.Now(), Deadline: time.Now().Add(time.Second), Patient: true,
+		})
+		checkAnswer(t, a, err)
+	})
+}
--- a/internal/sillforward/plan.go
+++ b/internal/sillforward/plan.go
@@ -18,9 +18,15 @@
 	// waitShare is the part of the latency objective for which a request waits
 	// for a target before it is refused.
 	waitShare = 0.2
+	// withinShare is the part of the latency objective within which a target must
+	// be likely to answer; the rest is for requests that take longer than usual.
+	withinShare = 0.8
 	// retryWhenFull is when a caller may come back after all targets were full:
 	// a slot is free after about one answer time.
 	retryWhenFull = 150 * time.Millisecond
+	// retryMost bounds the time that a caller is asked to stay away for a load
+	// that may end sooner.
+	retryMost = time.Second
 	// retryWhenNone is when a caller may come back if no target is there: a
 	// resting one is tried again by then.
 	retryWhenNone = 400 * time.Millisecond
@@ -94,6 +100,28 @@
 	return min(max(patiencePaces*usual, least), left/2)
 }
 
+// within returns how soon a target must be likely to answer, or 0 for any time.
+// It answers a load above what the targets can carry: requests that queue beyond
+// the objective are late all the same, and have those behind them late as well.
+// One that an earlier target has had for a while is served when it can be.
+func within(req *Request, attempts int, now time.Time) time.Duration {
+	if req.Patient || attempts > 0 || req.Route.Kind == sillcatalog.Stream || req.Route.Objective == 0 {
+		return 0
+	}
+	return max(time.Duration(withinShare*float64(req.Route.Objective))-now.Sub(req.Arrived), time.Millisecond)
+}
+
+// overloaded takes when the soonest target is likely to answer. If that is too
+// late, the request was refused for the load: its caller may come back once as
+// much of the load is worked off.
+func (r *Refusal) overloaded(soonest, objective time.Duration) {
+	excess := soonest - time.Duration(withinShare*float64(objective))
+	if objective > 0 && excess > 0 {
+		r.Reason = AllFull
+		r.RetryAfter = min(max(excess, retryWhenFull), retryMost)
+	}
+}
+
 // refuse returns the final answer of a request that was given up.
 func refuse(p progress, left time.Duration) *Refusal {
 	switch {
--- a/internal/silljob/score.go
+++ b/internal/silljob/score.go
@@ -60,7 +60,7 @@
 	answer, err := r.cfg.Forwarder.Do(ctx, &sillforward.Request{
 		ID: s.ID, Route: route, Version: catalog.Version, Pool: route.Pool(rand.Float64()), Method: http.MethodPost,
 		Target: s.Path, Host: s.Host, Header: make(http.Header), Body: s.Body,
-		Deadline: time.Now().Add(route.Timeout),
+		Arrived: time.Now(), Deadline: time.Now().Add(route.Timeout), Patient: true,
 	})
 	var refusal *sillforward.Refusal
 	if errors.As(err, &refusal) {
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -179,6 +179,9 @@
 	// FreeOnly holds back targets without a free slot. Otherwise a request may
 	// wait at its target.
 	FreeOnly bool
+	// Within, if not 0, holds back targets that are likely to answer later. It is
+	// for targets whose unit of work is a whole request.
+	Within time.Duration
 	// Resting takes targets that rest after a failure, too.
 	Resting bool
 	// FasterThan, if not 0, holds back targets whose pace is not known to be shorter.
@@ -193,16 +196,18 @@
 	Versions map[sillid.ModelID]sillid.WeightVersion
 
 	from *target
+	// crowd is the number of requests at the target, this one counted, by its slots.
+	crowd float64
 }
 
 // Pick returns the target for an attempt, or false if there is none.
 func (d *Directory) Pick(now time.Time, q Query) (Grant, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	usual := d.usualPace(q.Pool)
+	usual, usualWork := d.usualPace(q.Pool), d.usualWork(q.Pool)
 	var best *target
 	for _, t := range d.targets {
-		if !t.admits(now, &q) {
+		if !t.admits(now, &q, usualWork) {
 			continue
 		}
 		if best == nil || better(now, &q, usual, t, best) {
@@ -213,7 +218,29 @@
 		return Grant{}, false
 	}
 	best.running++
-	return Grant{ID: best.entry.ID, Address: best.entry.Address, Versions: best.entry.Versions, from: best}, true
+	return Grant{
+		ID: best.entry.ID, Address: best.entry.Address, Versions: best.entry.Versions,
+		from: best, crowd: best.crowd(now, 0),
+	}, true
+}
+
+// Soonest returns the least time in which some target that a query takes is
+// likely to answer, whatever Within says; 0 if that is not known.
+func (d *Directory) Soonest(now time.Time, q Query) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q.Within = 0
+	usual := d.usualWork(q.Pool)
+	soonest := time.Duration(0)
+	for _, t := range d.targets {
+		if !t.admits(now, &q, usual) {
+			continue
+		}
+		if e := t.expected(now, usual); soonest == 0 || e < soonest {
+			soonest = e
+		}
+	}
+	return soonest
 }
 
 // Exists returns whether some target may take a query's requests, now or once it
@@ -223,7 +250,7 @@
 	defer d.mu.Unlock()
 	q.FreeOnly, q.Resting = false, true
 	for _, t := range d.targets {
-		if t.admits(now, &q) {
+		if t.admits(now, &q, 0) {
 			return true
 		}
 	}
@@ -245,13 +272,33 @@
 	return sum / time.Duration(known)
 }
 
-func (t *target) admits(now time.Time, q *Query) bool {
+// usualWork is the mean of the known times that the targets of a pool work at one
+// request, or 0.
+func (d *Directory) usualWork(pool sillid.PoolID) time.Duration {
+	sum, known := time.Duration(0), 0
+	for _, t := range d.targets {
+		if t.entry.Pool == pool && t.work > 0 {
+			sum += t.work
+			known++
+		}
+	}
+	if known == 0 {
+		return 0
+	}
+	return sum / time.Duration(known)
+}
+
+// admits returns whether a target takes a query's requests; usualWork stands in
+// for a work that is not known.
+func (t *target) admits(now time.Time, q *Query, usualWork time.Duration) bool {
 	e := &t.entry
 	switch {
 	case e.Pool != q.Pool, e.State != Ready, q.Avoid[e.ID], t.resting(now) && !q.Resting:
 		return false
 	case q.FreeOnly && t.load(now) >= max(e.Slots, 1):
 		return false
+	case q.Within > 0 && t.expected(now, usualWork) > q.Within:
+		return false
 	case q.FasterThan > 0 && (t.pace == 0 || t.pace >= q.FasterThan):
 		return false
 	case q.Model == "":
@@ -324,6 +371,7 @@
 	}
 	if pace > 0 {
 		t.pace = average(t.pace, pace)
+		t.work = average(t.work, time.Duration(float64(pace)/max(1, g.crowd)))
 	}
 }
 
@@ -351,7 +399,7 @@
 	q.FreeOnly = true
 	free := 0
 	for _, t := range d.targets {
-		if t.admits(now, &q) {
+		if t.admits(now, &q, 0) {
 			free += t.entry.Slots - t.load(now)
 		}
 	}
--- a/internal/silltarget/target.go
+++ b/internal/silltarget/target.go
@@ -99,6 +99,9 @@
 	// pace is an average of the time that the target takes for one unit of
 	// work, such as an event of a stream; 0 if unknown.
 	pace time.Duration
+	// work is an average of the time for one unit of work without the time that
+	// it waits behind others; 0 if unknown.
+	work time.Duration
 	// lapsedAt is when the entry vanished in a time in which the registry could
 	// not be trusted; zero for a target that is listed.
 	lapsedAt time.Time
@@ -112,6 +115,21 @@
 	return t.running
 }
 
+// crowd returns the number of requests at the target by its slots, with so many more.
+func (t *target) crowd(now time.Time, more int) float64 {
+	return float64(t.load(now)+more) / float64(max(t.entry.Slots, 1))
+}
+
+// expected returns when one more request is likely to be answered: requests that
+// find every slot taken wait for their turn.
+func (t *target) expected(now time.Time, usualWork time.Duration) time.Duration {
+	work := t.work
+	if work == 0 {
+		work = usualWork
+	}
+	return time.Duration(float64(work) * max(1, t.crowd(now, 1)))
+}
+
 func (t *target) resting(now time.Time) bool { return now.Before(t.restUntil) }
 
 // note takes the outcome of an attempt.
