--- a/internal/silljob/runner_test.go
+++ b/internal/silljob/runner_test.go
@@ -472,7 +472,8 @@
 // TestSingleVersionIsGone cuts a text after two events of version 1, in a job that
 // takes one version a text. It starts anew unless an engine goes on with it soon.
 func TestSingleVersionIsGone(t *testing.T) {
-	run := func(t *testing.T, engines int, setUp, afterCut func(c *cluster, n *node)) {
+	anew := func(int) behaviour { return behaviour{Events: testEvents, Version: 2} }
+	run := func(t *testing.T, engines int, setUp, afterCut func(c *cluster, n *node), later func(engine int) behaviour) {
 		var c *cluster
 		var a *node
 		cut := false
@@ -482,7 +483,7 @@
 				afterCut(c, a)
 				return behaviour{Events: testEvents, BreakAfter: 2, Version: 1}
 			}
-			return behaviour{Events: testEvents, Version: 2}
+			return later(engine)
 		})
 		a = c.start("a")
 		setUp(c, a)
@@ -505,7 +506,7 @@
 		n.directory.Pick(time.Now(), silltarget.Query{Pool: "p", Model: testModel, Exact: 1})
 	}
 	t.Run("no engine has the version any more", func(t *testing.T) {
-		run(t, 1, func(*cluster, *node) {}, func(c *cluster, n *node) { list(c, n, 0, silltarget.Ready, 2) })
+		run(t, 1, func(*cluster, *node) {}, func(c *cluster, n *node) { list(c, n, 0, silltarget.Ready, 2) }, anew)
 	})
 	t.Run("the engine with the version stays full", func(t *testing.T) {
 		run(t, 2, func(c *cluster, n *node) {
@@ -514,6 +515,18 @@
 		}, func(c *cluster, n *node) {
 			take(n)
 			list(c, n, 1, silltarget.Ready, 2)
+		}, anew)
+	})
+	t.Run("the engine with the version turns it away", func(t *testing.T) {
+		run(t, 2, func(c *cluster, n *node) {
+			list(c, n, 1, silltarget.Draining, 2)
+		}, func(c *cluster, n *node) {
+			list(c, n, 1, silltarget.Ready, 2)
+		}, func(engine int) behaviour {
+			if engine == 0 {
+				return behaviour{Status: http.StatusServiceUnavailable, NotRun: true}
+			}
+			return anew(engine)
 		})
 	})
 }
