Have one loop for what is done at intervals; one mean for paces

Cause: the same ticker loop stood in 13 places and the same mean twice (listed by the duplicates of the tree). Ruled out: loops that also wait for events keep their own select. Change: sillgroup.Every, used in 13 places; it hands out the time of the call, not of the tick, which may be older than a pause of the process. silltarget.Directory.mean. Lint of the model test.

--- a/internal/sillagent/agent.go
+++ b/internal/sillagent/agent.go
@@ -158,16 +158,9 @@
 
 // sweep cancels runs that nobody came back for.
 func (a *Agent) sweep(ctx context.Context) {
-	tick := time.NewTicker(sweepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	sillgroup.Every(ctx, sweepInterval, func(time.Time) {
 		for _, n := range a.registry.abandoned(a.cfg.Now().Add(-detachLimit)) {
 			n.cancel(errAbandoned)
 		}
-	}
+	})
 }
--- a/internal/sillapp/gatewayweight.go
+++ b/internal/sillapp/gatewayweight.go
@@ -208,18 +208,11 @@
 
 // watchGone looks for targets that have ended, so that no group waits for them.
 func (p *plans) watchGone(ctx context.Context, f *sillfleet.Fleet) {
-	tick := time.NewTicker(goneInterval)
-	defer tick.Stop()
 	started := time.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		gone := goneTargets(time.Now(), started, f.Status(ctx))
+	sillgroup.Every(ctx, goneInterval, func(now time.Time) {
+		gone := goneTargets(now, started, f.Status(ctx))
 		p.gone.Store(&gone)
-	}
+	})
 }
 
 // goneTargets returns the targets of the subset that have been silent for long.
--- a/internal/sillapp/repeat.go
+++ b/internal/sillapp/repeat.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/sillfleet"
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllink"
 	"github.com/wasabisill/wasabisill/internal/sillobject"
 	"github.com/wasabisill/wasabisill/internal/sillpresence"
@@ -137,33 +138,17 @@
 }
 
 func settleClaims(ctx context.Context, k *sillrepeat.Keeper) {
-	tick := time.NewTicker(settleInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			k.Settle(ctx)
-		}
-	}
+	sillgroup.Every(ctx, settleInterval, func(time.Time) { k.Settle(ctx) })
 }
 
 func sweepClaims(ctx context.Context, k *sillrepeat.Keeper, log *zap.Logger) {
-	tick := time.NewTicker(expireInterval)
-	defer tick.Stop()
 	after := ""
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	sillgroup.Every(ctx, expireInterval, func(time.Time) {
 		next, err := k.Sweep(ctx, after)
 		if err != nil && !errors.Is(err, context.Canceled) {
 			log.Debug("could not sweep expired claims", zap.Error(err))
-			continue
+			return
 		}
 		after = next
-	}
+	})
 }
--- a/internal/sillapp/scale.go
+++ b/internal/sillapp/scale.go
@@ -82,16 +82,8 @@
 func (s *scaler) run(ctx context.Context) {
 	g := sillgroup.New(ctx)
 	defer g.Stop()
-	tick := time.NewTicker(shardInterval)
-	defer tick.Stop()
-	for {
-		s.follow(g)
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
+	s.follow(g)
+	sillgroup.Every(ctx, shardInterval, func(time.Time) { s.follow(g) })
 }
 
 // follow starts the tasks of new shards and stops those of shards that are gone.
--- a/internal/sillapp/usage.go
+++ b/internal/sillapp/usage.go
@@ -10,6 +10,7 @@
 
 	"github.com/wasabisill/wasabisill/internal/sillbilling"
 	"github.com/wasabisill/wasabisill/internal/sillcall"
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllease"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
 	"github.com/wasabisill/wasabisill/internal/silltable"
@@ -110,19 +111,12 @@
 
 // run writes the records of dead agents until ctx ends.
 func (w *witness) run(ctx context.Context, log *zap.Logger) {
-	tick := time.NewTicker(witnessInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		w.sweep(time.Now())
+	sillgroup.Every(ctx, witnessInterval, func(now time.Time) {
+		w.sweep(now)
 		if err := w.Flush(ctx); err != nil && ctx.Err() == nil {
 			log.Debug("could not write the records of dead agents", zap.Error(err))
 		}
-	}
+	})
 }
 
 // usageModule holds the gateway's part in metering and the usage task.
--- a/internal/silldirect/membership.go
+++ b/internal/silldirect/membership.go
@@ -10,6 +10,7 @@
 
 	"github.com/wasabisill/wasabisill/internal/sillclock"
 	"github.com/wasabisill/wasabisill/internal/sillcluster"
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silljob"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/silltable"
@@ -99,16 +100,8 @@
 
 // renew keeps the process's row up to date until ctx ends.
 func (m *membership) renew(ctx context.Context, store *silltable.Store) {
-	ticker := time.NewTicker(sillcluster.RenewEvery)
-	defer ticker.Stop()
-	for {
-		m.write(ctx, store, false)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	m.write(ctx, store, false)
+	sillgroup.Every(ctx, sillcluster.RenewEvery, func(time.Time) { m.write(ctx, store, false) })
 }
 
 // write writes the process's row.
--- a/internal/silldirect/service.go
+++ b/internal/silldirect/service.go
@@ -163,20 +163,13 @@
 
 // tidy expires what is kept for a time only.
 func (s *Service) tidy(ctx context.Context) {
-	ticker := time.NewTicker(tidyEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			s.cache.Expire()
-			s.seams.Targets.Sweep(now)
-			for _, id := range s.view.directory.Expire(now) {
-				s.Log.Info("Target did not register again.", zap.String("target", string(id)))
-			}
+	sillgroup.Every(ctx, tidyEvery, func(now time.Time) {
+		s.cache.Expire()
+		s.seams.Targets.Sweep(now)
+		for _, id := range s.view.directory.Expire(now) {
+			s.Log.Info("Target did not register again.", zap.String("target", string(id)))
 		}
-	}
+	})
 }
 
 // listen opens every address of the process.
--- a/internal/silljob/model_test.go
+++ b/internal/silljob/model_test.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	modelJob   ID = "job"
-	modelItems    = 12
+	modelJob   ID  = "job"
+	modelItems int = 12
 )
 
 // modelOwner is a gateway as far as the store knows it. One that was paused goes
--- a/internal/silljob/retain.go
+++ b/internal/silljob/retain.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 )
@@ -34,16 +35,7 @@
 
 // Run removes old jobs until ctx ends.
 func (r *Retention) Run(ctx context.Context) {
-	ticker := time.NewTicker(retainEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			r.dropOld(ctx, now)
-		}
-	}
+	sillgroup.Every(ctx, retainEvery, func(now time.Time) { r.dropOld(ctx, now) })
 }
 
 func (r *Retention) dropOld(ctx context.Context, now time.Time) {
--- a/internal/sillmeter/meter.go
+++ b/internal/sillmeter/meter.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
@@ -104,18 +105,11 @@
 
 // Run writes counts until ctx ends, and then once more.
 func (m *Meter) Run(ctx context.Context) {
-	ticker := time.NewTicker(writeEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			m.write(context.WithoutCancel(ctx))
-			return
-		case now := <-ticker.C:
-			m.write(ctx)
-			m.forget(now)
-		}
-	}
+	sillgroup.Every(ctx, writeEvery, func(now time.Time) {
+		m.write(ctx)
+		m.forget(now)
+	})
+	m.write(context.WithoutCancel(ctx))
 }
 
 // write stores the counts that changed.
@@ -211,16 +205,8 @@
 
 // Run reports windows until ctx ends.
 func (r *Reporter) Run(ctx context.Context) {
-	ticker := time.NewTicker(reportEvery)
-	defer ticker.Stop()
-	for {
-		r.reportDue(ctx, time.Now())
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	r.reportDue(ctx, time.Now())
+	sillgroup.Every(ctx, reportEvery, func(now time.Time) { r.reportDue(ctx, now) })
 }
 
 // reportDue reports the windows that are settled and not too old.
--- a/internal/sillrelay/relay.go
+++ b/internal/sillrelay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
@@ -161,18 +162,11 @@
 
 // Run looks whether a service out of reach is back, until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
-	ticker := time.NewTicker(probeEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	sillgroup.Every(ctx, probeEvery, func(time.Time) {
 		if r.Away() && r.probe(ctx) {
 			r.setBack()
 		}
-	}
+	})
 }
 
 func (r *Relay) probe(ctx context.Context) bool {
--- a/internal/sillscale/resizer.go
+++ b/internal/sillscale/resizer.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
@@ -47,16 +48,7 @@
 
 // Run gives orders until ctx ends.
 func (r *Resizer) Run(ctx context.Context) {
-	ticker := time.NewTicker(sampleEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			r.step(ctx)
-		}
-	}
+	sillgroup.Every(ctx, sampleEvery, func(time.Time) { r.step(ctx) })
 }
 
 func (r *Resizer) step(ctx context.Context) {
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -259,26 +259,21 @@
 
 // usualPace is the mean of the known paces of a pool, or 0.
 func (d *Directory) usualPace(pool sillid.PoolID) time.Duration {
-	sum, known := time.Duration(0), 0
-	for _, t := range d.targets {
-		if t.entry.Pool == pool && t.pace > 0 {
-			sum += t.pace
-			known++
-		}
-	}
-	if known == 0 {
-		return 0
-	}
-	return sum / time.Duration(known)
+	return d.mean(pool, func(t *target) time.Duration { return t.pace })
 }
 
 // usualWork is the mean of the known times that the targets of a pool work at one
 // request, or 0.
 func (d *Directory) usualWork(pool sillid.PoolID) time.Duration {
+	return d.mean(pool, func(t *target) time.Duration { return t.work })
+}
+
+// mean returns the mean of a time over the targets of a pool for which it is known.
+func (d *Directory) mean(pool sillid.PoolID, of func(*target) time.Duration) time.Duration {
 	sum, known := time.Duration(0), 0
 	for _, t := range d.targets {
-		if t.entry.Pool == pool && t.work > 0 {
-			sum += t.work
+		if t.entry.Pool == pool && of(t) > 0 {
+			sum += of(t)
 			known++
 		}
 	}
