--- a/internal/silllog/queue.go
+++ b/internal/silllog/queue.go
@@ -11,8 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 )
 
@@ -72,36 +70,6 @@
 	return q.total
 }
 
-// Collector returns the metric of lines that were not written.
-func (q *Queue) Collector() prometheus.Collector {
-	const name = "wasabisill_log_lines_left_out_total"
-	const help = "Lines of the log that were not written."
-	opts := func(reason string) prometheus.CounterOpts {
-		return prometheus.CounterOpts{Name: name, Help: help, ConstLabels: prometheus.Labels{"reason": reason}}
-	}
-	return collectors{
-		prometheus.NewCounterFunc(opts("many-alike"), func() float64 { return float64(q.LeftOut()) }),
-		prometheus.NewCounterFunc(opts("slow-reader"), func() float64 { return float64(q.Dropped()) }),
-	}
-}
-
-// collectors is several collectors as one.
-type collectors []prometheus.Collector
-
-// Describe implements prometheus.Collector.
-func (c collectors) Describe(ch chan<- *prometheus.Desc) {
-	for _, one := range c {
-		one.Describe(ch)
-	}
-}
-
-// Collect implements prometheus.Collector.
-func (c collectors) Collect(ch chan<- prometheus.Metric) {
-	for _, one := range c {
-		one.Collect(ch)
-	}
-}
-
 // run writes lines, several at once if they wait.
 func (q *Queue) run(ctx context.Context) {
 	summary := time.NewTicker(summaryEvery)
--- a/internal/silllog/volume.go
+++ b/internal/silllog/volume.go
@@ -27,19 +27,19 @@
 // boundedCore writes lines of at least the level to the queue, within the bounds
 // of their kinds. What is left out is counted at the queue.
 func boundedCore(queue *Queue, level zapcore.Level) zapcore.Core {
-	isRoutine := zapLevels(func(l zapcore.Level) bool { return l >= level && l < zapcore.WarnLevel })
-	isNotable := zapLevels(func(l zapcore.Level) bool { return l >= level && l >= zapcore.WarnLevel })
+	isRoutine := levels(func(l zapcore.Level) bool { return l >= level && l < zapcore.WarnLevel })
+	isNotable := levels(func(l zapcore.Level) bool { return l >= level && l >= zapcore.WarnLevel })
 	return zapcore.NewTee(
 		routine.core(zapcore.NewCore(newEncoder(), queue, isRoutine), queue),
 		notable.core(zapcore.NewCore(newEncoder(), queue, isNotable), queue),
 	)
 }
 
-// zapLevels tells which levels a core writes.
-type zapLevels func(zapcore.Level) bool
+// levels tells which levels a core writes.
+type levels func(zapcore.Level) bool
 
 // Enabled implements zapcore.LevelEnabler.
-func (f zapLevels) Enabled(l zapcore.Level) bool { return f(l) }
+func (f levels) Enabled(l zapcore.Level) bool { return f(l) }
 
 func (v volume) core(core zapcore.Core, queue *Queue) zapcore.Core {
 	hook := zapcore.SamplerHook(func(e zapcore.Entry, d zapcore.SamplingDecision) {
