Show the content of failed requests in the logs

A crashing request comes again under a new id, so the logs of several gateways did not show that they sent the same one, nor that attempts without a connection use up max_attempts. 'Attempt failed.' and 'Gave a request up.' now show the content and 'unreachable'; log explain takes a content.

--- a/cmd/wasabisill/log.go
+++ b/cmd/wasabisill/log.go
@@ -14,9 +14,9 @@
 
 const (
 	logHelp     = "Read the logs of gateways."
-	explainHelp = `Print what happened to one request, item or job, from the logs of several gateways.
+	explainHelp = `Print what happened to one request, item, job or content of requests, from the logs of several gateways.
 
-Name the X-Request-Id of a request, the id of an item or the id of a job, and the files with the logs of all gateways; - is the standard input. The lines stand in order of time; differences of the gateways' clocks are found by changes that all of them learn of, and taken out. A bar marks lines that do not name the request but tell what its gateways and targets went through. Lines that can't be read are counted.`
+Name the X-Request-Id of a request, the id of an item or of a job, or the content that the lines of a failed request show, and the files with the logs of all gateways; - is the standard input. The lines stand in order of time; differences of the gateways' clocks are found by changes that all of them learn of, and taken out. A bar marks lines that do not name the request but tell what its gateways and targets went through. Lines that can't be read are counted.`
 )
 
 // maxLogFiles bounds the files of one call: at most some hundred gateways run.
@@ -32,7 +32,7 @@
 	sub := flaggy.NewSubcommand("explain")
 	describe(sub, explainHelp)
 	var id string
-	sub.String(&id, "", "id", "id of the request, item or job")
+	sub.String(&id, "", "id", "id of the request, item or job, or content of requests")
 	files := make([]string, maxLogFiles)
 	for i := range files {
 		sub.AddPositionalValue(&files[i], "file", i+1, false, "file with a log; more may follow")
--- a/internal/sillforwarder/forwarder.go
+++ b/internal/sillforwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
+	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/sillheader"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
@@ -52,6 +53,12 @@
 // field returns the log field with the request's id.
 func (r *Request) field() zap.Field { return zap.String("request", string(r.ID)) }
 
+// content identifies what the request asks for: requests of one organisation with the
+// same method, path, query and body have the same content under any id.
+func (r *Request) content() sillcrash.Fingerprint {
+	return sillcrash.NewFingerprint(r.Organisation, r.Method, r.RequestURI, r.Body)
+}
+
 // Response is a target's response. Body is complete unless Stream is set.
 type Response struct {
 	Status int
@@ -92,7 +99,7 @@
 // Do returns the response of a target, or an error of type *Refusal. When ctx
 // ends, the attempt at the target is cancelled too.
 func (f *Forwarder) Do(ctx context.Context, req *Request) (*Response, error) {
-	p := progress{}
+	p := progress{content: req.content()}
 	tried := make(map[sillid.TargetID]bool)
 	for {
 		remaining := time.Until(req.Deadline)
@@ -116,10 +123,9 @@
 				zap.Duration("took", time.Since(sentAt)))
 			return resp, nil
 		}
-		p.last = outcome
-		p.mayHaveRun = p.mayHaveRun || ran
+		p.record(outcome, ran)
 		f.cfg.Metrics.countFailedAttempt(outcome)
-		f.cfg.Log.Warn("Attempt failed.", req.field(),
+		f.cfg.Log.Warn("Attempt failed.", req.field(), zap.Stringer("content", p.content),
 			zap.String("target", string(grant.ID)), zap.Int("attempt", p.attempts),
 			zap.Stringer("outcome", outcome), zap.Bool("may-have-run", ran))
 	}
@@ -138,9 +144,9 @@
 // recordRefusal counts and logs a refusal, and returns it.
 func (f *Forwarder) recordRefusal(req *Request, p progress, r *Refusal) *Refusal {
 	f.cfg.Metrics.countRefusal(r.Reason)
-	f.cfg.Log.Warn("Gave a request up.", req.field(), zap.String("route", string(req.Route.ID)),
+	f.cfg.Log.Warn("Gave a request up.", req.field(), zap.Stringer("content", p.content), zap.String("route", string(req.Route.ID)),
 		zap.Uint64("config", uint64(req.Version)), zap.String("reason", string(r.Reason)), zap.Bool("not-run", r.NotRun),
-		zap.Int("attempts", p.attempts), zap.Duration("left", time.Until(req.Deadline)))
+		zap.Int("attempts", p.attempts), zap.Int("unreachable", p.unreachable), zap.Duration("left", time.Until(req.Deadline)))
 	return r
 }
 
--- a/internal/sillforwarder/plan.go
+++ b/internal/sillforwarder/plan.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
+	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 )
 
@@ -74,14 +75,26 @@
 
 // progress is the state of a request between two attempts.
 type progress struct {
+	content sillcrash.Fingerprint
 	// attempts counts the attempts, each at another target.
 	attempts int
+	// unreachable counts the attempts without a connection.
+	unreachable int
 	// mayHaveRun is whether a target may have run the request.
 	mayHaveRun bool
 	// last is the outcome of the last attempt.
 	last silltarget.Outcome
 }
 
+// record adds the outcome of a failed attempt.
+func (p *progress) record(o silltarget.Outcome, mayHaveRun bool) {
+	p.last = o
+	p.mayHaveRun = p.mayHaveRun || mayHaveRun
+	if o == silltarget.Unreachable {
+		p.unreachable++
+	}
+}
+
 // step is the next step for a request without a response.
 type step int
 
--- a/internal/silltimeline/timeline.go
+++ b/internal/silltimeline/timeline.go
@@ -70,11 +70,13 @@
 	return fmt.Sprintf("none of %d lines names %s: look at the logs of the other gateways, or see whether they left lines out", e.Lines, e.ID)
 }
 
-// Tell finds the story of a request, an item or a job. The story of an item
-// holds the lines of its job that name no other item.
+// Tell finds the story of a request, an item, a job or the content of requests. The
+// story of an item holds the lines of its job that name no other item.
 func Tell(all *Logs, id string) (*Story, error) {
 	s := &teller{shift: shifts(all.Logs), logs: all.Logs, jobs: make(map[string]bool), targets: make(map[string]bool)}
-	s.collect(func(_ int, l *Line) bool { return l.text("request") == id || l.text("job") == id }, false)
+	s.collect(func(_ int, l *Line) bool {
+		return l.text("request") == id || l.text("job") == id || l.text("content") == id
+	}, false)
 	if len(s.entries) == 0 {
 		return nil, eris.Wrap(&NotFoundError{ID: id, Lines: s.lines()}, "silltimeline.Tell")
 	}
--- a/internal/silltimeline/timeline_test.go
+++ b/internal/silltimeline/timeline_test.go
@@ -111,6 +111,14 @@
 		w.at(1, "Answered.", `,"request":"q"`)
 		assertStory(t, read(t, w), "q", "front-a: Attempt failed. request=q", "front-b: Answered. request=q")
 	})
+	t.Run("the content of requests with different ids", func(t *testing.T) {
+		a, b := &writer{}, &writer{}
+		a.at(0, "Attempt failed.", `,"request":"q1","content":"c"`)
+		a.at(1, "Attempt failed.", `,"request":"q2","content":"other"`)
+		b.at(2, "Gave a request up.", `,"request":"q3","content":"c"`)
+		assertStory(t, read(t, a, b), "c",
+			"file-0: Attempt failed. request=q1 content=c", "file-1: Gave a request up. request=q3 content=c")
+	})
 	t.Run("lines that can't be read are counted", func(t *testing.T) {
 		w := &writer{}
 		w.b.WriteString("panic: something\n{\"message\":\"no time\"}\n{broken\n\n[1]\n")
