--- a/internal/sillcluster/members.go
+++ b/internal/sillcluster/members.go
@@ -42,6 +42,9 @@
 	PoolLoads []PoolLoad `cbor:"busy,omitempty"`
 	// Renewal counts the renewals of this run.
 	Renewal uint64 `cbor:"renewal"`
+	// CrashEvidence is the process's evidence on requests that crash targets, encoded
+	// by package sillcrash.
+	CrashEvidence []byte `cbor:"crash-evidence,omitempty"`
 }
 
 // PoolLoad is the number of running requests of one process at the targets of a
@@ -60,13 +63,17 @@
 
 // Members holds the known processes. It is safe for concurrent use.
 type Members struct {
+	// onRow is called with each row that is read.
+	onRow func(Member)
+
 	mu   sync.Mutex
 	rows map[sillid.InstanceID]memberRow
 }
 
-// NewMembers returns an empty set.
-func NewMembers() *Members {
-	return &Members{rows: make(map[sillid.InstanceID]memberRow)}
+// NewMembers returns an empty set that passes each row that it gets to onRow. The
+// function must not call the set.
+func NewMembers(onRow func(Member)) *Members {
+	return &Members{onRow: onRow, rows: make(map[sillid.InstanceID]memberRow)}
 }
 
 // Key returns the key of an instance's row.
@@ -78,6 +85,13 @@
 	return silltable.Write{Key: Key(m.Instance), Value: b}, eris.Wrap(err, "sillcluster.Encode")
 }
 
+// Decode decodes the row of a member.
+func Decode(row silltable.Row) (Member, error) {
+	var m Member
+	err := cbor.Unmarshal(row.Value, &m)
+	return m, eris.Wrapf(err, "sillcluster.Decode: row %q", row.Key)
+}
+
 // Reset replaces all rows. Every process gets the full MemberTimeout from now, since
 // the time of its last renewal is unknown. It returns errors as Apply does.
 func (s *Members) Reset(now time.Time, rows []silltable.Row) error {
@@ -103,11 +117,13 @@
 			delete(s.rows, instance)
 			continue
 		}
-		var m Member
-		if err := cbor.Unmarshal(c.Row.Value, &m); err != nil {
-			failure = eris.Wrapf(err, "sillcluster.Apply: row %q", c.Row.Key)
+		m, err := Decode(c.Row)
+		if err != nil {
+			failure = err
 			continue
 		}
+		s.onRow(m)
+		m.CrashEvidence = nil
 		s.rows[instance] = memberRow{Member: m, lastRenewed: now}
 	}
 	return failure
@@ -155,6 +171,27 @@
 	return live
 }
 
+// LastLive returns the processes that were alive and not leaving when the newest row
+// was read, in no particular order. It is for calls that must reach them while the
+// table is unavailable.
+func (s *Members) LastLive() []Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var newest time.Time
+	for _, m := range s.rows {
+		if m.lastRenewed.After(newest) {
+			newest = m.lastRenewed
+		}
+	}
+	var live []Member
+	for _, m := range s.rows {
+		if !m.Leaving && newest.Sub(m.lastRenewed) < MemberTimeout {
+			live = append(live, m.Member)
+		}
+	}
+	return live
+}
+
 // Rank returns the rank of an instance among the live ones for a name, by rendezvous
 // hashing, and false if the instance is not live.
 func (s *Members) Rank(now time.Time, name string, self sillid.InstanceID) (int, bool) {
--- a/internal/sillcluster/members_test.go
+++ b/internal/sillcluster/members_test.go
@@ -22,7 +22,7 @@
 
 func members(t *testing.T, count int) *Members {
 	t.Helper()
-	s := NewMembers()
+	s := NewMembers(func(Member) {})
 	for i := range count {
 		name := fmt.Sprintf("i%d", i)
 		m := Member{Instance: sillid.InstanceID(name), Run: Run("run-" + name)}
--- a/internal/sillcrash/evidence.go
+++ b/internal/sillcrash/evidence.go
@@ -3,12 +3,66 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
 )
 
+// maxDecoded is the maximum number of requests in one message.
+const maxDecoded = 1024
+
+// evidenceMode encodes times with their fractions of a second: crashes that follow
+// each other within a second are told apart by them.
+var evidenceMode = mustEvidenceMode()
+
+func mustEvidenceMode() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeUnixDynamic}.EncMode()
+	if err != nil {
+		// The options are constant.
+		panic(err)
+	}
+	return mode
+}
+
+// Encode encodes evidence for other processes and for rows.
+func Encode(evidence []Evidence) ([]byte, error) {
+	b, err := evidenceMode.Marshal(evidence)
+	return b, eris.Wrap(err, "sillcrash.Encode")
+}
+
+// Decode decodes evidence that Encode encoded. No bytes stand for no evidence.
+func Decode(b []byte) ([]Evidence, error) {
+	if len(b) == 0 {
+		return nil, nil
+	}
+	var evidence []Evidence
+	if err := cbor.Unmarshal(b, &evidence); err != nil {
+		return nil, eris.Wrap(err, "sillcrash.Decode")
+	}
+	if len(evidence) > maxDecoded {
+		return nil, eris.Errorf("sillcrash.Decode: evidence on %d requests, want at most %d", len(evidence), maxDecoded)
+	}
+	return evidence, nil
+}
+
 // Export returns the evidence on at most limit requests, those with the highest
 // scores first. It is sent to other processes in heartbeats.
 func (t *Tracker) Export(now time.Time, limit int) []Evidence {
-	all := t.ranked(now)
+	return t.evidence(t.ranked(now), limit)
+}
+
+// ExportRecent returns the evidence on at most limit requests that are refused or
+// whose evidence has changed within recentPeriod, those with the highest scores
+// first. Processes that got the evidence before keep it.
+func (t *Tracker) ExportRecent(now time.Time, limit int) []Evidence {
+	recent := slices.DeleteFunc(t.ranked(now), func(r rankedRequest) bool {
+		return now.Sub(r.lastChange) > recentPeriod && t.Check(now, r.fingerprint) == nil
+	})
+	return t.evidence(recent, limit)
+}
+
+// evidence returns the evidence on the first requests, at most limit.
+func (t *Tracker) evidence(all []rankedRequest, limit int) []Evidence {
 	all = all[:min(limit, len(all))]
 	evidence := make([]Evidence, 0, len(all))
 	for _, r := range all {
--- a/internal/sillcrash/shared.go
+++ b/internal/sillcrash/shared.go
@@ -18,8 +18,8 @@
 
 // NewSharedTracker returns a tracker without evidence. Now returns the current
 // time.
-func NewSharedTracker(now func() time.Time) *SharedTracker {
-	return &SharedTracker{now: now, tracker: NewTracker()}
+func NewSharedTracker(now func() time.Time, cfg Config) *SharedTracker {
+	return &SharedTracker{now: now, tracker: NewTracker(cfg)}
 }
 
 // RecordCrash records that a run of a target crashed while it ran the requests.
@@ -29,6 +29,13 @@
 	s.tracker.RecordCrash(s.now(), target, run, running)
 }
 
+// RecordPastCrash records a crash that was detected later than it happened.
+func (s *SharedTracker) RecordPastCrash(at time.Time, target sillid.TargetID, run string, running []RunningRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.RecordCrash(at, target, run, running)
+}
+
 // RecordSuccess clears the evidence on a request.
 func (s *SharedTracker) RecordSuccess(f Fingerprint) {
 	s.mu.Lock()
@@ -58,6 +65,21 @@
 	return s.tracker.Export(s.now(), limit)
 }
 
+// ExportRecent returns the evidence on at most limit requests that are refused or
+// whose evidence has changed recently, those with the highest scores first.
+func (s *SharedTracker) ExportRecent(limit int) []Evidence {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.ExportRecent(s.now(), limit)
+}
+
+// Counts returns the number of requests with evidence.
+func (s *SharedTracker) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.Counts(s.now())
+}
+
 // Merge adds the evidence of another process.
 func (s *SharedTracker) Merge(evidence []Evidence) {
 	if len(evidence) == 0 {
--- a/internal/sillcrash/tracker.go
+++ b/internal/sillcrash/tracker.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"math"
 	"slices"
 	"time"
 
@@ -30,7 +31,7 @@
 	// more likely cause.
 	bystanderWeight = 0.25
 	// maxScorePerTarget limits the score from crashes of one target, because
-	// the target itself may be faulty.
+	// the target itself may be faulty; see Config.CountAllCrashes.
 	maxScorePerTarget = 2.0
 	// refusePeriod is how long a request is refused after its last crash. After
 	// that it may run once more.
@@ -41,8 +42,27 @@
 	maxCrashes = 8
 	// maxRequests is the maximum number of requests kept.
 	maxRequests = 4096
+	// recentPeriod is how long evidence on a request that is not refused is
+	// exported after its last change.
+	recentPeriod = 10 * time.Second
 )
 
+// Config holds the parameters of a tracker.
+type Config struct {
+	// CountAllCrashes counts every crash of a target. Otherwise a target counts
+	// maxScorePerTarget at most. It is for targets that may keep their id when they
+	// start again, in pools that may have a single one.
+	CountAllCrashes bool
+}
+
+// scorePerTarget returns the highest score from crashes of one target.
+func (c Config) scorePerTarget() float64 {
+	if c.CountAllCrashes {
+		return math.Inf(1)
+	}
+	return maxScorePerTarget
+}
+
 // Fingerprint identifies requests of one organisation with the same content.
 type Fingerprint [16]byte
 
@@ -97,19 +117,22 @@
 // Tracker records the crashes of each request. It is not safe for concurrent
 // use.
 type Tracker struct {
+	cfg      Config
 	requests map[Fingerprint]*suspect
 }
 
 // suspect is the crash evidence on one request.
 type suspect struct {
+	// scorePerTarget is the highest score from crashes of one target.
+	scorePerTarget float64
 	// crashes are sorted by time; at most maxCrashes.
 	crashes []Crash
 	cleared time.Time
 }
 
 // NewTracker returns a tracker without evidence.
-func NewTracker() *Tracker {
-	return &Tracker{requests: make(map[Fingerprint]*suspect)}
+func NewTracker(cfg Config) *Tracker {
+	return &Tracker{cfg: cfg, requests: make(map[Fingerprint]*suspect)}
 }
 
 // RecordCrash records that a run of a target crashed while it ran the requests.
@@ -147,6 +170,24 @@
 	return sillproblem.New(sillproblem.CrashSuspect, "%d targets died while they ran it.", len(s.crashes)).WithRetryAfter(wait)
 }
 
+// Counts is the number of requests with evidence.
+type Counts struct {
+	// Known requests include the refused ones.
+	Known   int
+	Refused int
+}
+
+// Counts returns the number of requests with evidence.
+func (t *Tracker) Counts(now time.Time) Counts {
+	c := Counts{Known: len(t.requests)}
+	for f := range t.requests {
+		if t.Check(now, f) != nil {
+			c.Refused++
+		}
+	}
+	return c
+}
+
 // CrashedTargets returns the targets that crashed while they ran the request.
 func (t *Tracker) CrashedTargets(f Fingerprint) []sillid.TargetID {
 	s, ok := t.requests[f]
@@ -179,7 +220,7 @@
 	if len(t.requests) >= maxRequests {
 		t.evictLowestScores(now)
 	}
-	s := &suspect{}
+	s := &suspect{scorePerTarget: t.cfg.scorePerTarget()}
 	t.requests[f] = s
 	return s
 }
@@ -266,7 +307,7 @@
 		if now.Sub(c.At) > crashExpiry || !c.Started.After(counted) {
 			continue
 		}
-		weight := min(c.Weight, maxScorePerTarget-perTarget[c.Target])
+		weight := min(c.Weight, s.scorePerTarget-perTarget[c.Target])
 		perTarget[c.Target] += weight
 		sum += weight
 		counted = c.At
--- a/internal/sillcrash/tracker_test.go
+++ b/internal/sillcrash/tracker_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,7 +51,7 @@
 var soon = epoch.Add(time.Minute)
 
 func TestCrashingRequestIsRefused(t *testing.T) {
-	tracker := NewTracker()
+	tracker := NewTracker(Config{})
 	for n := range 3 {
 		checkRefused(t, tracker, soon, "culprit", false)
 		crash(tracker, n+1, "culprit", fmt.Sprint("other", n))
@@ -62,7 +63,7 @@
 }
 
 func TestRefusalPeriodAllowsOneMoreRun(t *testing.T) {
-	tracker := NewTracker()
+	tracker := NewTracker(Config{})
 	for n := range 3 {
 		crash(tracker, n+1, "culprit")
 	}
@@ -75,7 +76,7 @@
 
 func TestUncountedCrashes(t *testing.T) {
 	t.Run("zone failure with equal requests", func(t *testing.T) {
-		tracker := NewTracker()
+		tracker := NewTracker(Config{})
 		for n := range 10 {
 			started := RunningRequest{Fingerprint: fingerprint("popular"), Started: epoch}
 			at := epoch.Add(time.Duration(1+n) * time.Second)
@@ -84,7 +85,7 @@
 		checkRefused(t, tracker, soon, "popular", false)
 	})
 	t.Run("success in between", func(t *testing.T) {
-		tracker := NewTracker()
+		tracker := NewTracker(Config{})
 		crash(tracker, 1, "a")
 		crash(tracker, 2, "a")
 		tracker.RecordSuccess(epoch.Add(2*time.Second), fingerprint("a"))
@@ -92,7 +93,7 @@
 		checkRefused(t, tracker, soon, "a", false)
 	})
 	t.Run("one faulty target", func(t *testing.T) {
-		tracker := NewTracker()
+		tracker := NewTracker(Config{})
 		for n := range 6 {
 			at := epoch.Add(time.Duration(n) * time.Second)
 			r := RunningRequest{Fingerprint: fingerprint("a"), Started: at.Add(-time.Millisecond)}
@@ -101,7 +102,7 @@
 		checkRefused(t, tracker, soon, "a", false)
 	})
 	t.Run("bystander of a likelier cause", func(t *testing.T) {
-		tracker := NewTracker()
+		tracker := NewTracker(Config{})
 		crash(tracker, 1, "culprit")
 		for n := 2; n <= 4; n++ {
 			crash(tracker, n, "culprit", "bystander")
@@ -111,8 +112,63 @@
 	})
 }
 
+// TestCountAllCrashes crashes one target again and again.
+func TestCountAllCrashes(t *testing.T) {
+	tracker := NewTracker(Config{CountAllCrashes: true})
+	for n := range 3 {
+		checkRefused(t, tracker, soon, "a", false)
+		at := epoch.Add(time.Duration(n) * time.Second)
+		r := RunningRequest{Fingerprint: fingerprint("a"), Started: at.Add(-time.Millisecond)}
+		tracker.RecordCrash(at, "only", fmt.Sprint(n), []RunningRequest{r})
+	}
+	checkRefused(t, tracker, soon, "a", true)
+}
+
+// TestEncodedEvidence shares crashes that follow each other within a second.
+func TestEncodedEvidence(t *testing.T) {
+	tracker, other := NewTracker(Config{}), NewTracker(Config{})
+	for n := range 3 {
+		at := epoch.Add(time.Duration(n) * 100 * time.Millisecond)
+		r := RunningRequest{Fingerprint: fingerprint("a"), Started: at.Add(-time.Millisecond)}
+		tracker.RecordCrash(at, sillid.TargetID(fmt.Sprint(n)), "r", []RunningRequest{r})
+	}
+	b, err := Encode(tracker.Export(soon, 10))
+	if err != nil {
+		t.Fatal(err)
+	}
+	evidence, err := Decode(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other.Merge(soon, evidence)
+	checkRefused(t, other, soon, "a", true)
+	if _, err := Decode([]byte("no evidence")); err == nil {
+		t.Error("bytes that are no evidence are accepted")
+	}
+}
+
+func TestExportRecent(t *testing.T) {
+	tracker := NewTracker(Config{})
+	for n := range 3 {
+		crash(tracker, n+1, "refused")
+	}
+	crash(tracker, 4, "old")
+	crash(tracker, 59, "new")
+	var names []string
+	for _, e := range tracker.ExportRecent(soon, 10) {
+		for _, name := range []string{"refused", "old", "new"} {
+			if e.Fingerprint == fingerprint(name) {
+				names = append(names, name)
+			}
+		}
+	}
+	if !slices.Equal(names, []string{"refused", "new"}) {
+		t.Errorf("evidence on %v, want that on the refused and the new request", names)
+	}
+}
+
 func TestMergeSharesEvidence(t *testing.T) {
-	trackers := []*Tracker{NewTracker(), NewTracker(), NewTracker()}
+	trackers := []*Tracker{NewTracker(Config{}), NewTracker(Config{}), NewTracker(Config{})}
 	for n, tracker := range trackers {
 		crash(tracker, n+1, "culprit")
 	}
@@ -127,7 +183,7 @@
 // Merging is idempotent and does not depend on the order.
 func TestMergeConverges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		trackers := []*Tracker{NewTracker(), NewTracker(), NewTracker()}
+		trackers := []*Tracker{NewTracker(Config{}), NewTracker(Config{}), NewTracker(Config{})}
 		names := []string{"a", "b", "c", "d"}
 		for n := range rapid.IntRange(0, 7).Draw(t, "events") {
 			tracker := trackers[rapid.IntRange(0, 2).Draw(t, "tracker")]
@@ -138,7 +194,7 @@
 			}
 			crash(tracker, n+1, name)
 		}
-		left, right := NewTracker(), NewTracker()
+		left, right := NewTracker(Config{}), NewTracker(Config{})
 		for i := range trackers {
 			left.Merge(soon, trackers[i].Export(soon, 10))
 			left.Merge(soon, trackers[i].Export(soon, 10))
@@ -153,7 +209,7 @@
 }
 
 func TestMemoryIsBounded(t *testing.T) {
-	tracker := NewTracker()
+	tracker := NewTracker(Config{})
 	for n := range 3 {
 		crash(tracker, n+1, "culprit")
 	}
--- /dev/null
+++ b/internal/silldirectgateway/crashevidence.go
@@ -0,0 +1,170 @@
+package silldirectgateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/wasabisill/wasabisill/internal/sillcluster"
+	"github.com/wasabisill/wasabisill/internal/sillcrash"
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/silllog"
+	"github.com/wasabisill/wasabisill/internal/silltransport"
+)
+
+const (
+	// evidencePath is the HTTP path on which gateways accept evidence of peers.
+	evidencePath = "/crash-evidence"
+	// maxSharedRequests bounds the requests on which a gateway shares its evidence at
+	// a time. The evidence on one takes up to 600 bytes of the gateway's row.
+	maxSharedRequests = 32
+	// maxEvidenceBytes bounds the evidence that a peer sends in one call.
+	maxEvidenceBytes = 64 << 10
+	// evidenceFanOut is the number of peers to which a gateway sends its evidence
+	// directly. They pass it on, so that all of some hundred gateways have it after
+	// three renewals of a row.
+	evidenceFanOut = 8
+	// evidenceCallTimeout is the time limit of sending evidence to a peer.
+	evidenceCallTimeout = 300 * time.Millisecond
+)
+
+// Ways on which evidence comes, for metrics.
+const (
+	wayRow      = "row"
+	wayPeer     = "peer"
+	wayRestored = "restored"
+)
+
+// crashEvidence shares the evidence on requests that crash targets with the other
+// gateways: through the rows of the gateways, and directly while those can't be
+// written.
+type crashEvidence struct {
+	suspects *sillcrash.SharedTracker
+	pool     *silltransport.Pool
+	log      *zap.Logger
+	received *prometheus.CounterVec
+	sent     *prometheus.CounterVec
+	// urgent signals evidence that the other gateways need at once; it buffers one
+	// signal.
+	urgent chan struct{}
+}
+
+func newCrashEvidence(adapter *Adapter, r *prometheus.Registry, log *zap.Logger) *crashEvidence {
+	e := &crashEvidence{
+		suspects: sillcrash.NewSharedTracker(time.Now, sillcrash.Config{CountAllCrashes: true}),
+		pool:     adapter.PeerPool,
+		log:      log.Named("crash-evidence"),
+		urgent:   make(chan struct{}, 1),
+		received: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wasabisill_crash_evidence_received_total",
+			Help: "Messages with evidence on requests that crash targets, by way (row, peer, restored).",
+		}, []string{"way"}),
+		sent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wasabisill_crash_evidence_sent_total",
+			Help: "Evidence sent to peers directly, by outcome (done, failed).",
+		}, []string{"outcome"}),
+	}
+	known := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "wasabisill_crash_suspects", Help: "Contents of requests with evidence that they crash targets.",
+	}, func() float64 { return float64(e.suspects.Counts().Known) })
+	refused := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "wasabisill_crash_suspects_refused", Help: "Contents of requests that are refused because they crash targets.",
+	}, func() float64 { return float64(e.suspects.Counts().Refused) })
+	r.MustRegister(e.received, e.sent, known, refused)
+	return e
+}
+
+// notify signals urgent evidence without blocking.
+func (e *crashEvidence) notify() {
+	select {
+	case e.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// encode returns the evidence to share; nil if there is none.
+func (e *crashEvidence) encode() []byte {
+	recent := e.suspects.ExportRecent(maxSharedRequests)
+	if len(recent) == 0 {
+		return nil
+	}
+	b, err := sillcrash.Encode(recent)
+	if err != nil {
+		e.log.Error("Crash evidence can't be encoded.", silllog.Err(err))
+		return nil
+	}
+	return b
+}
+
+// merge adds evidence that came on the given way.
+func (e *crashEvidence) merge(b []byte, way string) error {
+	evidence, err := sillcrash.Decode(b)
+	if err != nil || len(evidence) == 0 {
+		return err
+	}
+	e.received.WithLabelValues(way).Inc()
+	e.suspects.Merge(evidence)
+	return nil
+}
+
+// mergeRow adds the evidence in the row of a gateway.
+func (e *crashEvidence) mergeRow(m sillcluster.Member, way string) {
+	if err := e.merge(m.CrashEvidence, way); err != nil {
+		e.log.Error("Crash evidence can't be decoded; skipping it.", zap.String("instance", string(m.Instance)), silllog.Err(err))
+	}
+}
+
+// send sends the evidence to some of the peers directly.
+func (e *crashEvidence) send(ctx context.Context, peers []string) {
+	body := e.encode()
+	if body == nil {
+		return
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	ctx, cancel := context.WithTimeout(ctx, evidenceCallTimeout)
+	defer cancel()
+	group := sillgroup.New(ctx)
+	for _, address := range peers[:min(len(peers), evidenceFanOut)] {
+		group.Go(func(ctx context.Context) {
+			outcome := "done"
+			if !e.sendTo(ctx, address, body) {
+				outcome = "failed"
+			}
+			e.sent.WithLabelValues(outcome).Inc()
+		})
+	}
+	group.Wait()
+}
+
+func (e *crashEvidence) sendTo(ctx context.Context, address string, body []byte) bool {
+	resp, err := e.pool.Send(ctx, address, &silltransport.Request{
+		Method: http.MethodPost, RequestURI: evidencePath, Host: address, Body: body,
+	})
+	if err != nil {
+		e.pool.CloseIdle(address)
+		return false
+	}
+	defer resp.Body.Close()
+	// The body is read so that the connection can be reused.
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxEvidenceBytes))
+	return err == nil && resp.StatusCode == http.StatusNoContent
+}
+
+// serve accepts the evidence of a peer.
+func (e *crashEvidence) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxEvidenceBytes))
+	if err == nil {
+		err = e.merge(body, wayPeer)
+	}
+	if err != nil {
+		e.log.Warn("Crash evidence of a peer can't be read.", zap.String("peer", r.RemoteAddr), silllog.Err(err))
+		http.Error(w, "evidence can't be read", http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/silldirectgateway/crashevidence_test.go
@@ -0,0 +1,108 @@
+package silldirectgateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabisill/wasabisill/internal/sillcluster"
+	"github.com/wasabisill/wasabisill/internal/sillcrash"
+	"github.com/wasabisill/wasabisill/internal/sillmemtable"
+	"github.com/wasabisill/wasabisill/internal/silltable"
+	"github.com/wasabisill/wasabisill/internal/silltransport"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
+)
+
+var crashing = sillcrash.Fingerprint{1}
+
+// newTestMembership returns the membership of a gateway that has not written its row.
+func newTestMembership(instance sillid.InstanceID) *membership {
+	pool := silltransport.NewPool(silltransport.Config{ConnectTimeout: time.Second, TCPUserTimeout: time.Second, IdleTimeout: time.Minute})
+	m := newMembership(&Settings{Instance: instance}, newCrashEvidence(&Adapter{PeerPool: pool}, newRegistry(), zap.NewNop()), zap.NewNop())
+	m.poolLoads = func() []sillcluster.PoolLoad { return nil }
+	return m
+}
+
+// crashTargets records crashes of targets under the crashing content.
+func (m *membership) crashTargets(count int) {
+	for i := range count {
+		r := sillcrash.RunningRequest{Fingerprint: crashing, Started: time.Now()}
+		m.evidence.suspects.RecordCrash(sillid.TargetID(fmt.Sprint(i)), "run", []sillcrash.RunningRequest{r})
+	}
+}
+
+func checkRefuses(t *testing.T, m *membership, want bool) {
+	t.Helper()
+	if got := m.evidence.suspects.Check(crashing) != nil; got != want {
+		t.Errorf("the content is refused: %t, want %t", got, want)
+	}
+}
+
+// TestRestartKeepsCrashEvidence starts the only gateway again: its first row must not
+// replace the evidence that its last run has left.
+func TestRestartKeepsCrashEvidence(t *testing.T) {
+	var readFails atomic.Bool
+	table := &sillmemtable.Table{Fault: func(_ context.Context, call string) error {
+		if call == "get" && readFails.Load() {
+			return silltable.ErrUnavailable
+		}
+		return nil
+	}}
+	first := newTestMembership("front-a")
+	first.crashTargets(3)
+	first.renewOnce(t.Context(), table.Store())
+
+	readFails.Store(true)
+	second := newTestMembership("front-a")
+	second.renewOnce(t.Context(), table.Store())
+	checkRefuses(t, second, false)
+	readFails.Store(false)
+	second.renewOnce(t.Context(), table.Store())
+	checkRefuses(t, second, true)
+
+	third := newTestMembership("front-a")
+	third.renewOnce(t.Context(), table.Store())
+	checkRefuses(t, third, true)
+}
+
+// TestCrashEvidenceReachesPeersWithoutTheTable sends evidence to a peer while rows can't
+// be written.
+func TestCrashEvidenceReachesPeersWithoutTheTable(t *testing.T) {
+	table := &sillmemtable.Table{Fault: func(context.Context, string) error { return silltable.ErrUnavailable }}
+	peer, m := newTestMembership("front-b"), newTestMembership("front-a")
+	server := httptest.NewServer(http.HandlerFunc(peer.evidence.serve))
+	defer server.Close()
+	row, err := sillcluster.Encode(sillcluster.Member{Instance: "front-b", Run: "b", Address: strings.TrimPrefix(server.URL, "http://")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.reset([]silltable.Row{{Key: row.Key, Value: row.Value}}, 0)
+	m.renewOnce(t.Context(), table.Store())
+	checkRefuses(t, peer, false)
+	m.crashTargets(3)
+	m.renewOnce(t.Context(), table.Store())
+	checkRefuses(t, peer, true)
+}
+
+// TestSharedCrashEvidenceIsBounded fills the evidence: what one gateway shares must stay
+// within a row.
+func TestSharedCrashEvidenceIsBounded(t *testing.T) {
+	const rowBytes = 44 << 10
+	m := newTestMembership("front-a")
+	for content := range 4 * maxSharedRequests {
+		for target := range 20 {
+			r := sillcrash.RunningRequest{Fingerprint: sillcrash.Fingerprint{2, byte(content)}, Started: time.Now()}
+			m.evidence.suspects.RecordCrash(sillid.TargetID(fmt.Sprintf("target-with-a-long-id-%d", target)), "1765000000000", []sillcrash.RunningRequest{r})
+		}
+	}
+	if n := len(m.evidence.encode()); n == 0 || n > rowBytes {
+		t.Errorf("%d bytes of evidence, want 1 to %d", n, rowBytes)
+	}
+}
--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -10,7 +10,6 @@
 
 	"github.com/wasabisill/wasabisill/internal/sillclock"
 	"github.com/wasabisill/wasabisill/internal/sillcluster"
-	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silljob"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/silltable"
@@ -34,12 +33,21 @@
 	// It is set before renew is called.
 	poolLoads func() []sillcluster.PoolLoad
 	renewals  atomic.Uint64
+	evidence  *crashEvidence
+	// restored is whether the evidence in the row of the process's last run is merged.
+	restored bool
 }
 
-func newMembership(s *Settings, log *zap.Logger) *membership {
-	return &membership{
-		settings: s, log: log.Named("members"), members: sillcluster.NewMembers(),
-		run: sillcluster.Run(sillid.Fresh("run")),
+func newMembership(s *Settings, e *crashEvidence, log *zap.Logger) *membership {
+	m := &membership{settings: s, log: log.Named("members"), run: sillcluster.Run(sillid.Fresh("run")), evidence: e}
+	m.members = sillcluster.NewMembers(m.mergeEvidence)
+	return m
+}
+
+// mergeEvidence adds the evidence in the row of another process.
+func (m *membership) mergeEvidence(other sillcluster.Member) {
+	if other.Run != m.run {
+		m.evidence.mergeRow(other, wayRow)
 	}
 }
 
@@ -100,25 +108,85 @@
 	}
 }
 
-// renew renews the process's row periodically until ctx ends.
+// renew renews the process's row periodically, and at once if there is urgent crash
+// evidence, until ctx ends.
 func (m *membership) renew(ctx context.Context, store *silltable.Store) {
-	m.write(ctx, store, false)
-	sillgroup.Every(ctx, sillcluster.RenewEvery, func(time.Time) { m.write(ctx, store, false) })
+	ticker := time.NewTicker(sillcluster.RenewEvery)
+	defer ticker.Stop()
+	for {
+		m.renewOnce(ctx, store)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-m.evidence.urgent:
+		}
+	}
+}
+
+// renewOnce writes the process's row. It sends the crash evidence to peers directly if
+// the row can't be written.
+func (m *membership) renewOnce(ctx context.Context, store *silltable.Store) {
+	if m.restoreEvidence(ctx, store) && m.write(ctx, store, false) {
+		return
+	}
+	m.evidence.send(ctx, m.lastPeers())
 }
 
-// write writes the process's row. Leaving marks the process as stopping.
-func (m *membership) write(ctx context.Context, store *silltable.Store, leaving bool) {
+// restoreEvidence merges the evidence that the last run of the process left in its row,
+// which the first renewal replaces. It returns false if the row can't be read.
+func (m *membership) restoreEvidence(ctx context.Context, store *silltable.Store) bool {
+	if m.restored {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	row, err := store.GetOrAbsent(ctx, sillcluster.Key(m.settings.Instance))
+	if err != nil {
+		m.log.Warn("Row of this gateway not read; not replacing it.", silllog.Err(err))
+		return false
+	}
+	m.restored = true
+	if row.Revision == silltable.Absent {
+		return true
+	}
+	last, err := sillcluster.Decode(row)
+	if err != nil {
+		m.log.Error("Row of this gateway can't be decoded; replacing it.", silllog.Err(err))
+		return true
+	}
+	m.evidence.mergeRow(last, wayRestored)
+	return true
+}
+
+// lastPeers returns the addresses of the other gateways that were alive when the table
+// was last read.
+func (m *membership) lastPeers() []string {
+	var addresses []string
+	for _, other := range m.members.LastLive() {
+		if other.Instance != m.settings.Instance {
+			addresses = append(addresses, other.Address)
+		}
+	}
+	return addresses
+}
+
+// write writes the process's row and returns whether that succeeded. Leaving marks the
+// process as stopping.
+func (m *membership) write(ctx context.Context, store *silltable.Store, leaving bool) bool {
 	write, err := sillcluster.Encode(sillcluster.Member{
 		Instance: m.settings.Instance, Run: m.run, Address: m.address, Zone: m.settings.Zone,
-		Leaving: leaving, PoolLoads: m.poolLoads(), Renewal: m.renewals.Add(1),
+		Leaving: leaving, PoolLoads: m.poolLoads(), Renewal: m.renewals.Add(1), CrashEvidence: m.evidence.encode(),
 	})
 	if err != nil {
 		m.log.Error("Row of this gateway can't be encoded.", silllog.Err(err))
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	if _, err := store.Commit(ctx, silltable.Txn{Writes: []silltable.Write{write}}); err != nil {
 		m.log.Warn("Row of this gateway not renewed.", zap.Bool("leaving", leaving), silllog.Err(err))
+		return false
 	}
+	return true
 }
--- a/internal/silldirectgateway/providers.go
+++ b/internal/silldirectgateway/providers.go
@@ -44,14 +44,14 @@
 	return sillmeter.NewMeter(sillmeter.MeterConfig{Table: t.store, WindowLength: s.UsageWindow, RunID: string(m.run), Log: log})
 }
 
-func newForwarder(s *Settings, adapter *Adapter, v *view, m *sillmeter.Meter, r *prometheus.Registry, log *zap.Logger) *sillforwarder.Forwarder {
+func newForwarder(s *Settings, adapter *Adapter, v *view, m *sillmeter.Meter, e *crashEvidence, r *prometheus.Registry, log *zap.Logger) *sillforwarder.Forwarder {
 	recordStarted := m.RecordStarted
 	if !s.ReportsUsage {
 		recordStarted = func(sillid.OrganisationID, time.Time) {}
 	}
 	return sillforwarder.New(sillforwarder.Config{
 		Directory: v.directory, Pool: adapter.TargetPool, Codec: adapter.Codec, Zone: s.Zone,
-		OnStarted: recordStarted, Metrics: sillforwarder.NewMetrics(r), Log: log,
+		OnStarted: recordStarted, Suspects: e.suspects, OnRefused: e.notify, Metrics: sillforwarder.NewMetrics(r), Log: log,
 	})
 }
 
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -64,6 +64,7 @@
 	meter        *sillmeter.Meter
 	cache        *silljob.Cache
 	relay        *sillrelay.Relay
+	evidence     *crashEvidence
 	tables       tables
 	followers    *followers
 	controlTasks *controlTasks
@@ -84,11 +85,11 @@
 		fx.StopTimeout(settings.GracePeriod),
 		fx.Supply(settings, adapter, log),
 		fx.Provide(
-			newRegistry, newMembership, newRelay, newTables, newView, newMeter, newFollowers,
+			newRegistry, newCrashEvidence, newMembership, newRelay, newTables, newView, newMeter, newFollowers,
 			newForwarder, silljob.NewCache, newStore, newReader, newRunnerParts, newRunner, newControlTasks,
 		),
 		fx.Populate(
-			&s.registry, &s.members, &s.relay, &s.tables, &s.view, &s.meter, &s.followers,
+			&s.registry, &s.evidence, &s.members, &s.relay, &s.tables, &s.view, &s.meter, &s.followers,
 			&s.Forwarder, &s.cache, &s.Reader, &s.Runner, &s.controlTasks,
 		),
 		fx.Invoke(func(lc fx.Lifecycle) { lc.Append(fx.Hook{OnStart: s.start, OnStop: s.stop}) }),
@@ -168,11 +169,13 @@
 	return nil
 }
 
-// cleanUp removes expired cache entries, idle connections and expired targets
-// periodically until ctx ends.
+// cleanUp removes expired cache entries, crash evidence, idle connections and targets,
+// and resolves attempts without a response, periodically until ctx ends.
 func (s *Service) cleanUp(ctx context.Context) {
 	sillgroup.Every(ctx, cleanupInterval, func(now time.Time) {
 		s.cache.Expire()
+		s.Forwarder.ResolveSilentTargets(now)
+		s.evidence.suspects.RemoveExpired()
 		s.adapter.TargetPool.CloseExpired(now)
 		for _, id := range s.view.directory.Expire(now) {
 			s.Log.Info("Target did not register again.", zap.String("target", string(id)))
@@ -187,7 +190,7 @@
 	err := s.servers.open(
 		listenSpec{&s.servers.callers, s.settings.CallerAddress, s.adapter.Handler(s)},
 		listenSpec{&s.servers.ready, s.settings.ReadyAddress, s.adapter.ReadyHandler(s)},
-		listenSpec{&s.servers.peers, s.settings.peerAddress(), s.relay.Handler()},
+		listenSpec{&s.servers.peers, s.settings.peerAddress(), s.peerHandler()},
 		listenSpec{&s.servers.metrics, s.settings.MetricsAddress, metrics},
 	)
 	if err != nil {
@@ -198,3 +201,11 @@
 	}
 	return nil
 }
+
+// peerHandler returns the handler of calls of other gateways.
+func (s *Service) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", s.relay.Handler())
+	mux.HandleFunc("POST "+evidencePath, s.evidence.serve)
+	return mux
+}
--- /dev/null
+++ b/internal/sillforwarder/crash_test.go
@@ -0,0 +1,157 @@
+package sillforwarder
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/wasabisill/wasabisill/internal/sillcatalog"
+	"github.com/wasabisill/wasabisill/internal/sillcrash"
+	"github.com/wasabisill/wasabisill/internal/silltarget"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
+)
+
+// crashing closes the connection in the middle of the response.
+var crashing = behaviour{Truncated: true}
+
+// send sends a request with a body and returns the error.
+func (f *fixture) send(t *testing.T, r *sillcatalog.Route, body string, owed bool) error {
+	t.Helper()
+	resp, err := f.forwarder.Do(t.Context(), &Request{
+		ID: "req", Route: r, Pool: "p", Organisation: "org", Method: http.MethodPost, RequestURI: "/x", Host: "h",
+		Header: make(http.Header), Body: []byte(body), Arrived: time.Now(), Deadline: time.Now().Add(time.Second), Owed: owed,
+	})
+	if err != nil || resp.Stream == nil {
+		return err
+	}
+	defer resp.Stream.Close()
+	_, err = io.Copy(io.Discard, resp.Stream)
+	return err
+}
+
+// restart registers a new run of each target.
+func (f *fixture) restart() {
+	f.restarts++
+	for _, target := range f.targets {
+		e := target.Entry("p", 4, nil)
+		e.StartedAt = e.StartedAt.Add(time.Duration(f.restarts) * time.Second)
+		f.directory.Apply(e)
+	}
+}
+
+// TestCrashingContentIsRefused guards against a request that crashes each target being
+// sent on under new ids.
+func TestCrashingContentIsRefused(t *testing.T) {
+	broken := behaviour{Events: 5, BreakAfter: 2}
+	for _, tc := range []struct {
+		name string
+		kind sillcatalog.Kind
+		plan behaviour
+	}{
+		{"plain", sillcatalog.Idempotent, crashing},
+		{"at most once", sillcatalog.AtMostOnce, crashing},
+		{"stream", sillcatalog.Stream, broken},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t, tc.plan, tc.plan, tc.plan, tc.plan, tc.plan)
+			for range 10 {
+				_ = f.send(t, route(tc.kind, 1), "crash", false)
+				f.restart()
+			}
+			if n := f.calls(); n != 3 {
+				t.Errorf("the request was sent %d times, want 3", n)
+			}
+			checkRefusal(t, f.send(t, route(tc.kind, 1), "crash", false), CrashSuspect, true)
+			_ = f.send(t, route(tc.kind, 1), "another", false)
+			if n := f.calls(); n != 4 {
+				t.Errorf("another request was not sent")
+			}
+		})
+	}
+}
+
+func TestOwedRequestIsNotRefused(t *testing.T) {
+	f := newFixture(t, crashing, crashing, crashing, crashing, crashing)
+	for range 10 {
+		checkRefusal(t, f.send(t, route(sillcatalog.Idempotent, 1), "owed", true), ResponseLost, false)
+		f.restart()
+	}
+	if n := f.calls(); n != 10 {
+		t.Errorf("the request was sent %d times, want 10", n)
+	}
+}
+
+func TestServedContentIsNoSuspect(t *testing.T) {
+	f := newFixture(t, crashing, crashing, behaviour{})
+	for range 5 {
+		if err := f.send(t, route(sillcatalog.Idempotent, 3), "sound", false); err != nil {
+			t.Fatal(err)
+		}
+		f.restart()
+	}
+}
+
+// TestBytesThatAreNoResponseAreNoCrash uses a target that does not speak the protocol.
+func TestBytesThatAreNoResponseAreNoCrash(t *testing.T) {
+	f := newFixture(t)
+	address := startRaw(t, "no response\r\n\r\n")
+	for n := range 5 {
+		f.directory.Apply(silltarget.Entry{ID: "a", Pool: "p", Address: address, State: silltarget.Ready, Slots: 1, StartedAt: time.UnixMilli(int64(n))})
+		checkRefusal(t, f.send(t, route(sillcatalog.Idempotent, 1), "sound", false), ResponseLost, false)
+	}
+}
+
+// TestSilentCrashes uses targets that stop responding and start again.
+func TestSilentCrashes(t *testing.T) {
+	silent := behaviour{NoResponse: true}
+	for _, tc := range []struct {
+		name    string
+		restart bool
+		want    Reason
+	}{
+		{"targets that started again", true, CrashSuspect},
+		{"targets that are only slow", false, TimedOut},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t, silent, silent, silent)
+			r := route(sillcatalog.AtMostOnce, 1)
+			r.Timeout = 30 * time.Millisecond
+			for range 3 {
+				_, err := f.do(t.Context(), r, 30*time.Millisecond)
+				checkRefusal(t, err, TimedOut, false)
+				if tc.restart {
+					f.restart()
+				}
+				f.forwarder.ResolveSilentTargets(time.Now())
+			}
+			_, err := f.do(t.Context(), r, 30*time.Millisecond)
+			checkRefusal(t, err, tc.want, tc.want == CrashSuspect)
+		})
+	}
+}
+
+// TestBystandersAreSpared breaks the attempts of a sound request together with those of
+// a likelier cause, in either order.
+func TestBystandersAreSpared(t *testing.T) {
+	culprit, sound := sillcrash.Fingerprint{1}, sillcrash.Fingerprint{2}
+	for name, culpritFirst := range map[string]bool{"culprit breaks first": true, "bystander breaks first": false} {
+		t.Run(name, func(t *testing.T) {
+			tracker := sillcrash.NewSharedTracker(time.Now, sillcrash.Config{CountAllCrashes: true})
+			m := newCrashMonitor(tracker, func(sillcrash.Fingerprint, sillid.TargetID) {})
+			m.end(m.start(silltarget.Grant{ID: "first"}, culprit), silltarget.Broken)
+			for _, id := range []sillid.TargetID{"a", "b", "c", "d"} {
+				g := silltarget.Grant{ID: id}
+				first, second := m.start(g, culprit), m.start(g, sound)
+				if !culpritFirst {
+					first, second = second, first
+				}
+				m.end(first, silltarget.Broken)
+				m.end(second, silltarget.Broken)
+			}
+			if tracker.Check(culprit) == nil || tracker.Check(sound) != nil {
+				t.Errorf("culprit: %v, bystander: %v; want only the culprit refused", tracker.Check(culprit), tracker.Check(sound))
+			}
+		})
+	}
+}
--- a/internal/sillforwarder/forwarder.go
+++ b/internal/sillforwarder/forwarder.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
+	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
 
 // maxResponseBytes bounds the body of a response that is buffered before it is
@@ -48,6 +50,9 @@
 	// AllowLate is whether the request is served late rather than refused, since
 	// no caller waits for the response.
 	AllowLate bool
+	// Owed is whether the request belongs to an accepted item. Such a request never
+	// crashes targets by itself, and is not refused if targets crash under it.
+	Owed bool
 }
 
 // field returns the log field with the request's id.
@@ -81,19 +86,36 @@
 	// OnStarted is called for each attempt that a target started, or may have
 	// started, to run; at is when it was sent.
 	OnStarted func(organisation sillid.OrganisationID, at time.Time)
+	// Suspects holds the evidence on requests that crash targets.
+	Suspects *sillcrash.SharedTracker
+	// OnRefused, if not nil, is called when a crash of a target leads to the refusal of
+	// a content. It must not block.
+	OnRefused func()
 	Metrics   *Metrics
 	Log       *zap.Logger
 }
 
 // Forwarder forwards requests to targets. It is safe for concurrent use.
 type Forwarder struct {
-	cfg Config
+	cfg     Config
+	crashes *crashMonitor
 }
 
 // New returns a forwarder.
 func New(cfg Config) *Forwarder {
 	cfg.Log = cfg.Log.Named("forward")
-	return &Forwarder{cfg: cfg}
+	f := &Forwarder{cfg: cfg}
+	f.crashes = newCrashMonitor(cfg.Suspects, f.recordRefusedContent)
+	return f
+}
+
+// recordRefusedContent logs and passes on that a content is refused from now on.
+func (f *Forwarder) recordRefusedContent(content sillcrash.Fingerprint, target sillid.TargetID) {
+	f.cfg.Log.Warn("Targets crashed under a request; refusing its content.",
+		zap.Stringer("content", content), zap.String("target", string(target)))
+	if f.cfg.OnRefused != nil {
+		f.cfg.OnRefused()
+	}
 }
 
 // Do returns the response of a target, or an error of type *Refusal. When ctx
@@ -109,6 +131,9 @@
 		if nextStep(req.Route, p, remaining) == abandon {
 			return nil, f.recordRefusal(req, p, newRefusal(p, remaining))
 		}
+		if problem := f.crashSuspicion(req, p); problem != nil {
+			return nil, f.recordRefusal(req, p, &Refusal{Reason: CrashSuspect, NotRun: !p.mayHaveRun, RetryAfter: problem.RetryAfter})
+		}
 		grant, ok := f.pick(ctx, req, tried)
 		if !ok {
 			return nil, f.recordRefusal(req, p, f.setRetryAfter(req, newRefusal(p, time.Until(req.Deadline))))
@@ -116,7 +141,7 @@
 		p.attempts++
 		tried[grant.ID] = true
 		sentAt := time.Now()
-		resp, outcome, ran := f.attempt(ctx, req, grant, p)
+		resp, outcome, ran := f.attempt(ctx, req, f.begin(req, grant, p), p)
 		if resp != nil {
 			f.cfg.Log.Info("Answered.", req.field(), zap.Uint64("config", uint64(req.Version)),
 				zap.String("target", string(grant.ID)), zap.Int("attempt", p.attempts), zap.Int("status", resp.Status),
@@ -131,6 +156,21 @@
 	}
 }
 
+// ResolveSilentTargets attributes crashes of targets that stopped responding to the
+// requests that they ran. It is called periodically.
+func (f *Forwarder) ResolveSilentTargets(now time.Time) {
+	f.crashes.resolveSilent(now, f.cfg.Directory.StartOf)
+}
+
+// crashSuspicion returns a problem if the request must not run because targets crashed
+// under requests with its content.
+func (f *Forwarder) crashSuspicion(req *Request, p progress) *sillproblem.Problem {
+	if req.Owed {
+		return nil
+	}
+	return f.cfg.Suspects.Check(p.content)
+}
+
 // setRetryAfter sets the delay after which a retry of a request that was refused
 // for the load is likely to be served in time.
 func (f *Forwarder) setRetryAfter(req *Request, r *Refusal) *Refusal {
@@ -181,26 +221,48 @@
 	return q
 }
 
+// activeAttempt is an attempt that holds a grant until release.
+type activeAttempt struct {
+	silltarget.Grant
+	// run is nil for requests that are owed.
+	run *run
+}
+
+func (f *Forwarder) begin(req *Request, g silltarget.Grant, p progress) activeAttempt {
+	if req.Owed {
+		return activeAttempt{Grant: g}
+	}
+	return activeAttempt{Grant: g, run: f.crashes.start(g, p.content)}
+}
+
+// release returns the grant of an attempt and records its outcome.
+func (f *Forwarder) release(a activeAttempt, o silltarget.Outcome) {
+	f.cfg.Directory.Release(time.Now(), a.Grant, o)
+	if a.run != nil {
+		f.crashes.end(a.run, o)
+	}
+}
+
 // attempt sends a request to one target. If there is no response, it returns the
 // outcome of the attempt and whether the target may have run the request.
-func (f *Forwarder) attempt(ctx context.Context, req *Request, g silltarget.Grant, p progress) (*Response, silltarget.Outcome, bool) {
+func (f *Forwarder) attempt(ctx context.Context, req *Request, a activeAttempt, p progress) (*Response, silltarget.Outcome, bool) {
 	remaining := time.Until(req.Deadline)
 	limit := attemptTimeout(req.Route, p, f.cfg.Directory.MeanUnitLatency(req.Pool), remaining)
 	header := req.Header.Clone()
 	f.cfg.Codec.SetRequestHeaders(header, sillheader.Attempt{
-		Request: req.ID, Target: g.ID, Organisation: req.Organisation, Remaining: remaining,
+		Request: req.ID, Target: a.ID, Organisation: req.Organisation, Remaining: remaining,
 	})
 	attemptCtx, cancel := context.WithTimeout(ctx, limit)
 	sentAt := time.Now()
-	resp, err := f.cfg.Pool.Send(attemptCtx, g.Address, &silltransport.Request{
+	resp, err := f.cfg.Pool.Send(attemptCtx, a.Address, &silltransport.Request{
 		Method: req.Method, RequestURI: req.RequestURI, Host: req.Host, Header: header, Body: req.Body,
 	})
 	if err == nil {
-		return f.readResponse(ctx, req, g, resp, sentAt, cancel)
+		return f.readResponse(ctx, req, a, resp, sentAt, cancel)
 	}
 	cancel()
 	outcome := f.failedOutcome(ctx, err)
-	f.cfg.Directory.Release(time.Now(), g, outcome)
+	f.release(a, outcome)
 	ran := !silltransport.NotSent(err)
 	if ran {
 		f.cfg.OnStarted(req.Organisation, sentAt)
@@ -217,13 +279,22 @@
 		return silltarget.Unreachable
 	case errors.Is(err, context.DeadlineExceeded):
 		return silltarget.TimedOut
+	case isConnectionError(err):
+		return silltarget.Broken
 	}
-	return silltarget.Broken
+	return silltarget.Malformed
+}
+
+// isConnectionError returns whether the peer closed or reset the connection, or was
+// lost.
+func isConnectionError(err error) bool {
+	var failure *net.OpError
+	return errors.As(err, &failure) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
 // readResponse evaluates the metadata of a response and reads its body, unless the
 // body is streamed.
-func (f *Forwarder) readResponse(ctx context.Context, req *Request, g silltarget.Grant, resp *http.Response, sentAt time.Time, cancel context.CancelFunc) (*Response, silltarget.Outcome, bool) {
+func (f *Forwarder) readResponse(ctx context.Context, req *Request, a activeAttempt, resp *http.Response, sentAt time.Time, cancel context.CancelFunc) (*Response, silltarget.Outcome, bool) {
 	metadata := f.cfg.Codec.ParseResponse(resp)
 	streamed := req.Route.Kind == sillcatalog.Stream && !metadata.NotRun && !metadata.Misdirected
 	if !streamed {
@@ -231,13 +302,13 @@
 	}
 	switch {
 	case metadata.Misdirected:
-		return f.finishRejected(g, resp, metadata, silltarget.Misdirected)
+		return f.finishRejected(a, resp, metadata, silltarget.Misdirected)
 	case metadata.NotRun:
-		return f.finishRejected(g, resp, metadata, silltarget.Rejected)
+		return f.finishRejected(a, resp, metadata, silltarget.Rejected)
 	}
 	f.cfg.OnStarted(req.Organisation, sentAt)
 	if streamed {
-		body := &streamBody{forwarder: f, grant: g, body: resp.Body, cancel: cancel, ctx: ctx}
+		body := &streamBody{forwarder: f, attempt: a, body: resp.Body, cancel: cancel, ctx: ctx, outcome: silltarget.Abandoned}
 		return &Response{Status: resp.StatusCode, Header: resp.Header, Metadata: metadata, Stream: body}, silltarget.Answered, true
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
@@ -248,24 +319,23 @@
 	now := time.Now()
 	if err != nil {
 		outcome := f.failedOutcome(ctx, err)
-		f.cfg.Directory.Release(now, g, outcome)
+		f.release(a, outcome)
 		return nil, outcome, true
 	}
-	f.cfg.Directory.Observe(now, g, metadata.Load, now.Sub(sentAt))
-	f.cfg.Directory.Release(now, g, silltarget.Answered)
+	f.cfg.Directory.Observe(now, a.Grant, metadata.Load, now.Sub(sentAt))
+	f.release(a, silltarget.Answered)
 	f.cfg.Metrics.observeLatency(now.Sub(sentAt))
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Metadata: metadata, Body: body}, silltarget.Answered, true
 }
 
 // finishRejected handles the response of a target that did not run the request.
-func (f *Forwarder) finishRejected(g silltarget.Grant, resp *http.Response, metadata sillheader.ResponseMetadata, o silltarget.Outcome) (*Response, silltarget.Outcome, bool) {
+func (f *Forwarder) finishRejected(a activeAttempt, resp *http.Response, metadata sillheader.ResponseMetadata, o silltarget.Outcome) (*Response, silltarget.Outcome, bool) {
 	// The body is read so that the connection can be reused; an error only costs
 	// the connection.
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes))
 	resp.Body.Close()
-	now := time.Now()
-	f.cfg.Directory.Observe(now, g, metadata.Load, 0)
-	f.cfg.Directory.Release(now, g, o)
+	f.cfg.Directory.Observe(time.Now(), a.Grant, metadata.Load, 0)
+	f.release(a, o)
 	return nil, o, false
 }
 
@@ -273,16 +343,20 @@
 // outcome of the stream.
 type streamBody struct {
 	forwarder *Forwarder
-	grant     silltarget.Grant
+	attempt   activeAttempt
 	body      io.ReadCloser
 	cancel    context.CancelFunc
 	ctx       context.Context
-	outcome   silltarget.Outcome
+	// outcome is Abandoned until the stream ends or fails.
+	outcome silltarget.Outcome
 }
 
 func (b *streamBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
-	if err != nil && err != io.EOF {
+	switch {
+	case err == io.EOF:
+		b.outcome = silltarget.Answered
+	case err != nil:
 		b.outcome = b.forwarder.failedOutcome(b.ctx, err)
 	}
 	return n, err
@@ -291,6 +365,6 @@
 func (b *streamBody) Close() error {
 	err := b.body.Close()
 	b.cancel()
-	b.forwarder.cfg.Directory.Release(time.Now(), b.grant, b.outcome)
+	b.forwarder.release(b.attempt, b.outcome)
 	return err
 }
--- a/internal/sillforwarder/forwarder_test.go
+++ b/internal/sillforwarder/forwarder_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -11,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
+	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/sillstandtarget"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
@@ -25,6 +28,8 @@
 	forwarder *Forwarder
 	directory *silltarget.Directory
 	targets   []*sillstandtarget.Target
+	// restarts counts the new runs of each target.
+	restarts int
 
 	mu      sync.Mutex
 	started int
@@ -50,7 +55,8 @@
 			defer f.mu.Unlock()
 			f.started++
 		},
-		Metrics: NewMetrics(nil), Log: zap.NewNop(),
+		Suspects: sillcrash.NewSharedTracker(time.Now, sillcrash.Config{CountAllCrashes: true}),
+		Metrics:  NewMetrics(nil), Log: zap.NewNop(),
 	})
 	return f
 }
@@ -77,6 +83,33 @@
 	})
 }
 
+// startRaw starts a target that sends the same bytes to each connection that has sent
+// something, closes it, and returns its address.
+func startRaw(t *testing.T, response string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	group := sillgroup.New(t.Context())
+	t.Cleanup(func() {
+		_ = listener.Close()
+		group.Stop()
+	})
+	group.Go(func(context.Context) {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 4<<10))
+			_, _ = io.WriteString(c, response)
+			_ = c.Close()
+		}
+	})
+	return listener.Addr().String()
+}
+
 func checkResponse(t *testing.T, resp *Response, err error) {
 	t.Helper()
 	if err != nil || resp.Status != http.StatusOK || resp.Metadata.Signature == "" {
--- a/internal/sillforwarder/plan.go
+++ b/internal/sillforwarder/plan.go
@@ -52,6 +52,9 @@
 	ResponseLost Reason = "answer-lost"
 	// TimedOut is for requests that may have run when their deadline passed.
 	TimedOut Reason = "timed-out"
+	// CrashSuspect is for requests that are refused because targets crashed under
+	// requests with the same content.
+	CrashSuspect Reason = "crash-suspect"
 	// CallerGone is for requests that the caller cancelled.
 	CallerGone Reason = "caller-left"
 )
--- a/internal/silljob/help_test.go
+++ b/internal/silljob/help_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
+	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/sillforwarder"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/sillmemtable"
@@ -98,7 +99,8 @@
 	pool := silltransport.NewPool(silltransport.Config{ConnectTimeout: time.Second, TCPUserTimeout: time.Second, IdleTimeout: time.Minute})
 	codec := sillstandtarget.Codec()
 	forwarder := sillforwarder.New(sillforwarder.Config{
-		Directory: n.directory, Pool: pool, Codec: codec, Metrics: sillforwarder.NewMetrics(nil), Log: zap.NewNop(),
+		Directory: n.directory, Pool: pool, Codec: codec, Suspects: sillcrash.NewSharedTracker(time.Now, sillcrash.Config{CountAllCrashes: true}),
+		Metrics: sillforwarder.NewMetrics(nil), Log: zap.NewNop(),
 		OnStarted: func(sillid.OrganisationID, time.Time) {},
 	})
 	follower := sillwatch.New(sillwatch.Config{
--- a/internal/silljob/score.go
+++ b/internal/silljob/score.go
@@ -61,7 +61,7 @@
 	response, err := r.cfg.Forwarder.Do(ctx, &sillforwarder.Request{
 		ID: s.ID, Route: route, Version: catalog.Version, Pool: route.PickPool(rand.Float64()), Method: http.MethodPost,
 		RequestURI: s.Path, Host: s.Host, Header: make(http.Header), Body: s.Body,
-		Arrived: time.Now(), Deadline: time.Now().Add(route.Timeout), AllowLate: true,
+		Arrived: time.Now(), Deadline: time.Now().Add(route.Timeout), AllowLate: true, Owed: true,
 	})
 	var refusal *sillforwarder.Refusal
 	if errors.As(err, &refusal) {
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -121,6 +121,18 @@
 	return ids
 }
 
+// StartOf returns when the registered run of a target started, and false if the target
+// is not registered.
+func (d *Directory) StartOf(id sillid.TargetID) (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.targets[id]
+	if t == nil {
+		return time.Time{}, false
+	}
+	return t.entry.StartedAt, true
+}
+
 // Entries returns the entries of the targets of a pool, in no particular order.
 func (d *Directory) Entries(pool sillid.PoolID) []Entry {
 	d.mu.Lock()
@@ -202,6 +214,8 @@
 type Grant struct {
 	ID      sillid.TargetID
 	Address string
+	// StartedAt is when the run of the target started that was picked.
+	StartedAt time.Time
 	// Versions are the weight versions of the target when it was picked.
 	Versions map[sillid.ModelID]sillid.WeightVersion
 
@@ -229,7 +243,7 @@
 	}
 	best.running++
 	return Grant{
-		ID: best.entry.ID, Address: best.entry.Address, Versions: best.entry.Versions,
+		ID: best.entry.ID, Address: best.entry.Address, StartedAt: best.entry.StartedAt, Versions: best.entry.Versions,
 		target: best, utilisation: best.utilisation(now, 0),
 	}, true
 }
--- a/internal/silltarget/target.go
+++ b/internal/silltarget/target.go
@@ -54,8 +54,11 @@
 	Misdirected
 	// Unreachable attempts got no connection.
 	Unreachable
-	// Broken attempts failed before the response was complete.
+	// Broken attempts lost their connection before the response was complete. The
+	// target may have crashed.
 	Broken
+	// Malformed attempts got bytes that are no response, or too many.
+	Malformed
 	// TimedOut attempts got no complete response within their time limit.
 	TimedOut
 	// Abandoned attempts were cancelled by the caller; they say nothing about
@@ -150,7 +153,7 @@
 		t.backOff(now, misdirectedBackoff)
 	case Unreachable:
 		t.fail(now)
-	case Broken, TimedOut:
+	case Broken, Malformed, TimedOut:
 		// One lost response is weak evidence of a faulty target: only a second
 		// failure in a row starts a backoff.
 		if t.failures > 0 {
@@ -194,6 +197,8 @@
 		return "unreachable"
 	case Broken:
 		return "broken"
+	case Malformed:
+		return "malformed"
 	case TimedOut:
 		return "silent"
 	case Abandoned:
