Do not count targets without a connection as attempts of a route

Cause: an attempt that found no connection was counted against max_attempts, although no server got the request, and the targets that had just crashed were the first choice of the next request too.

Only attempts in which a byte was sent count now; at most 8 targets are tried without a connection. TestUnreachableTargetsUseNoAttempts failed before: no response with one of six targets up, by routes of one and of two attempts.

--- a/internal/sillforwarder/forwarder.go
+++ b/internal/sillforwarder/forwarder.go
@@ -134,7 +134,7 @@
 		if problem := f.crashSuspicion(req, p); problem != nil {
 			return nil, f.recordRefusal(req, p, &Refusal{Reason: CrashSuspect, NotRun: !p.mayHaveRun, RetryAfter: problem.RetryAfter})
 		}
-		grant, ok := f.pick(ctx, req, tried)
+		grant, ok := f.pick(ctx, req, tried, p)
 		if !ok {
 			return nil, f.recordRefusal(req, p, f.setRetryAfter(req, newRefusal(p, time.Until(req.Deadline))))
 		}
@@ -193,8 +193,8 @@
 // pick waits for a target, for a share of the latency objective at most. It prefers
 // a target with a free slot to one that queues but is expected to respond in time.
 // At the end of the wait it also accepts one in backoff.
-func (f *Forwarder) pick(ctx context.Context, req *Request, tried map[sillid.TargetID]bool) (silltarget.Grant, bool) {
-	query := silltarget.Query{Pool: req.Pool, Zone: f.cfg.Zone, Exclude: tried, MaxResponseTime: maxResponseTime(req, len(tried), time.Now())}
+func (f *Forwarder) pick(ctx context.Context, req *Request, tried map[sillid.TargetID]bool, p progress) (silltarget.Grant, bool) {
+	query := silltarget.Query{Pool: req.Pool, Zone: f.cfg.Zone, Exclude: tried, MaxResponseTime: maxResponseTime(req, p, time.Now())}
 	wait := time.NewTimer(min(time.Duration(pickWaitShare*float64(req.Route.LatencyObjective)), time.Until(req.Deadline)))
 	defer wait.Stop()
 	for {
--- a/internal/sillforwarder/forwarder_test.go
+++ b/internal/sillforwarder/forwarder_test.go
@@ -184,6 +184,44 @@
 	}
 }
 
+// TestUnreachableTargetsUseNoAttempts guards against requests being refused because
+// targets that are down use up the attempts of their route.
+func TestUnreachableTargetsUseNoAttempts(t *testing.T) {
+	plans := make([]behaviour, 6)
+	for _, tc := range []struct {
+		name     string
+		kind     sillcatalog.Kind
+		attempts int
+		down     int
+	}{
+		{"idempotent", sillcatalog.Idempotent, 2, 5},
+		{"at most once", sillcatalog.AtMostOnce, 1, 5},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t, plans...)
+			for _, target := range f.targets[:tc.down] {
+				target.Close()
+			}
+			resp, err := f.do(t.Context(), route(tc.kind, tc.attempts), time.Second)
+			checkResponse(t, resp, err)
+		})
+	}
+	t.Run("all down", func(t *testing.T) {
+		const targets = 3 * maxUnreachable
+		f := newFixture(t, make([]behaviour, targets)...)
+		for _, target := range f.targets {
+			target.Close()
+		}
+		_, err := f.do(t.Context(), route(sillcatalog.Idempotent, 2), time.Second)
+		checkRefusal(t, err, NoTarget, true)
+		// Each target without a connection backs off, the others have four free slots.
+		tried := targets - f.directory.FreeSlots(time.Now(), silltarget.Query{Pool: "p"})/4
+		if tried != maxUnreachable {
+			t.Errorf("%d targets tried, want %d", tried, maxUnreachable)
+		}
+	})
+}
+
 // TestOtherTargetAtTheAddress sends a request to an address that now belongs to
 // another target, which is not in the directory yet: that target must not run it.
 func TestOtherTargetAtTheAddress(t *testing.T) {
--- a/internal/sillforwarder/plan.go
+++ b/internal/sillforwarder/plan.go
@@ -15,6 +15,9 @@
 	// minTimeoutShare is the minimum timeout of the first attempt, as a share of the
 	// latency objective.
 	minTimeoutShare = 0.7
+	// maxUnreachable bounds the targets that a request is tried at without a connection.
+	// Each may cost the time limit of a connection.
+	maxUnreachable = 8
 	// minRemaining is the time to the deadline below which another attempt can't
 	// succeed.
 	minRemaining = 15 * time.Millisecond
@@ -98,6 +101,9 @@
 	}
 }
 
+// sent returns the number of attempts in which a target got a byte of the request.
+func (p *progress) sent() int { return p.attempts - p.unreachable }
+
 // step is the next step for a request without a response.
 type step int
 
@@ -107,8 +113,10 @@
 )
 
 // nextStep decides whether a request without a response is tried at another target.
+// Targets without a connection do not count as attempts of the route: they did not get
+// the request.
 func nextStep(r *sillcatalog.Route, p progress, remaining time.Duration) step {
-	if remaining < minRemaining || p.attempts >= r.Attempts {
+	if remaining < minRemaining || p.sent() >= r.Attempts || p.unreachable >= maxUnreachable {
 		return abandon
 	}
 	if p.mayHaveRun && r.Kind != sillcatalog.Idempotent {
@@ -118,10 +126,10 @@
 }
 
 // attemptTimeout returns the timeout of an attempt, which p counts already. Only
-// the first attempt gets less than the remaining time, and only if another may
-// follow: a request that is slow at every target must be able to finish at one.
+// the first attempt that is sent gets less than the remaining time, and only if another
+// may follow: a request that is slow at every target must be able to finish at one.
 func attemptTimeout(r *sillcatalog.Route, p progress, meanLatency, remaining time.Duration) time.Duration {
-	if r.Kind != sillcatalog.Idempotent || p.attempts > 1 || r.Attempts == 1 {
+	if r.Kind != sillcatalog.Idempotent || p.sent() > 1 || r.Attempts == 1 {
 		return remaining
 	}
 	minTimeout := time.Duration(minTimeoutShare * float64(r.LatencyObjective))
@@ -132,8 +140,8 @@
 // or 0 for no bound. It sheds load above the capacity of the targets: a request
 // that queues beyond the objective is late anyway, and delays the requests behind
 // it. Retries are not bounded, since an earlier target already spent time on them.
-func maxResponseTime(req *Request, attempts int, now time.Time) time.Duration {
-	if req.AllowLate || attempts > 0 || req.Route.Kind == sillcatalog.Stream || req.Route.LatencyObjective == 0 {
+func maxResponseTime(req *Request, p progress, now time.Time) time.Duration {
+	if req.AllowLate || p.sent() > 0 || req.Route.Kind == sillcatalog.Stream || req.Route.LatencyObjective == 0 {
 		return 0
 	}
 	return max(time.Duration(responseTimeShare*float64(req.Route.LatencyObjective))-now.Sub(req.Arrived), time.Millisecond)
