--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/sillclock"
@@ -38,12 +39,17 @@
 	restored bool
 }
 
-func newMembership(s *Settings, e *crashEvidence, log *zap.Logger) *membership {
+func newMembership(s *Settings, e *crashEvidence, r *prometheus.Registry, log *zap.Logger) *membership {
 	m := &membership{settings: s, log: log.Named("members"), run: sillcluster.Run(sillid.Fresh("run")), evidence: e}
 	m.members = sillcluster.NewMembers(m.mergeEvidence)
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "wasabisill_live_gateways", Help: "Gateways that this process knows to be alive.",
+	}, func() float64 { return float64(m.countLive()) }))
 	return m
 }
 
+func (m *membership) countLive() int { return len(m.members.Live(sillclock.Boot())) }
+
 // mergeEvidence adds the evidence in the row of another process.
 func (m *membership) mergeEvidence(other sillcluster.Member) {
 	if other.Run != m.run {
--- a/internal/silldirectgateway/scaling_test.go
+++ b/internal/silldirectgateway/scaling_test.go
@@ -27,7 +27,7 @@
 	for range 3 {
 		v.directory.Pick(time.Now(), silltarget.Query{Pool: "p", Zone: "a"})
 	}
-	m := newMembership(&Settings{Instance: "front-a"}, newCrashEvidence(&Adapter{}, newRegistry(), zap.NewNop()), zap.NewNop())
+	m := newMembership(&Settings{Instance: "front-a"}, newCrashEvidence(&Adapter{}, newRegistry(), zap.NewNop()), newRegistry(), zap.NewNop())
 	var rows []silltable.Row
 	for _, member := range []sillcluster.Member{
 		{Instance: "front-a", Run: "a", PoolLoads: v.poolLoads()},
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -100,6 +100,10 @@
 // Catalog returns the configuration in force, or nil if none is known yet.
 func (s *Service) Catalog() *sillcatalog.Catalog { return s.view.catalog.Get() }
 
+// LiveGateways returns the number of gateways that are known to be alive, this one
+// included.
+func (s *Service) LiveGateways() int { return s.members.countLive() }
+
 // Register adds a collector to the metrics of the gateway. It panics if the collector
 // is already registered.
 func (s *Service) Register(c prometheus.Collector) { s.registry.MustRegister(c) }
