Send migrated items to any engine that is left, and keep none waiting behind them

Cause 1: an item never returned to an engine that it had migrated from; if the others were then lost, it waited until its job was given up. Cause 2: such an item, first in the queue, marked its pool as full, so that no item behind it was sent although that engine had free slots.

Engines that an item left are now passed over only while another one may run it, and only an item that may run anywhere marks a pool as full.

--- a/internal/silljob/dispatch.go
+++ b/internal/silljob/dispatch.go
@@ -27,12 +27,13 @@
 		if full[required] {
 			continue
 		}
-		grant, ok := r.cfg.Directory.Pick(now, r.query(it))
-		if !ok {
+		grant, ok := r.cfg.Directory.Pick(now, r.query(now, it))
+		switch {
+		case ok:
+			r.start(it, grant)
+		case len(it.avoid) == 0:
 			full[required] = true
-			continue
 		}
-		r.start(it, grant)
 	}
 }
 
@@ -51,7 +52,7 @@
 	if it.versionWaitSince.IsZero() {
 		it.versionWaitSince = now
 	}
-	if now.Sub(it.versionWaitSince) < versionWaitTimeout && r.cfg.Directory.AnyEligible(now, r.query(it)) {
+	if now.Sub(it.versionWaitSince) < versionWaitTimeout && r.cfg.Directory.AnyEligible(now, r.query(now, it)) {
 		return
 	}
 	r.cfg.Log.Warn("No engine can resume a generation; restarting it.", zap.String("request", string(it.item.ID)), zap.String("job", string(it.job.sub.Job)),
@@ -122,12 +123,18 @@
 	return 0
 }
 
-func (r *Runner) query(it *itemRun) silltarget.Query {
+// query selects the targets that may run an item. The targets that it migrated away
+// from are selected once no other one is left that could run it.
+func (r *Runner) query(now time.Time, it *itemRun) silltarget.Query {
 	required := requirementsOf(it)
-	return silltarget.Query{
+	q := silltarget.Query{
 		Pool: required.pool, Zone: r.cfg.Zone, Model: required.model, MinVersion: required.min, ExactVersion: required.exact,
 		Prefer: it.job.groupTarget[it.item.Group], Exclude: it.avoid, FreeOnly: true, PreferNewest: it.job.sub.SingleVersion,
 	}
+	if len(q.Exclude) > 0 && !r.cfg.Directory.AnyEligible(now, q) {
+		q.Exclude = nil
+	}
+	return q
 }
 
 // waitingItems returns the items that may be sent now, in the order of byUrgency.
--- a/internal/silljob/move.go
+++ b/internal/silljob/move.go
@@ -62,7 +62,7 @@
 	}
 	required := requirementsOf(it)
 	if _, known := free[required]; !known {
-		q := r.query(it)
+		q := r.query(now, it)
 		q.MaxUnitLatency = time.Duration(float64(unitLatency) / minMigrationSpeedup)
 		free[required] = r.cfg.Directory.FreeSlots(now, q)
 	}
