Never refuse samples of rollouts because engines crash under them

Cause: rollouts were checked and recorded like callers' requests. Evidence: TestDoServesOwedRequests, which failed before with crash-suspect at the third engine, and TestSamplesAreNoSuspects.

Requests of the class rollout are now owed: neither dispatcher nor agent refuses them, and they are no suspects of a crash.

--- a/internal/sillagent/registry.go
+++ b/internal/sillagent/registry.go
@@ -263,13 +263,13 @@
 	return queued, started
 }
 
-// running returns the runs that the target has now.
+// running returns the requests that the target runs now and that may crash it.
 func (r *registry) running() []sillcrash.RunningRequest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var all []sillcrash.RunningRequest
 	for _, n := range r.runs {
-		if n.state == sillwire.RunStarted {
+		if n.state == sillwire.RunStarted && !n.req.Class.Owed() {
 			all = append(all, sillcrash.RunningRequest{Fingerprint: n.req.Fingerprint, Started: n.startedAt})
 		}
 	}
--- a/internal/sillagent/registry_test.go
+++ b/internal/sillagent/registry_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/sillwire"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
@@ -191,3 +192,19 @@
 	ctl.pinged()
 	check(t, "one interval after silence", true)
 }
+
+// TestSamplesAreNoSuspects guards against samples of rollouts, which are owed, being
+// taken for the cause of a crash.
+func TestSamplesAreNoSuspects(t *testing.T) {
+	r, _ := newTestRegistry()
+	for n, class := range []sillwire.Class{sillwire.Rollout, sillwire.Interactive} {
+		started := newTestRun(sillid.RequestID(class), n, true)
+		started.req.Class = class
+		started.req.Fingerprint = sillcrash.Fingerprint{byte(n)}
+		checkAdded(t, r, started)
+		r.start(started)
+	}
+	if all := r.running(); len(all) != 1 || all[0].Fingerprint != (sillcrash.Fingerprint{1}) {
+		t.Errorf("suspects %v, want the interactive request alone", all)
+	}
+}
--- a/internal/sillagent/stream.go
+++ b/internal/sillagent/stream.go
@@ -185,7 +185,7 @@
 	if n.req.Agent != "" && n.req.Agent != a.cfg.ID {
 		return sillproblem.New(sillproblem.NoTarget, "the agent has started anew")
 	}
-	if p := a.cfg.Suspects.Check(n.req.Fingerprint); p != nil {
+	if p := a.cfg.Suspects.Check(n.req.Fingerprint); p != nil && !n.req.Class.Owed() {
 		return p
 	}
 	runCtx, cancel := context.WithCancelCause(a.group.Context())
--- a/internal/silldispatch/attempt.go
+++ b/internal/silldispatch/attempt.go
@@ -208,7 +208,9 @@
 
 // died records that a run of the target ended under the request.
 func (d *Dispatcher) died(r *Request, a *attempt, run string) {
-	d.cfg.Suspects.RecordCrash(a.target, run, []sillcrash.RunningRequest{{Fingerprint: r.Fingerprint, Started: a.began}})
+	if !r.Class.Owed() {
+		d.cfg.Suspects.RecordCrash(a.target, run, []sillcrash.RunningRequest{{Fingerprint: r.Fingerprint, Started: a.began}})
+	}
 	d.cfg.OnDeath()
 }
 
--- a/internal/silldispatch/dispatch.go
+++ b/internal/silldispatch/dispatch.go
@@ -104,7 +104,7 @@
 	defer cancel()
 	t := &trial{request: r, out: newOutput(r, sink), budget: d.budgets.Of(r.Organisation, r.Pool)}
 	for {
-		if p := d.cfg.Suspects.Check(r.Fingerprint); p != nil {
+		if p := d.cfg.Suspects.Check(r.Fingerprint); p != nil && !r.Class.Owed() {
 			return nil, t.refuse(p)
 		}
 		route, ok := d.await(ctx, t)
--- a/internal/silldispatch/dispatch_test.go
+++ b/internal/silldispatch/dispatch_test.go
@@ -285,15 +285,38 @@
 	})
 }
 
-func TestDoStopsForACrashingRequest(t *testing.T) {
-	died := &sillwire.Finish{RequestID: "r", Problem: refused(sillproblem.TargetFailed, sillproblem.OutcomeUnknown)}
+// crashingScripts returns scripts of targets that crash under a request.
+func crashingScripts(count int) []script {
 	var scripts []script
-	for i := range 6 {
-		f := *died
-		f.Died = "run" + string(rune('0'+i))
-		scripts = append(scripts, script{frames: []sillwire.Message{&f}})
+	for i := range count {
+		scripts = append(scripts, script{frames: []sillwire.Message{&sillwire.Finish{
+			RequestID: "r", Problem: refused(sillproblem.TargetFailed, sillproblem.OutcomeUnknown), Died: "run" + string(rune('0'+i)),
+		}}})
 	}
-	b := newBench(t, scripts...)
+	return scripts
+}
+
+// TestDoServesOwedRequests guards against a sample of a rollout being refused because
+// targets crash under it: five do, and the sixth generates it. The rollout's owner sends
+// it again as long as it fails.
+func TestDoServesOwedRequests(t *testing.T) {
+	b := newBench(t, append(crashingScripts(5), script{frames: []sillwire.Message{tokens("a", 1), whole(0, 1)}})...)
+	r := generation()
+	r.Class = sillwire.Rollout
+	var text string
+	var p *sillproblem.Problem
+	for range 6 {
+		if _, p = b.dispatcher.Do(context.Background(), r, collect(&text)); p == nil {
+			break
+		}
+		checkProblem(t, p, sillproblem.TargetFailed, sillproblem.OutcomeUnknown)
+	}
+	checkAnswer(t, p, text, "a")
+	b.checkRuns(t, 6)
+}
+
+func TestDoStopsForACrashingRequest(t *testing.T) {
+	b := newBench(t, crashingScripts(6)...)
 	var text string
 	_, p := b.dispatcher.Do(context.Background(), generation(), collect(&text))
 	checkProblem(t, p, sillproblem.CrashSuspect, sillproblem.OutcomeUnknown)
--- a/internal/sillwire/run.go
+++ b/internal/sillwire/run.go
@@ -17,6 +17,10 @@
 	Rollout Class = "rollout"
 )
 
+// Owed returns whether requests of the class belong to accepted work, which is never
+// refused because targets crash under it.
+func (c Class) Owed() bool { return c == Rollout }
+
 // Field is one header field.
 type Field struct {
 	Name  string `cbor:"1,keyasint"`
