Limit the head of a response

Cause: http.ReadResponse reads lines without a limit.

A head may now take 64 KiB, also an informational one, and a skipped response whose body is over 1 MiB ends the connection.

--- a/internal/silltransport/conn.go
+++ b/internal/silltransport/conn.go
@@ -26,6 +26,8 @@
 	// maxReadResponses bounds the responses that are read for one request, skipped
 	// ones included.
 	maxReadResponses = 4
+	// maxHeadBytes bounds the status line and header of a response.
+	maxHeadBytes = 64 << 10
 	// maxSkippedBytes bounds the body of a skipped response.
 	maxSkippedBytes = 1 << 20
 	// maxInlineBodyBytes is the size up to which a body is written before the
@@ -33,7 +35,11 @@
 	maxInlineBodyBytes = 8 << 10
 )
 
-var errTooManySkipped = errors.New("too many responses to other requests")
+var (
+	errTooManySkipped = errors.New("too many responses to other requests")
+	errSkippedTooLong = errors.New("the body of a response to another request is too long")
+	errHeadTooLong    = errors.New("the head of the response is too long")
+)
 
 // expiredDeadline is in the past; setting it unblocks pending reads and writes.
 var expiredDeadline = time.Unix(1, 0)
@@ -43,14 +49,47 @@
 	pool    *Pool
 	tcp     *net.TCPConn
 	address string
-	reader  *bufio.Reader
+	// source reads from tcp, and reader from source.
+	source *headLimiter
+	reader *bufio.Reader
 	// expires is when the connection may no longer be used for a new request.
 	expires time.Time
 	closed  sync.Once
 }
 
 func newConn(p *Pool, tcp *net.TCPConn, address string) *conn {
-	return &conn{pool: p, tcp: tcp, address: address, reader: bufio.NewReaderSize(tcp, 4<<10)}
+	source := &headLimiter{reader: tcp}
+	return &conn{pool: p, tcp: tcp, address: address, source: source, reader: bufio.NewReaderSize(source, 4<<10)}
+}
+
+// headLimiter limits the bytes that are read while a head is expected. It is not safe
+// for concurrent use.
+type headLimiter struct {
+	reader io.Reader
+	// limited is whether a head is being read; remaining is the number of bytes that
+	// it may still take.
+	limited   bool
+	remaining int
+}
+
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.reader.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.reader.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
+// readHead reads the head of a response, at most maxHeadBytes more than what is
+// buffered.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	c.source.limited, c.source.remaining = true, maxHeadBytes
+	defer func() { c.source.limited = false }()
+	return http.ReadResponse(c.reader, req)
 }
 
 func (c *conn) close() {
@@ -180,7 +219,7 @@
 func (c *conn) readResponse(req *Request) (*http.Response, error) {
 	httpReq := &http.Request{Method: req.Method}
 	for range maxReadResponses {
-		resp, err := http.ReadResponse(c.reader, httpReq)
+		resp, err := c.readHead(httpReq)
 		if err != nil {
 			return nil, err
 		}
@@ -193,9 +232,13 @@
 		if c.pool.cfg.OnSkipped != nil {
 			c.pool.cfg.OnSkipped()
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes)); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1))
+		if err != nil {
 			return nil, err
 		}
+		if n > maxSkippedBytes {
+			return nil, errSkippedTooLong
+		}
 	}
 	return nil, errTooManySkipped
 }
