Limit what an agent keeps of an answer

Operators would have seen agents killed for their memory: an agent keeps each answer until its end, so that a gateway may read it again, and a service whose body does not end filled it until the deadline.

An answer may take 64 MiB; beyond, it fails without counting as a crash.

--- a/internal/sillagent/answer.go
+++ b/internal/sillagent/answer.go
@@ -2,11 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"github.com/wasabisill/wasabisill/internal/sillwire"
 )
 
+// maxAnswerBytes bounds the frames of an answer, which are all kept until its end.
+const maxAnswerBytes = 64 << 20
+
+// errAnswerTooLong is returned for an answer of a target that sends bytes without end.
+var errAnswerTooLong = errors.New("the answer is longer than an agent keeps")
+
 // answer is the list of answer frames of a run. One goroutine appends; any
 // number of streams read from any position, so that a gateway whose connection
 // broke reads on from where it was.
@@ -24,7 +31,8 @@
 	return &answer{grown: make(chan struct{})}
 }
 
-// append adds frames, which readers get together; nothing follows the last one.
+// append adds frames, which readers get together; nothing follows the last one. It
+// returns errAnswerTooLong beyond maxAnswerBytes, but for the last one.
 func (a *answer) append(last bool, messages ...sillwire.Message) error {
 	frames := make([][]byte, len(messages))
 	size := 0
@@ -41,6 +49,9 @@
 	if a.ended {
 		return nil
 	}
+	if !last && a.size+size > maxAnswerBytes {
+		return errAnswerTooLong
+	}
 	a.frames = append(a.frames, frames...)
 	a.size += size
 	a.ended = last
--- a/internal/sillagent/generation.go
+++ b/internal/sillagent/generation.go
@@ -151,6 +151,8 @@
 		g.result.failure = sillproblem.New(sillproblem.NoTarget, "the engine refuses connections")
 	case errors.Is(err, sillengine.ErrRejected):
 		g.result.failure = sillproblem.New(sillproblem.BadRequest, "%v", err).WithOutcome(sillproblem.Failed)
+	case errors.Is(err, errAnswerTooLong):
+		g.result.failure = sillproblem.New(sillproblem.TargetFailed, "%v", err).WithOutcome(sillproblem.OutcomeUnknown)
 	default:
 		g.result.brokeOff = errors.Is(err, sillengine.ErrCut) || !sillengine.Answered(err)
 		g.result.failure = sillproblem.New(sillproblem.TargetFailed, "the engine's answer broke off").WithOutcome(sillproblem.OutcomeUnknown)
--- a/internal/sillagent/service.go
+++ b/internal/sillagent/service.go
@@ -126,7 +126,10 @@
 		if size > 0 {
 			result.finish.Bytes += int64(size)
 			data := append([]byte(nil), buf[:size]...)
-			_ = n.answer.append(false, &sillwire.Chunk{Data: data})
+			if err := n.answer.append(false, &sillwire.Chunk{Data: data}); err != nil {
+				result.failure = sillproblem.New(sillproblem.TargetFailed, "%v", err).WithOutcome(sillproblem.OutcomeUnknown)
+				return result
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return result
