Limit events and texts of streams

Operators would have seen gateways killed for their memory: an engine that sends the lines of one event without end, or valid events without end, filled the memory of the job's owner, up to the item's time limit.

An event may take 2 MiB, and the text of an item what fits into its result; longer ones are discarded and generated again.

--- a/internal/sillevent/event.go
+++ b/internal/sillevent/event.go
@@ -9,17 +9,22 @@
 	"strconv"
 	"strings"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// maxLineBytes bounds a line of a stream.
-const maxLineBytes = 1 << 20
+const (
+	// maxLineBytes bounds a line of a stream.
+	maxLineBytes = 1 << 20
+	// maxEventBytes bounds all lines of an event.
+	maxEventBytes = 2 << 20
+)
 
 // ErrTruncated is returned for a stream that ends within an event.
 var ErrTruncated = errors.New("the stream ended in the middle of an event")
 
+// ErrTooLong is returned for a line or an event that is longer than an engine sends.
+var ErrTooLong = errors.New("the event is too long")
+
 // Event is one event of a stream.
 type Event struct {
 	// ID is the number of the event in its stream; -1 if the event has no id.
@@ -46,7 +51,8 @@
 }
 
 // Next returns the next event. It returns io.EOF if the stream ended between two
-// events, ErrTruncated if it ended within one, and else the error of the read.
+// events, ErrTruncated if it ended within one, ErrTooLong for an event without end, and
+// else the error of the read.
 func (r *Reader) Next() (Event, error) {
 	e := Event{ID: -1}
 	var data []string
@@ -55,6 +61,9 @@
 		if err != nil {
 			return Event{}, streamError(err, len(e.Raw)+len(line))
 		}
+		if len(e.Raw)+len(line) > maxEventBytes {
+			return Event{}, ErrTooLong
+		}
 		e.Raw = append(e.Raw, line...)
 		field := bytes.TrimRight(line, "\r\n")
 		if len(field) > 0 {
@@ -80,7 +89,7 @@
 			return line, err
 		}
 		if len(line) > maxLineBytes {
-			return line, eris.New("sillevent.readLine: line too long")
+			return line, ErrTooLong
 		}
 	}
 }
--- a/internal/sillevent/event_test.go
+++ b/internal/sillevent/event_test.go
@@ -92,3 +92,31 @@
 		}
 	})
 }
+
+// repeated is a stream that repeats a text without end.
+type repeated struct {
+	text string
+	at   int
+}
+
+func (r *repeated) Read(p []byte) (int, error) {
+	n := copy(p, r.text[r.at:])
+	r.at = (r.at + n) % len(r.text)
+	return n, nil
+}
+
+// TestEndlessEvents guards against an engine that sends bytes without end filling the
+// memory of the gateway.
+func TestEndlessEvents(t *testing.T) {
+	for _, tc := range []struct{ name, text string }{
+		{"line", "x"},
+		{"data lines", "data: x\n"},
+		{"other lines", "x\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if _, err := NewReader(&repeated{text: tc.text}, "weights").Next(); !errors.Is(err, ErrTooLong) {
+				t.Errorf("error %v, want ErrTooLong", err)
+			}
+		})
+	}
+}
--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -225,8 +225,12 @@
 	}
 }
 
+// maxTextBytes bounds the text of a generation: its result must fit into a transaction.
+const maxTextBytes = maxTxnBytes / 2
+
 // acceptEvent adds an event to a generation. It returns false if the event does
-// not follow the last one or if the job does not accept its weight version. If the
+// not follow the last one, if the job does not accept its weight version, or if the
+// text gets longer than a result may be; it discards such a text. If the
 // job requires a single version, it keeps the events so far, since another engine
 // may still serve that version. If the version is older than the job's MinVersion,
 // it discards them.
@@ -244,7 +248,7 @@
 	if sub.SingleVersion && len(it.versions) > 0 && it.versions[0] != version {
 		return false
 	}
-	if version < sub.MinVersion {
+	if version < sub.MinVersion || it.textBytes+len(e.Data) > maxTextBytes {
 		it.discard()
 		return false
 	}
--- a/internal/silljob/item.go
+++ b/internal/silljob/item.go
@@ -30,6 +30,8 @@
 	// of the newest one.
 	events    []string
 	lastEvent int
+	// textBytes is the length of the events.
+	textBytes int
 	// versions are the weight versions that generated the events, ascending.
 	versions []sillid.WeightVersion
 	// attempts counts the attempts since this process owns the job.
@@ -53,13 +55,14 @@
 
 // discard drops the events so far, so that the next attempt restarts the generation.
 func (it *itemRun) discard() {
-	it.events, it.lastEvent, it.versions = nil, 0, nil
+	it.events, it.lastEvent, it.textBytes, it.versions = nil, 0, 0, nil
 }
 
 // addEvent appends an event that weight version v generated.
 func (it *itemRun) addEvent(id int, data string, v sillid.WeightVersion) {
 	it.events = append(it.events, data)
 	it.lastEvent = id
+	it.textBytes += len(data)
 	if i, found := slices.BinarySearch(it.versions, v); !found {
 		it.versions = slices.Insert(it.versions, i, v)
 	}
@@ -84,6 +87,10 @@
 func (it *itemRun) resume(p Progress) {
 	it.events = slices.Clone(p.Events)
 	it.lastEvent = p.LastEvent
+	it.textBytes = 0
+	for _, e := range p.Events {
+		it.textBytes += len(e)
+	}
 	it.versions = slices.Clone(p.Versions)
 	it.started = it.started || len(p.Events) > 0
 }
--- a/internal/silljob/runner_test.go
+++ b/internal/silljob/runner_test.go
@@ -453,6 +453,21 @@
 	}
 }
 
+// TestEndlessGeneration guards against an engine that sends events without end: the item
+// is generated again.
+func TestEndlessGeneration(t *testing.T) {
+	c := newCluster(t, 1, func(_ int, ca call, n int) behaviour {
+		if n == 1 {
+			return behaviour{Events: 1 << 30, Version: 1}
+		}
+		return completeStream(0, ca, n)
+	})
+	a := c.start("a")
+	sub := submission("job", 1)
+	a.submit(t, sub)
+	checkComplete(t, sub, a.results(t, "job", 1), testEvents)
+}
+
 // TestMigratedItemReturnsToItsOnlyEngine guards against an item that is never sent again:
 // the engine to which it migrated is lost for good, and only the one that it left remains.
 func TestMigratedItemReturnsToItsOnlyEngine(t *testing.T) {
--- a/internal/sillstandtarget/target.go
+++ b/internal/sillstandtarget/target.go
@@ -260,7 +260,9 @@
 			_, _ = fmt.Fprintf(w, "%s: %d\n", versionField, version)
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, EventData(c.Request, id))
-		_ = controller.Flush()
+		if controller.Flush() != nil {
+			return
+		}
 		sent++
 	}
 }
