Limit the memory of all responses that are being read

Operators would have seen gateways killed for their memory when several responses without end come at once: each body was cut at 16 MiB, but all of them together had no limit.

Bodies beyond their first 64 KiB now share an eighth of the process's memory; one that finds none left fails like one that is too long.

--- a/internal/silldirectgateway/providers.go
+++ b/internal/silldirectgateway/providers.go
@@ -15,6 +15,10 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
+// bufferShare is the share of the process's memory that responses may take while they
+// are read.
+const bufferShare = 0.125
+
 // newRegistry returns the registry of the process's metrics.
 func newRegistry() *prometheus.Registry {
 	r := prometheus.NewRegistry()
@@ -51,7 +55,8 @@
 	}
 	return sillforwarder.New(sillforwarder.Config{
 		Directory: v.directory, Pool: adapter.TargetPool, Codec: adapter.Codec, Zone: s.Zone,
-		OnStarted: recordStarted, Suspects: e.suspects, OnRefused: e.notify, Metrics: sillforwarder.NewMetrics(r), Log: log,
+		OnStarted: recordStarted, Suspects: e.suspects, OnRefused: e.notify,
+		BufferBytes: int64(bufferShare * float64(s.MemoryBytes)), Metrics: sillforwarder.NewMetrics(r), Log: log,
 	})
 }
 
--- /dev/null
+++ b/internal/sillforwarder/body.go
@@ -0,0 +1,93 @@
+package sillforwarder
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+)
+
+const (
+	// maxResponseBytes bounds the body of a response that is buffered before it is
+	// passed on.
+	maxResponseBytes = 16 << 20
+	// freeBodyBytes is the part of a body that the shared buffer does not count.
+	freeBodyBytes = 64 << 10
+	// firstBodyBytes is the first allocation for a body of unknown length.
+	firstBodyBytes = 2 << 10
+	// defaultBufferBytes is the size of the shared buffer if none is configured.
+	defaultBufferBytes = 64 << 20
+)
+
+var (
+	errResponseTooLong = errors.New("the response is longer than a gateway buffers")
+	errBufferFull      = errors.New("other responses take the memory for long responses")
+)
+
+// bodyBuffer bounds the memory of the bodies that are being read. It is safe for
+// concurrent use.
+type bodyBuffer struct {
+	// free is the number of bytes that long bodies may still take.
+	free atomic.Int64
+}
+
+func newBodyBuffer(size int64) *bodyBuffer {
+	if size == 0 {
+		size = defaultBufferBytes
+	}
+	b := &bodyBuffer{}
+	b.free.Store(size)
+	return b
+}
+
+// take takes a number of bytes, and returns false if there are not enough.
+func (b *bodyBuffer) take(n int64) bool {
+	if b.free.Add(-n) < 0 {
+		b.free.Add(n)
+		return false
+	}
+	return true
+}
+
+// read reads the body of a response. Errors: errResponseTooLong, errBufferFull and those
+// of the connection.
+func (b *bodyBuffer) read(resp *http.Response) ([]byte, error) {
+	capacity := int64(firstBodyBytes)
+	if resp.ContentLength >= firstBodyBytes {
+		// One more byte lets the last read find the end.
+		capacity = min(resp.ContentLength+1, freeBodyBytes)
+	}
+	taken := int64(0)
+	defer func() { b.free.Add(taken) }()
+	var body []byte
+	for {
+		if needed := max(0, capacity-freeBodyBytes) - taken; needed > 0 {
+			if !b.take(needed) {
+				return nil, errBufferFull
+			}
+			taken += needed
+		}
+		body = append(make([]byte, 0, capacity), body...)
+		switch err := fill(&body, resp.Body); {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		case len(body) > maxResponseBytes:
+			return nil, errResponseTooLong
+		}
+		capacity = min(2*capacity, maxResponseBytes+1)
+	}
+}
+
+// fill reads into the free capacity of a body until it is full or the read fails.
+func fill(body *[]byte, r io.Reader) error {
+	for len(*body) < cap(*body) {
+		n, err := r.Read((*body)[len(*body):cap(*body)])
+		*body = (*body)[:len(*body)+n]
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/sillforwarder/forwarder.go
+++ b/internal/sillforwarder/forwarder.go
@@ -22,12 +22,6 @@
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
 
-// maxResponseBytes bounds the body of a response that is buffered before it is
-// passed on.
-const maxResponseBytes = 16 << 20
-
-var errResponseTooLong = errors.New("the response is longer than a gateway buffers")
-
 // Request is a caller's request.
 type Request struct {
 	ID    sillid.RequestID
@@ -92,19 +86,23 @@
 	// a content. It must not block.
 	OnRefused func()
 	Metrics   *Metrics
-	Log       *zap.Logger
+	// BufferBytes bounds the memory of all responses that are being read, apart from
+	// the first 64 KiB of each; 0 stands for 64 MiB.
+	BufferBytes int64
+	Log         *zap.Logger
 }
 
 // Forwarder forwards requests to targets. It is safe for concurrent use.
 type Forwarder struct {
 	cfg     Config
 	crashes *crashMonitor
+	bodies  *bodyBuffer
 }
 
 // New returns a forwarder.
 func New(cfg Config) *Forwarder {
 	cfg.Log = cfg.Log.Named("forward")
-	f := &Forwarder{cfg: cfg}
+	f := &Forwarder{cfg: cfg, bodies: newBodyBuffer(cfg.BufferBytes)}
 	f.crashes = newCrashMonitor(cfg.Suspects, f.recordRefusedContent)
 	return f
 }
@@ -311,10 +309,7 @@
 		body := &streamBody{forwarder: f, attempt: a, body: resp.Body, cancel: cancel, ctx: ctx, outcome: silltarget.Abandoned}
 		return &Response{Status: resp.StatusCode, Header: resp.Header, Metadata: metadata, Stream: body}, silltarget.Answered, true
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLong
-	}
+	body, err := f.bodies.read(resp)
 	resp.Body.Close()
 	now := time.Now()
 	if err != nil {
