--- a/internal/sillstandin/faults.go
+++ b/internal/sillstandin/faults.go
@@ -57,8 +57,9 @@
 	Areas []string
 	// Seed seeds the choice of the calls that FailShare refuses.
 	Seed uint64
-	// OnCrash is called at each simulated crash, after the running calls lost
-	// their context. It may be nil.
+	// OnCrash is called at each simulated crash, before the running calls lose
+	// their context, so that it can tell them from calls whose caller left. It may
+	// be nil.
 	OnCrash func()
 }
 
@@ -113,16 +114,16 @@
 	return false
 }
 
-// Crash drops every running call and every connection, then calls OnCrash.
+// Crash calls OnCrash, then drops every running call and every connection.
 func (p *Panel) Crash() {
+	if p.cfg.OnCrash != nil {
+		p.cfg.OnCrash()
+	}
 	p.mu.Lock()
 	p.end()
 	p.life, p.end = context.WithCancel(context.Background())
 	closers := p.closers
 	p.mu.Unlock()
-	if p.cfg.OnCrash != nil {
-		p.cfg.OnCrash()
-	}
 	for _, c := range closers {
 		c()
 	}
