Wait for both targets before a target is stopped in TestStopDrainsFirst

The test failed once beside load: if the gateway was connected to one target only, the other had no booking to drain and was stopped at once. It now waits until both have run a booking, and counts the bookings after that; the bounds are the same.

--- a/internal/sillprocess/scale_test.go
+++ b/internal/sillprocess/scale_test.go
@@ -97,10 +97,26 @@
 	}
 }
 
+// awaitEachTarget sends bookings until both targets at work have run one, so that the
+// gateway is connected to them. It returns how many calls each has run.
+func (c *cluster) awaitEachTarget(t *testing.T) map[*target]int {
+	t.Helper()
+	before := make(map[*target]int)
+	eventually(t, "the gateway is connected to both targets", func() bool {
+		checkStatus(t, c.send(c.gateways[0], booking(`{"room":1}`)), http.StatusCreated)
+		for _, tg := range c.targets[:2] {
+			before[tg] = len(c.record(tg, ""))
+		}
+		return before[c.targets[0]] > 0 && before[c.targets[1]] > 0
+	})
+	return before
+}
+
 // TestStopDrainsFirst stops a target that runs a long booking: the order comes
 // only after the booking's answer.
 func TestStopDrainsFirst(t *testing.T) {
 	c := scaleCluster(t)
+	before := c.awaitEachTarget(t)
 	c.slowBookings(8 * time.Second)
 	var answers []chan answer
 	for range 8 {
@@ -130,7 +146,7 @@
 		last = time.Now()
 	}
 	for _, tg := range c.targets[:2] {
-		if len(c.record(tg, "")) < 2 {
+		if len(c.record(tg, ""))-before[tg] < 2 {
 			t.Errorf("%s ran no booking", tg.id)
 		}
 	}
