Reword silldispatch in the field's terms

Readers stumbled over a 'trial', an 'ending', 'died' and 'take', and over the comment of choose, which stood above a constant. They are dispatchState, outcomeOf, recordCrash and handleFrame now; comments say what the code does. No change of behaviour; the tests of the package pass.

--- a/internal/silldispatch/attempt.go
+++ b/internal/silldispatch/attempt.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// attachLimit bounds the wait for an agent to come back with the answer of
-	// an idempotent request, which can run elsewhere.
+	// attachLimit bounds the wait for the agent's connection to be restored while an
+	// idempotent request, which another target could run, has no complete response.
 	attachLimit = 500 * time.Millisecond
-	// attachLimitOnce is the same for a request that must not run again.
+	// attachLimitOnce is the same bound for a request that must not run again.
 	attachLimitOnce = 2 * sillwire.SilenceLimit
 )
 
@@ -26,7 +26,7 @@
 	id     sillid.AttemptID
 	target sillid.TargetID
 	link   Link
-	// agent is the run of the agent that got the request.
+	// agent is the run of the agent that received the request.
 	agent sillid.AgentID
 	// frames counts the received answer frames.
 	frames int
@@ -34,29 +34,29 @@
 	// tokens of a generation.
 	bytes  int64
 	tokens int
-	// began is when the attempt was sent.
+	// began is when the request was sent.
 	began time.Time
-	// firstAt is when the first frame came.
+	// firstAt is when the first frame was received; zero before.
 	firstAt time.Time
 }
 
-// result is what an attempt came to.
+// result is the result of an attempt.
 type result struct {
-	// finish is nil if the agent sent no end.
+	// finish is the last frame; nil if the agent sent none.
 	finish *sillwire.Finish
-	// problem is nil if the answer is whole.
+	// problem is nil if the response is complete.
 	problem *sillproblem.Problem
-	// sinkErr is set if the caller did not take the answer.
+	// sinkErr is the error of the caller's sink; nil if it accepted the response.
 	sinkErr error
-	// tokens counts the tokens that the attempt brought.
+	// tokens counts the tokens that the attempt generated.
 	tokens int
-	// load is what the agent told of its target; nil if nothing.
+	// load is the load of the target; nil if the agent did not report it.
 	load *sillwire.Load
 	// final is true if no other target may be tried.
 	final bool
 }
 
-// try sends the request to a target and follows the answer to its end.
+// try sends the request to a target and receives the response.
 func (d *Dispatcher) try(ctx context.Context, r *Request, a *attempt, out *output) result {
 	run := r.run(a.id, d.cfg.Now())
 	run.Target = a.target
@@ -74,13 +74,13 @@
 		return result{problem: sillproblem.New(sillproblem.NoTarget, "the agent is not connected")}
 	}
 	if err != nil {
-		return d.follow(ctx, r, a, broken(err), out)
+		return d.follow(ctx, r, a, failedExchange(err), out)
 	}
 	return d.follow(ctx, r, a, x, out)
 }
 
-// broken returns an exchange that failed before its first frame.
-func broken(err error) Exchange {
+// failedExchange returns an exchange that failed before its first frame.
+func failedExchange(err error) Exchange {
 	return Exchange{
 		Next:   func() (sillwire.Message, error) { return nil, err },
 		Linger: func(time.Duration) *sillwire.Finish { return nil },
@@ -89,10 +89,10 @@
 	}
 }
 
-// lingerLimit bounds the wait for the end of an answer whose caller is gone.
+// lingerLimit bounds the wait for the end of a response whose caller has disconnected.
 const lingerLimit = 2 * time.Second
 
-// linger takes the use of a run in whose caller is gone, in the background.
+// linger records the usage of a run whose caller has disconnected, in the background.
 func (d *Dispatcher) linger(x Exchange) {
 	d.cfg.Group.Go(func(context.Context) {
 		if f := x.Linger(lingerLimit); f != nil && f.Usage != nil {
@@ -101,8 +101,8 @@
 	})
 }
 
-// follow takes answer frames in until the last one, over as many connections
-// as it takes.
+// follow receives the frames of a response. If a connection is lost, it asks the agent
+// for the rest of the response over a new one.
 func (d *Dispatcher) follow(ctx context.Context, r *Request, a *attempt, x Exchange, out *output) result {
 	unwatch := watchStop(ctx, r, x)
 	defer func() { unwatch() }()
@@ -110,13 +110,13 @@
 		m, err := x.Next()
 		if err != nil && ctx.Err() != nil {
 			d.linger(x)
-			return result{problem: ended(ctx)}
+			return result{problem: contextProblem(ctx)}
 		}
 		if err != nil {
 			x.Finish()
 			d.cfg.Metrics.Attached.Inc()
 			if x, err = d.reattach(ctx, r, a); err != nil {
-				d.died(r, a, string(a.agent))
+				d.recordCrash(r, a, string(a.agent))
 				return result{problem: sillproblem.New(sillproblem.ConnectionSilent, "the agent of %s did not come back", a.target).WithOutcome(sillproblem.OutcomeUnknown)}
 			}
 			unwatch()
@@ -127,7 +127,7 @@
 		if a.frames == 1 {
 			a.firstAt = d.cfg.Now()
 		}
-		done, res := d.take(r, a, m, out)
+		done, res := d.handleFrame(r, a, m, out)
 		if !done {
 			continue
 		}
@@ -141,8 +141,8 @@
 	}
 }
 
-// watchStop passes a closed Stop channel on to the agent until the returned
-// function is called.
+// watchStop stops the run at the agent once the request's Stop channel is closed, until
+// the returned function is called.
 func watchStop(ctx context.Context, r *Request, x Exchange) func() {
 	if r.Stop == nil {
 		return func() {}
@@ -158,8 +158,8 @@
 	return g.Stop
 }
 
-// take handles one frame and tells whether it was the last.
-func (d *Dispatcher) take(r *Request, a *attempt, m sillwire.Message, out *output) (bool, result) {
+// handleFrame handles one frame and reports whether it was the last.
+func (d *Dispatcher) handleFrame(r *Request, a *attempt, m sillwire.Message, out *output) (bool, result) {
 	var err error
 	switch m := m.(type) {
 	case *sillwire.Refuse:
@@ -183,14 +183,14 @@
 	return false, result{}
 }
 
-// finish checks that the answer is the whole answer to this request.
+// finish checks that the response is complete and belongs to this request.
 func (d *Dispatcher) finish(r *Request, a *attempt, m *sillwire.Finish, out *output) result {
 	res := result{finish: m, load: m.Load}
 	if m.Usage != nil {
 		d.cfg.OnUsage(m.Usage)
 	}
 	if m.Died != "" {
-		d.died(r, a, m.Died)
+		d.recordCrash(r, a, m.Died)
 	}
 	switch {
 	case m.Problem != nil:
@@ -206,15 +206,15 @@
 	return res
 }
 
-// died records that a run of the target ended under the request.
-func (d *Dispatcher) died(r *Request, a *attempt, run string) {
+// recordCrash records that a run of the target ended while it ran the request.
+func (d *Dispatcher) recordCrash(r *Request, a *attempt, run string) {
 	if !r.Class.Owed() {
 		d.cfg.Suspects.RecordCrash(a.target, run, []sillcrash.RunningRequest{{Fingerprint: r.Fingerprint, Started: a.began}})
 	}
 	d.cfg.OnDeath()
 }
 
-// reattach waits for the agent and asks it for the rest of the answer.
+// reattach waits for a connection to the agent and asks it for the rest of the response.
 func (d *Dispatcher) reattach(ctx context.Context, r *Request, a *attempt) (Exchange, error) {
 	limit := attachLimitOnce
 	if r.Idempotent {
@@ -235,7 +235,7 @@
 	return Exchange{}, errors.Join(err, wait.Err())
 }
 
-// attachOnce gives up when wait ends, but ties the exchange to ctx.
+// attachOnce tries to reattach until wait ends. The exchange it returns ends with ctx.
 func (d *Dispatcher) attachOnce(ctx, wait context.Context, a *attempt, m *sillwire.Attach) (Exchange, error) {
 	tied, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(wait, cancel)
@@ -256,8 +256,8 @@
 	return x, nil
 }
 
-// ended names the reason for which the request's context ended.
-func ended(ctx context.Context) *sillproblem.Problem {
+// contextProblem returns the problem for which the request's context ended.
+func contextProblem(ctx context.Context) *sillproblem.Problem {
 	var p *sillproblem.Problem
 	if errors.As(context.Cause(ctx), &p) {
 		return p
--- a/internal/silldispatch/dispatch.go
+++ b/internal/silldispatch/dispatch.go
@@ -93,16 +93,16 @@
 	return &Dispatcher{cfg: cfg, budgets: sillretry.NewBudgets()}
 }
 
-// noTargetRetry tells a caller when to come back if no target can be reached.
+// noTargetRetry is the retry delay of a request for which no target is reachable.
 const noTargetRetry = time.Second
 
-// Do runs a request until its answer is whole or the request is given up. The
-// context ends with the caller; its cause may be a *sillproblem.Problem. With a
-// problem, the answer is that of the last target, or nil.
+// Do runs a request until its response is complete or no further attempt is made. The
+// context ends when the caller disconnects; its cause may be a *sillproblem.Problem. If
+// a problem is returned, the answer is that of the last target, or nil.
 func (d *Dispatcher) Do(ctx context.Context, r *Request, sink Sink) (*Answer, *sillproblem.Problem) {
 	ctx, cancel := context.WithTimeout(ctx, r.Deadline.Sub(d.cfg.Now()))
 	defer cancel()
-	t := &trial{request: r, out: newOutput(r, sink), budget: d.budgets.Of(r.Organisation, r.Pool)}
+	t := &dispatchState{request: r, out: newOutput(r, sink), budget: d.budgets.Of(r.Organisation, r.Pool)}
 	for {
 		if p := d.cfg.Suspects.Check(r.Fingerprint); p != nil && !r.Class.Owed() {
 			return nil, t.refuse(p)
@@ -125,21 +125,21 @@
 	}
 }
 
-// trial is a request on its way from target to target.
-type trial struct {
+// dispatchState is the state of a request between its attempts.
+type dispatchState struct {
 	request *Request
 	out     *output
 	budget  *sillretry.Budget
 	tried   []sillid.TargetID
-	// reached is true once a target may have got a byte of the request.
+	// reached is true once a target may have received a byte of the request.
 	reached bool
 	// last is the problem of the last attempt; nil before.
 	last *sillproblem.Problem
 }
 
-// refuse ends a trial before another attempt. What an earlier attempt may have
-// done stays true, and its problem says more than a missing target.
-func (t *trial) refuse(p *sillproblem.Problem) *sillproblem.Problem {
+// refuse returns the problem of a request that gets no further attempt. The problem of
+// an earlier attempt takes precedence over a missing target, and its outcome is kept.
+func (t *dispatchState) refuse(p *sillproblem.Problem) *sillproblem.Problem {
 	if t.last != nil && p.Kind == sillproblem.NoTarget {
 		return t.last
 	}
@@ -149,9 +149,9 @@
 	return p
 }
 
-// next decides what follows an attempt without a whole answer. It returns the
-// caller's problem, or nil after the wait before another attempt.
-func (d *Dispatcher) next(ctx context.Context, t *trial, res result) *sillproblem.Problem {
+// next decides whether an incomplete attempt is retried. It returns the caller's
+// problem, or nil once the delay before the next attempt has passed.
+func (d *Dispatcher) next(ctx context.Context, t *dispatchState, res result) *sillproblem.Problem {
 	if res.sinkErr != nil {
 		return sillproblem.New(sillproblem.DeadlinePassed, "the caller left").WithOutcome(sillproblem.OutcomeUnknown)
 	}
@@ -184,9 +184,9 @@
 	}
 }
 
-// failure describes an attempt to the policy. The attempt was looked up already
-// if its connection was lost.
-func (t *trial) failure(res result) sillretry.Failure {
+// failure describes a failed attempt to the retry policy. If its connection was lost,
+// follow has already asked the agent for the rest of the response.
+func (t *dispatchState) failure(res result) sillretry.Failure {
 	return sillretry.Failure{
 		Problem:               res.problem,
 		Idempotent:            t.request.Idempotent,
@@ -200,8 +200,8 @@
 	}
 }
 
-// end returns the problem with the outcome of the whole trial.
-func (t *trial) end(p *sillproblem.Problem) *sillproblem.Problem {
+// end returns the problem with the outcome of all attempts.
+func (t *dispatchState) end(p *sillproblem.Problem) *sillproblem.Problem {
 	if !t.reached || p.Outcome != sillproblem.NotRun {
 		return p
 	}
@@ -210,15 +210,12 @@
 	return &q
 }
 
-// choose passes over the targets that the request is to avoid, and those that
-// died while they ran it, while others are there. Another death at a target that
-// may be ill itself would tell little.
-// awaitPoll is the time between two looks for a target.
+// awaitPoll is the time between two checks for a target.
 const awaitPoll = 20 * time.Millisecond
 
-// await chooses a target. While the pool has none at all, as right after a start
-// of the gateway, it looks again for TargetWait.
-func (d *Dispatcher) await(ctx context.Context, t *trial) (Route, bool) {
+// await chooses a target. If there is none for the first attempt, as right after the
+// gateway has started, it polls for up to TargetWait.
+func (d *Dispatcher) await(ctx context.Context, t *dispatchState) (Route, bool) {
 	route, ok := d.choose(t.request, t.tried)
 	if ok || len(t.tried) > 0 || d.cfg.TargetWait == 0 {
 		return route, ok
@@ -239,6 +236,9 @@
 	return route, true
 }
 
+// choose chooses a target. As long as there are others, it excludes the targets that the
+// request avoids and those that crashed while they ran it: a second crash of a target
+// that may be faulty itself is weak evidence against the request.
 func (d *Dispatcher) choose(r *Request, tried []sillid.TargetID) (Route, bool) {
 	now := d.cfg.Now()
 	exclude := slices.Concat(tried, r.Avoid, d.cfg.Suspects.CrashedTargets(r.Fingerprint))
@@ -249,7 +249,7 @@
 	return route, ok
 }
 
-func (d *Dispatcher) attempt(ctx context.Context, t *trial, route Route) result {
+func (d *Dispatcher) attempt(ctx context.Context, t *dispatchState, route Route) result {
 	a := &attempt{
 		id:     sillid.NewAttemptID(t.request.ID, len(t.tried)),
 		target: route.Choice.Target,
@@ -266,12 +266,12 @@
 	if res.load != nil {
 		route.Choice.ObserveLoad(res.load.Running, res.load.Waiting)
 	}
-	route.Choice.Done(d.cfg.Now(), ending(res), latency)
+	route.Choice.Done(d.cfg.Now(), outcomeOf(res), latency)
 	return res
 }
 
-// ending tells the chooser what the attempt says about the target.
-func ending(res result) sillroute.Outcome {
+// outcomeOf returns what a result says about the health of its target.
+func outcomeOf(res result) sillroute.Outcome {
 	switch {
 	case res.sinkErr != nil:
 		return sillroute.Inconclusive
@@ -285,7 +285,7 @@
 	return sillroute.Inconclusive
 }
 
-// noTarget tells that no target can be reached.
+// noTarget returns the problem of a request for which no target is reachable.
 func noTarget() *sillproblem.Problem {
 	return sillproblem.New(sillproblem.NoTarget, "the route has no target that takes work").WithRetryAfter(noTargetRetry)
 }
--- a/internal/silldispatch/dispatch_test.go
+++ b/internal/silldispatch/dispatch_test.go
@@ -91,7 +91,7 @@
 
 // play returns an exchange that answers the frames and is lost behind them.
 func play(frames []sillwire.Message) Exchange {
-	x := broken(errLost)
+	x := failedExchange(errLost)
 	x.Next = func() (sillwire.Message, error) {
 		if len(frames) == 0 {
 			return nil, errLost
--- a/internal/silldispatch/link.go
+++ b/internal/silldispatch/link.go
@@ -9,30 +9,30 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// Link is the way to one agent.
+// Link sends requests to one agent.
 type Link struct {
 	// Run sends a request. The error silllink.ErrNotConnected means that the
-	// agent got no byte of it.
+	// agent received no byte of it.
 	Run func(ctx context.Context, run *sillwire.Run, body []byte) (Exchange, error)
-	// Attach asks for the rest of an answer; it waits for a connection.
+	// Attach asks for the rest of a response. It waits for a connection.
 	Attach func(ctx context.Context, attach *sillwire.Attach) (Exchange, error)
-	// Agent is the run of the agent that the link last heard of.
+	// Agent returns the run of the agent in its last heartbeat; empty before the first.
 	Agent func() sillid.AgentID
 }
 
-// Exchange is the stream of an answer.
+// Exchange is the stream of a response.
 type Exchange struct {
 	Next func() (sillwire.Message, error)
-	// Linger receives the rest of an answer that nobody waits for and returns
-	// its end, or nil.
+	// Linger discards the rest of a response whose caller has disconnected, and
+	// returns its last frame, or nil.
 	Linger func(limit time.Duration) *sillwire.Finish
-	// Stop asks the agent to end the run; the answer's end still comes.
+	// Stop asks the agent to end the run. The last frame still follows.
 	Stop func()
-	// Finish ends the stream and leaves the run alone.
+	// Finish closes the stream without ending the run.
 	Finish func()
 }
 
-// FromLink returns the seam of a connection.
+// FromLink returns the Link that uses a connection.
 func FromLink(l *silllink.Link) Link {
 	return Link{
 		Run: func(ctx context.Context, run *sillwire.Run, body []byte) (Exchange, error) {
--- a/internal/silldispatch/output.go
+++ b/internal/silldispatch/output.go
@@ -6,12 +6,12 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// output passes an answer to its sink and remembers what the sink has.
+// output passes a response to its sink and records what was passed.
 type output struct {
 	sink Sink
-	// given is true once the sink has got a part of the answer.
+	// given is true once a part of the response was passed to the sink.
 	given bool
-	// ids are the tokens that the sink has, the request's prefix included.
+	// ids are the tokens that were passed to the sink, after the request's prefix.
 	ids []int32
 	// spans attribute ids as the agents report them.
 	spans []sillattribution.Span
@@ -47,8 +47,8 @@
 	return o.sink.Tokens(m)
 }
 
-// resume makes the request go on behind what the sink has. It returns false if
-// that is not possible.
+// resume changes the request so that the next attempt continues after the tokens that
+// were passed to the sink. It returns false if that is not possible.
 func (o *output) resume(r *Request, finish *sillwire.Finish) bool {
 	if !o.given {
 		return true
@@ -68,7 +68,7 @@
 	return true
 }
 
-// restart voids the tokens that the sink has, if it can take that.
+// restart makes the sink discard its tokens. It returns false if the sink can't.
 func (o *output) restart(r *Request) bool {
 	if o.sink.Restart == nil {
 		return false
--- a/internal/silldispatch/request.go
+++ b/internal/silldispatch/request.go
@@ -1,12 +1,11 @@
 // Package silldispatch runs one request on the targets of a pool: it chooses a
-// target, follows the answer through broken connections, and tries again
-// elsewhere where that is safe.
+// target, receives the response across lost connections, and retries at another
+// target where that is safe.
 //
-// What is safe depends on what is known. A request that no target got may go
-// anywhere. A request that a target may have got is looked up first, by Attach
-// at the agent that got it; only an idempotent one is sent again after that. A
-// generation that broke off goes on at another target behind the tokens that
-// the caller has.
+// A request that no target received may be sent to any other. If a target may have
+// received it, the agent there is asked first, by Attach; after that only an
+// idempotent request is sent again. An interrupted generation is resumed at another
+// target after the tokens that the caller has already.
 package silldispatch
 
 import (
