Attribute crashes that come after the timeout of an attempt

A request that runs longer than the timeout of its first attempt before it crashes its target was not seen as the cause: its attempt had ended, the crash hit the others, and only the end of the target's registration, seconds later, told. Attempts without a response now count among those under which a target breaks off or turns out to be unreachable. Targets that drain first are no crash, so that planned work leaves no evidence.

--- a/internal/sillagent/execute.go
+++ b/internal/sillagent/execute.go
@@ -96,7 +96,7 @@
 	result.finish.Died = died
 	if first {
 		a.cfg.Log.Warn("the target broke off", zap.String("run", died))
-		a.cfg.Suspects.RecordCrash(a.cfg.Target, died, a.registry.running())
+		a.cfg.Suspects.RecordCrash(a.cfg.Now(), a.cfg.Target, died, a.registry.running())
 	}
 }
 
--- a/internal/sillcrash/shared.go
+++ b/internal/sillcrash/shared.go
@@ -22,15 +22,9 @@
 	return &SharedTracker{now: now, tracker: NewTracker(cfg)}
 }
 
-// RecordCrash records that a run of a target crashed while it ran the requests.
-func (s *SharedTracker) RecordCrash(target sillid.TargetID, run string, running []RunningRequest) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.tracker.RecordCrash(s.now(), target, run, running)
-}
-
-// RecordPastCrash records a crash that was detected later than it happened.
-func (s *SharedTracker) RecordPastCrash(at time.Time, target sillid.TargetID, run string, running []RunningRequest) {
+// RecordCrash records that a run of a target crashed while it ran the requests. The
+// time of the crash may be earlier than now.
+func (s *SharedTracker) RecordCrash(at time.Time, target sillid.TargetID, run string, running []RunningRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tracker.RecordCrash(at, target, run, running)
--- a/internal/silldirectgateway/crashevidence_test.go
+++ b/internal/silldirectgateway/crashevidence_test.go
@@ -34,7 +34,7 @@
 func (m *membership) crashTargets(count int) {
 	for i := range count {
 		r := sillcrash.RunningRequest{Fingerprint: crashing, Started: time.Now()}
-		m.evidence.suspects.RecordCrash(sillid.TargetID(fmt.Sprint(i)), "run", []sillcrash.RunningRequest{r})
+		m.evidence.suspects.RecordCrash(time.Now(), sillid.TargetID(fmt.Sprint(i)), "run", []sillcrash.RunningRequest{r})
 	}
 }
 
@@ -99,7 +99,7 @@
 	for content := range 4 * maxSharedRequests {
 		for target := range 20 {
 			r := sillcrash.RunningRequest{Fingerprint: sillcrash.Fingerprint{2, byte(content)}, Started: time.Now()}
-			m.evidence.suspects.RecordCrash(sillid.TargetID(fmt.Sprintf("target-with-a-long-id-%d", target)), "1765000000000", []sillcrash.RunningRequest{r})
+			m.evidence.suspects.RecordCrash(time.Now(), sillid.TargetID(fmt.Sprintf("target-with-a-long-id-%d", target)), "1765000000000", []sillcrash.RunningRequest{r})
 		}
 	}
 	if n := len(m.evidence.encode()); n == 0 || n > rowBytes {
--- a/internal/silldispatch/attempt.go
+++ b/internal/silldispatch/attempt.go
@@ -209,7 +209,7 @@
 // recordCrash records that a run of the target ended while it ran the request.
 func (d *Dispatcher) recordCrash(r *Request, a *attempt, run string) {
 	if !r.Class.Owed() {
-		d.cfg.Suspects.RecordCrash(a.target, run, []sillcrash.RunningRequest{{Fingerprint: r.Fingerprint, Started: a.began}})
+		d.cfg.Suspects.RecordCrash(d.cfg.Now(), a.target, run, []sillcrash.RunningRequest{{Fingerprint: r.Fingerprint, Started: a.began}})
 	}
 	d.cfg.OnDeath()
 }
--- a/internal/sillforwarder/crash.go
+++ b/internal/sillforwarder/crash.go
@@ -33,6 +33,11 @@
 	endedAt time.Time
 }
 
+// sameRun returns whether two attempts are at the same run of a target.
+func (r *run) sameRun(other *run) bool {
+	return r.target == other.target && r.targetStart.Equal(other.targetStart)
+}
+
 // crashMonitor records crashes of targets under requests. It holds the running
 // attempts of this process, so that a crash is attributed to the likeliest of them. It
 // is safe for concurrent use.
@@ -65,20 +70,30 @@
 }
 
 // end records the outcome of an attempt. A target that broke off may have crashed; one
-// that answered has survived the request.
+// that answered has survived the request. A target without a connection has crashed if
+// it stopped responding before.
 func (m *crashMonitor) end(r *run, o silltarget.Outcome) {
 	switch o {
 	case silltarget.Broken:
-		m.suspects.RecordCrash(r.target, runName(r.targetStart), m.breakOff(r))
-		m.reportRefused(r)
+		m.recordCrash(time.Now(), m.breakOff(r))
 		return
 	case silltarget.Answered:
 		m.suspects.RecordSuccess(r.request.Fingerprint)
 	}
+	if silent := m.finish(r, o); len(silent) > 0 {
+		m.recordCrash(silent[len(silent)-1].endedAt, silent)
+	}
+}
+
+// finish removes an attempt, and keeps it as a silent one if it has no response. It
+// returns the silent attempts at a target that turned out to be unreachable.
+func (m *crashMonitor) finish(r *run, o silltarget.Outcome) []*run {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.removeRunning(r.target, func(other *run) bool { return other == r })
 	switch o {
+	case silltarget.Unreachable:
+		return m.takeSilent(r)
 	case silltarget.Answered:
 		m.silent = slices.DeleteFunc(m.silent, func(other *run) bool { return other.request.Fingerprint == r.request.Fingerprint })
 	case silltarget.TimedOut, silltarget.Abandoned:
@@ -86,6 +101,30 @@
 		m.silent = append(m.silent, r)
 		m.silent = m.silent[max(0, len(m.silent)-maxSilentRuns):]
 	}
+	return nil
+}
+
+// takeSilent removes and returns the silent attempts at the same run of a target. The
+// caller holds m.mu.
+func (m *crashMonitor) takeSilent(r *run) []*run {
+	var taken []*run
+	m.silent = slices.DeleteFunc(m.silent, func(other *run) bool {
+		same := other.sameRun(r)
+		if same {
+			taken = append(taken, other)
+		}
+		return same
+	})
+	return taken
+}
+
+// recordCrash records the crash of a target under some attempts, of which there is at
+// least one.
+func (m *crashMonitor) recordCrash(at time.Time, under []*run) {
+	m.suspects.RecordCrash(at, under[0].target, strconv.FormatInt(under[0].targetStart.UnixMilli(), 10), requestsOf(under))
+	for _, r := range under {
+		m.reportRefused(r)
+	}
 }
 
 // reportRefused calls onRefused if the content of an attempt is refused from now on.
@@ -95,12 +134,9 @@
 	}
 }
 
-// runName names the run of a target that started at the given time.
-func runName(start time.Time) string { return strconv.FormatInt(start.UnixMilli(), 10) }
-
-// breakOff marks an attempt as broken and returns the requests that this run of the
-// target ran at that time, among them those whose attempts broke just before.
-func (m *crashMonitor) breakOff(r *run) []sillcrash.RunningRequest {
+// breakOff marks an attempt as broken and returns the attempts that this run of the
+// target had at that time, among them those that broke just before or got no response.
+func (m *crashMonitor) breakOff(r *run) []*run {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -110,13 +146,13 @@
 			return !other.endedAt.IsZero() && now.Sub(other.endedAt) > bystanderWindow
 		})
 	}
-	var sameRun []*run
+	under := m.takeSilent(r)
 	for _, other := range m.running[r.target] {
-		if other.targetStart.Equal(r.targetStart) {
-			sameRun = append(sameRun, other)
+		if other.sameRun(r) {
+			under = append(under, other)
 		}
 	}
-	return requestsOf(sameRun)
+	return under
 }
 
 func requestsOf(runs []*run) []sillcrash.RunningRequest {
@@ -136,35 +172,31 @@
 }
 
 // resolveSilent records crashes of targets that stopped responding and then left the
-// registry or started again. startOf returns when the registered run of a target
-// started, and false if the target is not registered.
-func (m *crashMonitor) resolveSilent(now time.Time, startOf func(sillid.TargetID) (time.Time, bool)) {
-	for _, crashed := range m.takeCrashed(now, startOf) {
-		last := crashed[len(crashed)-1]
-		m.suspects.RecordPastCrash(last.endedAt, last.target, runName(last.targetStart), requestsOf(crashed))
-		for _, r := range crashed {
-			m.reportRefused(r)
-		}
+// registry or started again. entryOf returns the registry entry of a target, and false
+// if it has none.
+func (m *crashMonitor) resolveSilent(now time.Time, entryOf func(sillid.TargetID) (silltarget.Entry, bool)) {
+	for _, r := range m.takeEnded(now, entryOf) {
+		m.recordCrash(r.endedAt, []*run{r})
 	}
 }
 
-// takeCrashed removes and returns the silent attempts at runs of targets that have
-// ended, grouped by run. It also removes those older than silentWindow.
-func (m *crashMonitor) takeCrashed(now time.Time, startOf func(sillid.TargetID) (time.Time, bool)) map[string][]*run {
+// takeEnded removes and returns the silent attempts at runs of targets that have ended.
+// It also removes those older than silentWindow, and those at targets that drain: these
+// end as planned.
+func (m *crashMonitor) takeEnded(now time.Time, entryOf func(sillid.TargetID) (silltarget.Entry, bool)) []*run {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	crashed := make(map[string][]*run)
+	var ended []*run
 	m.silent = slices.DeleteFunc(m.silent, func(r *run) bool {
 		if now.Sub(r.endedAt) > silentWindow {
 			return true
 		}
-		start, registered := startOf(r.target)
-		if registered && start.Equal(r.targetStart) {
-			return false
+		e, registered := entryOf(r.target)
+		if registered && e.StartedAt.Equal(r.targetStart) {
+			return e.State == silltarget.Draining
 		}
-		key := string(r.target) + " " + runName(r.targetStart)
-		crashed[key] = append(crashed[key], r)
+		ended = append(ended, r)
 		return true
 	})
-	return crashed
+	return ended
 }
--- a/internal/sillforwarder/crash_test.go
+++ b/internal/sillforwarder/crash_test.go
@@ -102,27 +102,42 @@
 	}
 }
 
-// TestSilentCrashes uses targets that stop responding and start again.
+// TestSilentCrashes uses targets that stop responding: three requests of a content time
+// out, each at another run.
 func TestSilentCrashes(t *testing.T) {
 	silent := behaviour{NoResponse: true}
 	for _, tc := range []struct {
-		name    string
-		restart bool
-		want    Reason
+		name  string
+		after func(f *fixture)
+		want  Reason
 	}{
-		{"targets that started again", true, CrashSuspect},
-		{"targets that are only slow", false, TimedOut},
+		{"targets start again", (*fixture).restart, CrashSuspect},
+		{"targets leave the registry", func(f *fixture) {
+			for _, target := range f.targets {
+				f.directory.Remove(target.ID)
+			}
+			f.forwarder.ResolveSilentTargets(time.Now())
+			f.restart()
+		}, CrashSuspect},
+		{"targets drain and leave", func(f *fixture) {
+			for _, target := range f.targets {
+				e, _ := f.directory.Entry(target.ID)
+				e.State = silltarget.Draining
+				f.directory.Apply(e)
+			}
+			f.forwarder.ResolveSilentTargets(time.Now())
+			f.restart()
+		}, TimedOut},
+		{"targets are only slow", func(*fixture) {}, TimedOut},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			f := newFixture(t, silent, silent, silent)
+			f.restart()
 			r := route(sillcatalog.AtMostOnce, 1)
-			r.Timeout = 30 * time.Millisecond
 			for range 3 {
 				_, err := f.do(t.Context(), r, 30*time.Millisecond)
 				checkRefusal(t, err, TimedOut, false)
-				if tc.restart {
-					f.restart()
-				}
+				tc.after(f)
 				f.forwarder.ResolveSilentTargets(time.Now())
 			}
 			_, err := f.do(t.Context(), r, 30*time.Millisecond)
@@ -131,6 +146,29 @@
 	}
 }
 
+// TestCrashAfterTheTimeout crashes targets after the attempt of the culprit has timed
+// out: another request finds out.
+func TestCrashAfterTheTimeout(t *testing.T) {
+	culprit, sound := sillcrash.Fingerprint{1}, sillcrash.Fingerprint{2}
+	for name, outcome := range map[string]silltarget.Outcome{
+		"another attempt breaks": silltarget.Broken, "the target is unreachable": silltarget.Unreachable,
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := sillcrash.NewSharedTracker(time.Now, sillcrash.Config{CountAllCrashes: true})
+			m := newCrashMonitor(tracker, func(sillcrash.Fingerprint, sillid.TargetID) {})
+			m.end(m.start(silltarget.Grant{ID: "first"}, culprit), silltarget.Broken)
+			for _, id := range []sillid.TargetID{"a", "b", "c"} {
+				g := silltarget.Grant{ID: id}
+				m.end(m.start(g, culprit), silltarget.TimedOut)
+				m.end(m.start(g, sound), outcome)
+			}
+			if tracker.Check(culprit) == nil || tracker.Check(sound) != nil {
+				t.Errorf("culprit: %v, bystander: %v; want only the culprit refused", tracker.Check(culprit), tracker.Check(sound))
+			}
+		})
+	}
+}
+
 // TestBystandersAreSpared breaks the attempts of a sound request together with those of
 // a likelier cause, in either order.
 func TestBystandersAreSpared(t *testing.T) {
--- a/internal/sillforwarder/forwarder.go
+++ b/internal/sillforwarder/forwarder.go
@@ -157,7 +157,7 @@
 // ResolveSilentTargets attributes crashes of targets that stopped responding to the
 // requests that they ran. It is called periodically.
 func (f *Forwarder) ResolveSilentTargets(now time.Time) {
-	f.crashes.resolveSilent(now, f.cfg.Directory.StartOf)
+	f.crashes.resolveSilent(now, f.cfg.Directory.Entry)
 }
 
 // crashSuspicion returns a problem if the request must not run because targets crashed
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -121,16 +121,15 @@
 	return ids
 }
 
-// StartOf returns when the registered run of a target started, and false if the target
-// is not registered.
-func (d *Directory) StartOf(id sillid.TargetID) (time.Time, bool) {
+// Entry returns the registry entry of a target, and false if it has none.
+func (d *Directory) Entry(id sillid.TargetID) (Entry, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := d.targets[id]
 	if t == nil {
-		return time.Time{}, false
+		return Entry{}, false
 	}
-	return t.entry.StartedAt, true
+	return t.entry, true
 }
 
 // Entries returns the entries of the targets of a pool, in no particular order.
