Read bodies from a reader and a length

The linter's bodyclose took the responses that the tests of the body buffer made for leaks; the buffer needs a reader and a length only.

--- a/internal/sillforwarder/body.go
+++ b/internal/sillforwarder/body.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net/http"
 	"sync/atomic"
 )
 
@@ -49,13 +48,13 @@
 	return true
 }
 
-// read reads the body of a response. Errors: errResponseTooLong, errBufferFull and those
+// read reads the body of a response whose announced length is -1 if unknown. Errors: errResponseTooLong, errBufferFull and those
 // of the connection.
-func (b *bodyBuffer) read(resp *http.Response) ([]byte, error) {
+func (b *bodyBuffer) read(r io.Reader, length int64) ([]byte, error) {
 	capacity := int64(firstBodyBytes)
-	if resp.ContentLength >= firstBodyBytes {
+	if length >= firstBodyBytes {
 		// One more byte lets the last read find the end.
-		capacity = min(resp.ContentLength+1, freeBodyBytes)
+		capacity = min(length+1, freeBodyBytes)
 	}
 	taken := int64(0)
 	defer func() { b.free.Add(taken) }()
@@ -68,7 +67,7 @@
 			taken += needed
 		}
 		body = append(make([]byte, 0, capacity), body...)
-		switch err := fill(&body, resp.Body); {
+		switch err := fill(&body, r); {
 		case errors.Is(err, io.EOF):
 			return body, nil
 		case err != nil:
--- a/internal/sillforwarder/body_test.go
+++ b/internal/sillforwarder/body_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -16,16 +15,12 @@
 
 func (endless) Read(p []byte) (int, error) { return len(p), nil }
 
-func response(length int64, body io.Reader) *http.Response {
-	return &http.Response{ContentLength: length, Body: io.NopCloser(body)}
-}
-
 func TestBodies(t *testing.T) {
 	for _, size := range []int{0, 1, firstBodyBytes, firstBodyBytes + 1, freeBodyBytes, 3 * freeBodyBytes, maxResponseBytes} {
 		want := bytes.Repeat([]byte("x"), size)
 		for _, length := range []int64{-1, int64(size)} {
 			b := newBodyBuffer(0)
-			got, err := b.read(response(length, bytes.NewReader(want)))
+			got, err := b.read(bytes.NewReader(want), length)
 			if err != nil || !bytes.Equal(got, want) {
 				t.Errorf("length %d of %d: %d bytes, error %v", length, size, len(got), err)
 			}
@@ -34,12 +29,12 @@
 	}
 	t.Run("broken off", func(t *testing.T) {
 		broken := io.MultiReader(strings.NewReader("some"), iotest.ErrReader(io.ErrUnexpectedEOF))
-		if _, err := newBodyBuffer(0).read(response(100, broken)); !errors.Is(err, io.ErrUnexpectedEOF) {
+		if _, err := newBodyBuffer(0).read(broken, 100); !errors.Is(err, io.ErrUnexpectedEOF) {
 			t.Errorf("error %v", err)
 		}
 	})
 	t.Run("a length without a body", func(t *testing.T) {
-		got, err := newBodyBuffer(0).read(response(1<<40, strings.NewReader("")))
+		got, err := newBodyBuffer(0).read(strings.NewReader(""), 1<<40)
 		if err != nil || len(got) > 0 {
 			t.Errorf("%d bytes, error %v", len(got), err)
 		}
@@ -61,14 +56,14 @@
 	var readers sync.WaitGroup
 	for range bodies {
 		readers.Go(func() {
-			if _, err := b.read(response(-1, endless{})); !errors.Is(err, errResponseTooLong) && !errors.Is(err, errBufferFull) {
+			if _, err := b.read(endless{}, -1); !errors.Is(err, errResponseTooLong) && !errors.Is(err, errBufferFull) {
 				t.Errorf("error %v", err)
 			}
 		})
 	}
 	readers.Wait()
 	checkAllFree(t, b, size)
-	if _, err := b.read(response(-1, bytes.NewReader(make([]byte, size/2)))); err != nil {
+	if _, err := b.read(bytes.NewReader(make([]byte, size/2)), -1); err != nil {
 		t.Errorf("a long body after them: %v", err)
 	}
 }
--- a/internal/sillforwarder/forwarder.go
+++ b/internal/sillforwarder/forwarder.go
@@ -309,7 +309,7 @@
 		body := &streamBody{forwarder: f, attempt: a, body: resp.Body, cancel: cancel, ctx: ctx, outcome: silltarget.Abandoned}
 		return &Response{Status: resp.StatusCode, Header: resp.Header, Metadata: metadata, Stream: body}, silltarget.Answered, true
 	}
-	body, err := f.bodies.read(resp)
+	body, err := f.bodies.read(resp.Body, resp.ContentLength)
 	resp.Body.Close()
 	now := time.Now()
 	if err != nil {
