Order the groups of a step by the 0.9 quantile of their lengths

Cause: groups start longest first by the 0.8 quantile of their predicted lengths, but one length in ten comes from a heavy tail, which that quantile does not see; these samples decide when a step ends. Change: the 0.9 quantile.

--- a/internal/sillrollout/next.go
+++ b/internal/sillrollout/next.go
@@ -48,7 +48,7 @@
 // Parameters of the scheduling decisions.
 const (
 	// orderQuantile is the quantile of the predicted length that orders the groups.
-	orderQuantile = 0.8
+	orderQuantile = 0.9
 	// freshQuantile is the quantile of the predicted length that is checked against
 	// the staleness bound.
 	freshQuantile = 0.9
