--- /dev/null
+++ b/internal/sillforwarder/attempt.go
@@ -0,0 +1,160 @@
+package sillforwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/wasabisill/wasabisill/internal/sillcatalog"
+	"github.com/wasabisill/wasabisill/internal/sillheader"
+	"github.com/wasabisill/wasabisill/internal/silltarget"
+	"github.com/wasabisill/wasabisill/internal/silltransport"
+)
+
+// activeAttempt is an attempt that holds a grant until release.
+type activeAttempt struct {
+	silltarget.Grant
+	// run is nil for requests that are owed.
+	run *run
+}
+
+func (f *Forwarder) begin(req *Request, g silltarget.Grant, p progress) activeAttempt {
+	if req.Owed {
+		return activeAttempt{Grant: g}
+	}
+	return activeAttempt{Grant: g, run: f.crashes.start(g, p.content)}
+}
+
+// release returns the grant of an attempt and records its outcome.
+func (f *Forwarder) release(a activeAttempt, o silltarget.Outcome) {
+	f.cfg.Directory.Release(time.Now(), a.Grant, o)
+	if a.run != nil {
+		f.crashes.end(a.run, o)
+	}
+}
+
+// attempt sends a request to one target. If there is no response, it returns the
+// outcome of the attempt and whether the target may have run the request.
+func (f *Forwarder) attempt(ctx context.Context, req *Request, a activeAttempt, p progress) (*Response, silltarget.Outcome, bool) {
+	remaining := time.Until(req.Deadline)
+	limit := attemptTimeout(req.Route, p, f.cfg.Directory.MeanUnitLatency(req.Pool), remaining)
+	header := req.Header.Clone()
+	f.cfg.Codec.SetRequestHeaders(header, sillheader.Attempt{
+		Request: req.ID, Target: a.ID, Organisation: req.Organisation, Remaining: remaining,
+	})
+	attemptCtx, cancel := context.WithTimeout(ctx, limit)
+	sentAt := time.Now()
+	resp, err := f.cfg.Pool.Send(attemptCtx, a.Address, &silltransport.Request{
+		Method: req.Method, RequestURI: req.RequestURI, Host: req.Host, Header: header, Body: req.Body,
+	})
+	if err == nil {
+		return f.readResponse(ctx, req, a, resp, sentAt, cancel)
+	}
+	cancel()
+	outcome := f.failedOutcome(ctx, err)
+	f.release(a, outcome)
+	ran := !silltransport.NotSent(err)
+	if ran {
+		f.cfg.OnStarted(req.Organisation, sentAt)
+	}
+	return nil, outcome, ran
+}
+
+// failedOutcome returns the outcome of an attempt without a complete response.
+func (f *Forwarder) failedOutcome(ctx context.Context, err error) silltarget.Outcome {
+	switch {
+	case ctx.Err() != nil:
+		return silltarget.Abandoned
+	case silltransport.NotSent(err):
+		return silltarget.Unreachable
+	case errors.Is(err, context.DeadlineExceeded):
+		return silltarget.TimedOut
+	case isConnectionError(err):
+		return silltarget.Broken
+	}
+	return silltarget.Malformed
+}
+
+// isConnectionError returns whether the peer closed or reset the connection, or was
+// lost.
+func isConnectionError(err error) bool {
+	var failure *net.OpError
+	return errors.As(err, &failure) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// readResponse evaluates the metadata of a response and reads its body, unless the
+// body is streamed.
+func (f *Forwarder) readResponse(ctx context.Context, req *Request, a activeAttempt, resp *http.Response, sentAt time.Time, cancel context.CancelFunc) (*Response, silltarget.Outcome, bool) {
+	metadata := f.cfg.Codec.ParseResponse(resp)
+	streamed := req.Route.Kind == sillcatalog.Stream && !metadata.NotRun && !metadata.Misdirected
+	if !streamed {
+		defer cancel()
+	}
+	switch {
+	case metadata.Misdirected:
+		return f.finishRejected(a, resp, metadata, silltarget.Misdirected)
+	case metadata.NotRun:
+		return f.finishRejected(a, resp, metadata, silltarget.Rejected)
+	}
+	f.cfg.OnStarted(req.Organisation, sentAt)
+	if streamed {
+		body := &streamBody{forwarder: f, attempt: a, body: resp.Body, cancel: cancel, ctx: ctx, outcome: silltarget.Abandoned}
+		return &Response{Status: resp.StatusCode, Header: resp.Header, Metadata: metadata, Stream: body}, silltarget.Answered, true
+	}
+	body, err := f.bodies.read(resp.Body, resp.ContentLength)
+	resp.Body.Close()
+	now := time.Now()
+	if err != nil {
+		outcome := f.failedOutcome(ctx, err)
+		f.release(a, outcome)
+		return nil, outcome, true
+	}
+	f.cfg.Directory.Observe(now, a.Grant, metadata.Load, now.Sub(sentAt))
+	f.release(a, silltarget.Answered)
+	f.cfg.Metrics.observeLatency(now.Sub(sentAt))
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Metadata: metadata, Body: body}, silltarget.Answered, true
+}
+
+// finishRejected handles the response of a target that did not run the request.
+func (f *Forwarder) finishRejected(a activeAttempt, resp *http.Response, metadata sillheader.ResponseMetadata, o silltarget.Outcome) (*Response, silltarget.Outcome, bool) {
+	// The body is read so that the connection can be reused; an error only costs
+	// the connection.
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes))
+	resp.Body.Close()
+	f.cfg.Directory.Observe(time.Now(), a.Grant, metadata.Load, 0)
+	f.release(a, o)
+	return nil, o, false
+}
+
+// streamBody is the body of a streamed response. Close releases the grant with the
+// outcome of the stream.
+type streamBody struct {
+	forwarder *Forwarder
+	attempt   activeAttempt
+	body      io.ReadCloser
+	cancel    context.CancelFunc
+	ctx       context.Context
+	// outcome is Abandoned until the stream ends or fails.
+	outcome silltarget.Outcome
+}
+
+func (b *streamBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	switch {
+	case err == io.EOF:
+		b.outcome = silltarget.Answered
+	case err != nil:
+		b.outcome = b.forwarder.failedOutcome(b.ctx, err)
+	}
+	return n, err
+}
+
+func (b *streamBody) Close() error {
+	err := b.body.Close()
+	b.cancel()
+	b.forwarder.release(b.attempt, b.outcome)
+	return err
+}
--- /dev/null
+++ b/internal/silltarget/pick.go
@@ -0,0 +1,208 @@
+package silltarget
+
+import (
+	"time"
+
+	"github.com/wasabisill/wasabisill/pkg/sillid"
+)
+
+// Query selects the targets that a request may be sent to.
+type Query struct {
+	Pool sillid.PoolID
+	// Zone is the preferred availability zone: targets of other zones cost slightly
+	// more (crossZoneCost).
+	Zone sillid.ZoneID
+	// Exclude holds targets that must not be picked.
+	Exclude map[sillid.TargetID]bool
+	// Model and MinVersion exclude targets with older weights. Without a model,
+	// any weights are accepted.
+	Model      sillid.ModelID
+	MinVersion sillid.WeightVersion
+	// ExactVersion, if not 0, is the only accepted version.
+	ExactVersion sillid.WeightVersion
+	// PreferNewest ranks targets by the weight version of the model before all else.
+	PreferNewest bool
+	// Prefer is picked before other targets if it is eligible; PreferNewest takes
+	// precedence.
+	Prefer sillid.TargetID
+	// FreeOnly excludes targets without a free slot. Otherwise a request may
+	// queue at its target.
+	FreeOnly bool
+	// MaxResponseTime, if not 0, excludes targets whose expected response time is
+	// longer. It is for targets whose unit of work is a whole request.
+	MaxResponseTime time.Duration
+	// IncludeBackingOff also accepts targets in backoff.
+	IncludeBackingOff bool
+	// MaxUnitLatency, if not 0, excludes targets whose unit latency is unknown or
+	// not below it.
+	MaxUnitLatency time.Duration
+}
+
+// Grant is a target picked for one attempt. The caller returns it with Release.
+type Grant struct {
+	ID      sillid.TargetID
+	Address string
+	// StartedAt is when the run of the target started that was picked.
+	StartedAt time.Time
+	// Versions are the weight versions of the target when it was picked.
+	Versions map[sillid.ModelID]sillid.WeightVersion
+
+	target *target
+	// utilisation is the utilisation of the target with this attempt counted.
+	utilisation float64
+}
+
+// Pick returns the best target for an attempt, or false if none is eligible.
+func (d *Directory) Pick(now time.Time, q Query) (Grant, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	meanLatency, meanServiceTime := d.meanUnitLatency(q.Pool), d.meanServiceTime(q.Pool)
+	var best *target
+	for _, t := range d.targets {
+		if !t.isEligible(now, &q, meanServiceTime) {
+			continue
+		}
+		if best == nil || better(now, &q, meanLatency, t, best) {
+			best = t
+		}
+	}
+	if best == nil {
+		return Grant{}, false
+	}
+	best.running++
+	return Grant{
+		ID: best.entry.ID, Address: best.entry.Address, StartedAt: best.entry.StartedAt, Versions: best.entry.Versions,
+		target: best, utilisation: best.utilisation(now, 0),
+	}, true
+}
+
+// EarliestResponse returns the lowest expected response time of the eligible
+// targets; 0 if it is unknown. It ignores q.MaxResponseTime.
+func (d *Directory) EarliestResponse(now time.Time, q Query) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q.MaxResponseTime = 0
+	meanServiceTime := d.meanServiceTime(q.Pool)
+	earliest := time.Duration(0)
+	for _, t := range d.targets {
+		if !t.isEligible(now, &q, meanServiceTime) {
+			continue
+		}
+		if e := t.expectedResponseTime(now, meanServiceTime); earliest == 0 || e < earliest {
+			earliest = e
+		}
+	}
+	return earliest
+}
+
+// AnyEligible returns whether some target may serve the query's requests, now or
+// once it has a free slot and its backoff has ended.
+func (d *Directory) AnyEligible(now time.Time, q Query) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q.FreeOnly, q.IncludeBackingOff = false, true
+	for _, t := range d.targets {
+		if t.isEligible(now, &q, 0) {
+			return true
+		}
+	}
+	return false
+}
+
+// FreeSlots returns the number of free slots at the eligible targets.
+func (d *Directory) FreeSlots(now time.Time, q Query) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q.FreeOnly = true
+	free := 0
+	for _, t := range d.targets {
+		if t.isEligible(now, &q, 0) {
+			free += t.entry.Slots - t.load(now)
+		}
+	}
+	return free
+}
+
+// meanUnitLatency returns the mean of the known unit latencies of a pool, or 0.
+func (d *Directory) meanUnitLatency(pool sillid.PoolID) time.Duration {
+	return d.mean(pool, func(t *target) time.Duration { return t.unitLatency })
+}
+
+// meanServiceTime returns the mean of the known service times of a pool, or 0.
+func (d *Directory) meanServiceTime(pool sillid.PoolID) time.Duration {
+	return d.mean(pool, func(t *target) time.Duration { return t.serviceTime })
+}
+
+// mean returns the mean of a duration over the targets of a pool for which it is
+// known, or 0.
+func (d *Directory) mean(pool sillid.PoolID, of func(*target) time.Duration) time.Duration {
+	sum, known := time.Duration(0), 0
+	for _, t := range d.targets {
+		if t.entry.Pool == pool && of(t) > 0 {
+			sum += of(t)
+			known++
+		}
+	}
+	if known == 0 {
+		return 0
+	}
+	return sum / time.Duration(known)
+}
+
+// isEligible returns whether a target may serve the query's requests.
+// meanServiceTime replaces an unknown service time.
+func (t *target) isEligible(now time.Time, q *Query, meanServiceTime time.Duration) bool {
+	e := &t.entry
+	switch {
+	case e.Pool != q.Pool, e.State != Ready, q.Exclude[e.ID], t.backingOff(now) && !q.IncludeBackingOff:
+		return false
+	case q.FreeOnly && t.load(now) >= max(e.Slots, 1):
+		return false
+	case q.MaxResponseTime > 0 && t.expectedResponseTime(now, meanServiceTime) > q.MaxResponseTime:
+		return false
+	case q.MaxUnitLatency > 0 && (t.unitLatency == 0 || t.unitLatency >= q.MaxUnitLatency):
+		return false
+	case q.Model == "":
+		return true
+	case q.ExactVersion != 0 && e.Versions[q.Model] != q.ExactVersion:
+		return false
+	}
+	return e.Versions[q.Model] >= q.MinVersion
+}
+
+// better returns whether a is picked before b. Among equally preferred targets
+// the one with the lower cost wins, so slow targets get fewer requests.
+func better(now time.Time, q *Query, meanLatency time.Duration, a, b *target) bool {
+	if va, vb := a.entry.Versions[q.Model], b.entry.Versions[q.Model]; q.PreferNewest && va != vb {
+		return va > vb
+	}
+	if prefersA, prefersB := a.entry.ID == q.Prefer, b.entry.ID == q.Prefer; prefersA != prefersB {
+		return prefersA
+	}
+	ca, cb := a.cost(now, q, meanLatency), b.cost(now, q, meanLatency)
+	if ca != cb {
+		return ca < cb
+	}
+	return a.entry.ID < b.entry.ID
+}
+
+// crossZoneCost is the relative cost added for a target in another availability
+// zone: traffic between zones costs money and adds delay.
+const crossZoneCost = 0.05
+
+// cost returns the utilisation of the target with one more request, multiplied by
+// its unit latency. meanLatency replaces an unknown unit latency.
+func (t *target) cost(now time.Time, q *Query, meanLatency time.Duration) float64 {
+	cost := (float64(t.load(now)) + 1) / float64(max(t.entry.Slots, 1))
+	latency := t.unitLatency
+	if latency == 0 {
+		latency = meanLatency
+	}
+	if latency > 0 {
+		cost *= latency.Seconds()
+	}
+	if q.Zone != "" && t.entry.Zone != q.Zone {
+		cost *= 1 + crossZoneCost
+	}
+	return cost
+}
