Reword sillagent in the field's terms

Readers stumbled over TakeOut, TakePlan, a 'bracket', runs that are 'taken in' and callers that are 'gone'. The names are SetOutOfService, ReceivePlan, ReceiveConfig and tracker now; comments say what the code does, with every reason kept. Log messages, wire fields and metrics are unchanged.

--- a/internal/sillagent/agent.go
+++ b/internal/sillagent/agent.go
@@ -1,6 +1,6 @@
-// Package sillagent is the process beside each target. Every request that the
-// target gets passes its agent, which therefore holds the truth about it: what
-// runs, what has run, which weights are loaded and what is billed.
+// Package sillagent is the process beside each target. Every request to the target
+// passes its agent, which therefore knows what runs, what has run, which weights are
+// loaded and what is billed.
 package sillagent
 
 import (
@@ -24,7 +24,7 @@
 // Use is what one run is billed for.
 type Use struct {
 	EndedAt time.Time
-	// Requests is 1 for a whole answer and 0 for a part of one.
+	// Requests is 1 for a complete response and 0 for an incomplete one.
 	Requests         int64
 	Organisation     sillid.OrganisationID
 	Route            sillid.RouteID
@@ -35,7 +35,7 @@
 
 // Config holds what an agent needs.
 type Config struct {
-	// ID is fresh at every start.
+	// ID is new at every start.
 	ID       sillid.AgentID
 	Target   sillid.TargetID
 	Instance sillid.InstanceID
@@ -52,19 +52,19 @@
 	Gate *silllimit.Gate
 	// Meter counts the use of a run and returns its numbered record.
 	Meter func(use Use) *sillwire.UsageRecord
-	// OnPing is told of every heartbeat of a gateway and completes the answer.
+	// OnPing is called for each heartbeat of a gateway and adds to its response.
 	OnPing func(ping *sillwire.Ping, pong *sillwire.Pong)
 	// SendConfig sends the configuration in force.
 	SendConfig func(w io.Writer) error
-	// TakeConfig receives a configuration that a gateway pushes.
-	TakeConfig func(r io.Reader, first *sillwire.Bundle) error
+	// ReceiveConfig receives a configuration that a gateway pushes.
+	ReceiveConfig func(r io.Reader, first *sillwire.Bundle) error
 	// Weights sends weights that the agent holds.
 	Weights func(ctx context.Context, want *sillwire.FetchWeights, stream *quic.Stream) error
-	// TakePlan receives a weight plan that a gateway pushes.
-	TakePlan func(plan *sillwire.WeightPlan) error
-	// WeightStatus takes the status of another agent and returns the own one.
+	// ReceivePlan receives a weight plan that a gateway pushes.
+	ReceivePlan func(plan *sillwire.WeightPlan) error
+	// WeightStatus receives the status of another agent and returns this agent's.
 	WeightStatus func(status *sillwire.WeightStatus) *sillwire.WeightStatus
-	// Suspects knows the requests that crash their targets.
+	// Suspects holds the evidence on requests that crash their targets.
 	Suspects *sillcrash.SharedTracker
 	Metrics  *Metrics
 	Log      *zap.Logger
@@ -83,10 +83,10 @@
 }
 
 const (
-	// detachLimit is the time for which a run whose stream broke waits for its
-	// gateway to come back.
+	// detachLimit is how long a run whose stream was lost waits for its gateway to
+	// reconnect.
 	detachLimit = 10 * time.Second
-	// sweepInterval is the time between two looks for such runs.
+	// sweepInterval is the time between two checks for such runs.
 	sweepInterval = time.Second
 )
 
@@ -108,7 +108,7 @@
 	a.group.Go(a.sweep)
 }
 
-// Drain takes no new work and waits until all runs have ended or ctx has.
+// Drain rejects new requests and waits until all runs have ended or ctx ends.
 func (a *Agent) Drain(ctx context.Context, reason string) error {
 	done := make(chan struct{})
 	a.control.await(drainAsked{reason: reason, done: done}, done)
@@ -127,10 +127,10 @@
 	}
 }
 
-// drainPoll is the time between two looks at the open runs.
+// drainPoll is the time between two checks of the open runs.
 const drainPoll = 20 * time.Millisecond
 
-// Stop ends the agent at once. Runs that are open are cut; Drain comes first.
+// Stop ends the agent at once and cuts open runs. Call Drain first to finish them.
 func (a *Agent) Stop() {
 	_ = a.cfg.Listener.Close()
 	a.group.Stop()
@@ -156,7 +156,7 @@
 	}
 }
 
-// sweep cancels runs that nobody came back for.
+// sweep cancels runs whose gateway did not reconnect in time.
 func (a *Agent) sweep(ctx context.Context) {
 	sillgroup.Every(ctx, sweepInterval, func(time.Time) {
 		for _, n := range a.registry.abandoned(a.cfg.Now().Add(-detachLimit)) {
--- a/internal/sillagent/control.go
+++ b/internal/sillagent/control.go
@@ -26,26 +26,26 @@
 	eventBacklog = 256
 )
 
-// event is something that the control goroutine takes in.
+// event is an event that the control goroutine handles.
 type event any
 
 type (
-	// engineSeen is the answer to a read of the engine's load.
+	// engineSeen is the result of reading the engine's load.
 	engineSeen struct {
 		load sillengine.Load
 		err  error
 	}
-	// targetFailed tells that the target refused a connection.
+	// targetFailed means that the target refused a connection.
 	targetFailed struct{}
-	// drainAsked starts or takes back a drain.
+	// drainAsked starts or cancels a drain.
 	drainAsked struct {
 		reason string
 		undo   bool
-		// done is closed once no new run is let in; may be nil.
+		// done is closed once no new run is admitted; may be nil.
 		done chan struct{}
 	}
-	// swapBegan and swapEnded bracket a load of weights. Each closes done once
-	// it is taken in.
+	// swapBegan and swapEnded mark the start and the end of a load of weights. Each
+	// closes done once it is handled.
 	swapBegan struct {
 		version sillid.WeightVersion
 		done    chan struct{}
@@ -55,19 +55,20 @@
 		outcome sillattribution.LoadOutcome
 		done    chan struct{}
 	}
-	// takenOut tells that the engine failed to load for good, or is back.
-	takenOut struct{ out bool }
+	// outOfService means that the engine can't load the weights that it should, or
+	// can again.
+	outOfService struct{ out bool }
 )
 
-// controlState is what the control goroutine publishes. It is never changed
-// once published.
+// controlState is the state that the control goroutine publishes. It is immutable once
+// published.
 type controlState struct {
 	state sillwire.AgentState
-	// engine, model and version are what the agent found loaded.
+	// engine, model and version are those that the engine last reported.
 	engine  sillid.EngineID
 	model   sillid.ModelID
 	version sillid.WeightVersion
-	// pending is the version of a load under way; 0 if there is none.
+	// pending is the version that is being loaded; 0 if there is none.
 	pending sillid.WeightVersion
 	drain   string
 	// unsettled is true from a failed or unknown order until its confirmation.
@@ -76,13 +77,13 @@
 	out bool
 }
 
-// control owns the state of the agent. Its goroutine alone changes it; traffic
-// reads the published copy.
+// control owns the state of the agent. Only its goroutine changes the state; requests
+// read the published copy.
 type control struct {
 	agent     *Agent
 	events    chan event
 	published atomic.Pointer[controlState]
-	// The fields below belong to the control goroutine.
+	// Only the control goroutine uses the fields below.
 	current  controlState
 	startAt  time.Time
 	failures int
@@ -91,13 +92,12 @@
 	pings  pingTimes
 }
 
-// pingTimes tell whether gateways are known to be alive. After a gap, in which
-// this process may have stood still, connections that are open by name only
-// show themselves within one interval.
+// pingTimes record whether gateways are known to be alive. After a gap, in which this
+// process may have been paused, dead connections are detected within one interval.
 type pingTimes struct {
 	mu sync.Mutex
-	// last is when the last heartbeat of any gateway came; since is the end of
-	// the last gap, zero if there was none.
+	// last is when the last heartbeat of any gateway was received; since is the end
+	// of the last gap, zero if there was none.
 	last, since time.Time
 }
 
@@ -113,8 +113,8 @@
 	p.last = now
 }
 
-// gatewaysAlive returns whether heartbeats come, and came without a gap for an
-// interval.
+// gatewaysAlive returns whether heartbeats are received, and were received without a
+// gap for an interval.
 func (c *control) gatewaysAlive() bool {
 	p := &c.pings
 	p.mu.Lock()
@@ -131,9 +131,10 @@
 	last time.Time
 }
 
-// brokeOff records that the target dropped a request that it got at a time. It
-// returns a name for the run of the target that ended, and whether this was the
-// first request of it. What started before the end was noticed belongs to it.
+// brokeOff records that the target dropped a request that it received at the given
+// time. It returns a name for the run of the target that ended, and whether this is its
+// first dropped request. Requests that started before the end was noticed belong to
+// that run.
 func (c *control) brokeOff(started time.Time) (string, bool) {
 	d := &c.deaths
 	d.mu.Lock()
@@ -156,7 +157,7 @@
 	return c
 }
 
-// send hands an event over; the control goroutine takes it in soon.
+// send queues an event for the control goroutine.
 func (c *control) send(e event) {
 	select {
 	case c.events <- e:
@@ -179,7 +180,7 @@
 	}
 }
 
-// poll reads the engine's load again and again.
+// poll reads the engine's load periodically.
 func (c *control) poll(ctx context.Context) {
 	tick := time.NewTicker(pollInterval)
 	defer tick.Stop()
@@ -211,7 +212,7 @@
 		c.swapBegan(e)
 	case swapEnded:
 		c.swapEnded(e)
-	case takenOut:
+	case outOfService:
 		c.current.out = e.out
 	}
 	c.current.state = c.state()
@@ -223,8 +224,8 @@
 		return
 	}
 	c.failures = 0
-	// The report lags: one from before this agent's start, or from before the
-	// end of a load, may name weights that are loaded no more.
+	// Reports lag: one from before this agent's start, or from before the end of a
+	// load, may name weights that are no longer loaded.
 	if !e.load.AsOf.After(c.startAt) {
 		return
 	}
@@ -283,14 +284,14 @@
 	return c.snapshot().state == sillwire.DrainingState
 }
 
-// finished takes the result of a run as a sign of the target's health.
+// finished updates the target's health from the result of a run.
 func (c *control) finished(failure *sillproblem.Problem) {
 	if failure != nil && failure.Kind == sillproblem.NoTarget {
 		c.send(targetFailed{})
 	}
 }
 
-// status returns the agent's state as a heartbeat carries it.
+// status returns the agent's state as sent in heartbeats.
 func (c *control) status() sillwire.Pong {
 	s := c.snapshot()
 	queued, started := c.agent.registry.counts()
--- a/internal/sillagent/execute.go
+++ b/internal/sillagent/execute.go
@@ -14,30 +14,30 @@
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
 
-// outcome is what a run on the target came to.
+// outcome is the result of a run on the target.
 type outcome struct {
 	finish sillwire.Finish
-	// whole is an answer that is given together with its end.
+	// whole is a response that is sent together with its last frame.
 	whole []sillwire.Message
-	// failure is nil if the answer is whole.
+	// failure is nil if the response is complete.
 	failure *sillproblem.Problem
 	// prompt and completion are billed if the target did the work.
 	prompt     sillid.Tokens
 	completion sillid.Tokens
 	billed     bool
-	// brokeOff is true if the target dropped the request without an answer.
+	// brokeOff is true if the target dropped the request without a complete response.
 	brokeOff bool
-	// latency is the time to the first part of the answer; 0 if there was none.
+	// latency is the time to the first part of the response; 0 if there was none.
 	latency time.Duration
 }
 
-// classes maps the classes of the inner protocol to those of the queue.
+// classes maps the classes of the wire protocol to those of the queue.
 var classes = map[sillwire.Class]silllimit.Class{
 	sillwire.Interactive: silllimit.Interactive,
 	sillwire.Rollout:     silllimit.Rollout,
 }
 
-// entry returns the run as the queue sees it.
+// entry returns the queue entry of a run.
 func entry(n *run) silllimit.Entry {
 	return silllimit.Entry{
 		ID:                  n.key.attempt,
@@ -51,7 +51,7 @@
 	}
 }
 
-// execute waits for a place, runs the request and completes its answer.
+// execute waits for a slot, runs the request and completes its response.
 func (a *Agent) execute(ctx context.Context, n *run) {
 	defer a.registry.end(n)
 	ctx, cancel := context.WithDeadlineCause(ctx, n.deadline, context.DeadlineExceeded)
@@ -83,7 +83,7 @@
 	a.finish(n, result, service)
 }
 
-// suspect records which requests ran when the target broke off.
+// suspect records which requests ran when the target crashed.
 func (a *Agent) suspect(n *run, result *outcome) {
 	if result.failure == nil {
 		a.cfg.Suspects.RecordSuccess(n.req.Fingerprint)
@@ -114,15 +114,15 @@
 	_ = n.answer.append(true, m)
 }
 
-// load returns the target's load for the gateway of a run.
+// load returns the target's load as reported to gateways.
 func (a *Agent) load() *sillwire.Load {
 	s := a.cfg.Gate.Snapshot()
 	return &sillwire.Load{Running: s.Running, Waiting: s.Waiting[silllimit.Interactive] + s.Waiting[silllimit.Rollout]}
 }
 
-// finish completes the answer. A run that may run again elsewhere is billed only
-// once its gateway takes the end: a gateway that gave this agent up has the
-// tokens billed where the run goes on.
+// finish completes the response. A run that may run again elsewhere is billed only once
+// its gateway has received the last frame: otherwise the gateway has the tokens billed
+// where the run is resumed.
 func (a *Agent) finish(n *run, result outcome, service time.Duration) {
 	result.finish.RequestID = n.key.request
 	if result.failure != nil {
@@ -139,7 +139,7 @@
 	}
 }
 
-// settle meters the run and appends the end of its answer.
+// settle meters the run and appends the last frame of its response.
 func (a *Agent) settle(n *run, result outcome, service time.Duration) {
 	if result.billed {
 		result.finish.Usage = a.cfg.Meter(a.use(n, result, service))
@@ -166,7 +166,7 @@
 	return use
 }
 
-// endProblem names the reason for which a run's context ended.
+// endProblem returns the problem for which a run's context ended.
 func (a *Agent) endProblem(ctx context.Context) *sillproblem.Problem {
 	cause := context.Cause(ctx)
 	switch {
--- a/internal/sillagent/generation.go
+++ b/internal/sillagent/generation.go
@@ -14,15 +14,15 @@
 )
 
 const (
-	// swapWindow bounds how long a chunk from before a swap may be under way
-	// on the instance.
+	// swapWindow bounds how long a chunk that was generated before a swap may take to
+	// arrive.
 	swapWindow = 200 * time.Millisecond
 	// cancelLimit bounds the call that ends a generation at the engine.
 	cancelLimit = 2 * time.Second
 )
 
-// generations are the brackets of the generations that run. A load of weights
-// is told to all of them.
+// generations holds the attribution trackers of the running generations, which record
+// every load of weights.
 type generations struct {
 	mu   sync.Mutex
 	open map[*sillattribution.Tracker]struct{}
@@ -38,7 +38,7 @@
 	delete(g.open, b)
 }
 
-// each calls f for every open bracket.
+// each calls f for every open tracker.
 func (g *generations) each(f func(b *sillattribution.Tracker)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -47,14 +47,15 @@
 	}
 }
 
-// with calls f while no load of weights is told to the brackets.
+// with calls f while no load of weights is recorded in the trackers.
 func (g *generations) with(f func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f()
 }
 
-// restarted fails every open bracket: the engine runs anew.
+// restarted records a restart of the engine in every open tracker, which makes its
+// generation unattributable.
 func (g *generations) restarted() {
 	g.each(func(b *sillattribution.Tracker) { b.AddChunk(time.Time{}, sillattribution.Chunk{}) })
 }
@@ -63,7 +64,7 @@
 type generation struct {
 	agent   *Agent
 	run     *run
-	bracket *sillattribution.Tracker
+	tracker *sillattribution.Tracker
 	began   time.Time
 	tokens  int
 	result  outcome
@@ -74,20 +75,20 @@
 	g := &generation{agent: a, run: n, began: a.cfg.Now(), tokens: len(n.req.PrefixTokens)}
 	a.generations.with(func() {
 		s := a.control.snapshot()
-		g.bracket = sillattribution.New(sillattribution.InitialState{
+		g.tracker = sillattribution.New(sillattribution.InitialState{
 			Version:    s.version,
 			Engine:     s.engine,
 			Pending:    s.pending,
 			SwapWindow: swapWindow,
 		})
 		if s.unsettled {
-			g.bracket.LoadEnded(g.began, s.pending, sillattribution.LoadUnknown)
+			g.tracker.LoadEnded(g.began, s.pending, sillattribution.LoadUnknown)
 		}
-		a.generations.open[g.bracket] = struct{}{}
+		a.generations.open[g.tracker] = struct{}{}
 	})
-	defer a.generations.remove(g.bracket)
+	defer a.generations.remove(g.tracker)
 	if len(n.req.PrefixSpans) > 0 {
-		a.generations.with(func() { g.bracket.SetPrefix(n.req.PrefixSpans) })
+		a.generations.with(func() { g.tracker.SetPrefix(n.req.PrefixSpans) })
 	}
 	err := a.cfg.Engine.Generate(ctx, sillengine.Generate{
 		Path:         n.req.Path,
@@ -103,25 +104,25 @@
 	return g.result
 }
 
-// stopGeneration ends a generation at the engine if its caller gave it up.
+// stopGeneration cancels a generation at the engine if its caller has cancelled it.
 func (a *Agent) stopGeneration(ctx context.Context, n *run) {
 	if ctx.Err() == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelLimit)
 	defer cancel()
-	// An engine that does not know the request has ended it already.
+	// An engine that does not know the request has already finished it.
 	_ = a.cfg.Engine.Cancel(ctx, string(n.req.RequestID))
 }
 
-// part takes one part of the generation in and passes it on.
+// part records one part of the generation and appends it to the response.
 func (g *generation) part(p sillengine.Part) error {
 	chunk := sillattribution.Chunk{Tokens: sillid.Tokens(len(p.IDs)), Version: p.Version, Engine: p.Engine}
 	now := g.agent.cfg.Now()
 	if g.result.latency == 0 {
 		g.result.latency = now.Sub(g.began)
 	}
-	g.agent.generations.with(func() { g.bracket.AddChunk(now, chunk) })
+	g.agent.generations.with(func() { g.tracker.AddChunk(now, chunk) })
 	g.tokens += len(p.IDs)
 	g.result.completion += sillid.Tokens(len(p.IDs))
 	g.agent.cfg.Metrics.Tokens.Add(float64(len(p.IDs)))
@@ -138,7 +139,7 @@
 	return g.run.answer.append(false, &sillwire.Tokens{Text: p.Text, IDs: p.IDs, Version: p.Version})
 }
 
-// close works out the outcome from the way the stream ended.
+// close sets the result from the error with which the stream ended.
 func (g *generation) close(ctx context.Context, err error) {
 	g.result.billed = g.result.completion > 0
 	g.result.finish.Tokens = g.tokens
@@ -159,13 +160,13 @@
 	}
 }
 
-// attribute closes the bracket. Spans of a broken generation stand for the
-// tokens that came, so that another target can go on after them.
+// attribute ends the tracker. The spans of an interrupted generation cover the tokens
+// received, so that another target can resume after them.
 func (g *generation) attribute() {
 	var result sillattribution.Result
 	g.agent.generations.with(func() {
-		g.bracket.End(sillid.Tokens(g.tokens))
-		result = g.bracket.Result()
+		g.tracker.End(sillid.Tokens(g.tokens))
+		result = g.tracker.Result()
 	})
 	g.result.finish.Spans = result.Spans
 	g.result.finish.Unattributable = string(result.Reason)
--- a/internal/sillagent/registry.go
+++ b/internal/sillagent/registry.go
@@ -13,19 +13,18 @@
 )
 
 const (
-	// keepEnded is the time for which an ended run's answer can be attached to.
+	// keepEnded is how long the response of an ended run can be read again.
 	keepEnded = 30 * time.Second
-	// keepEndedBytes bounds the answers of ended runs.
+	// keepEndedBytes bounds the responses of ended runs.
 	keepEndedBytes = 8 << 20
-	// keepMarks is the time for which the agent remembers that a request has
-	// started, or that it denied knowing an attempt. It exceeds the longest
-	// time for which a frame can be under way.
+	// keepMarks is how long the agent remembers that a request has started, or that
+	// it reported an attempt as unknown. It is longer than any frame can be delayed.
 	keepMarks = 10 * time.Minute
-	// maxMarks bounds the memory of the marks.
+	// maxMarks bounds the number of marks.
 	maxMarks = 200_000
 )
 
-// runKey names one attempt of a request.
+// runKey identifies one attempt of a request.
 type runKey struct {
 	request sillid.RequestID
 	attempt sillid.AttemptID
@@ -41,14 +40,14 @@
 	deadline time.Time
 	cancel   context.CancelCauseFunc
 
-	// The fields below belong to the registry's mutex.
+	// The registry's mutex guards the fields below.
 	state   sillwire.RunState
 	readers int
-	// detachedAt is when the last reader left; zero while one reads.
+	// detachedAt is when the last reader disconnected; zero while one reads.
 	detachedAt time.Time
 	startedAt  time.Time
 	endedAt    time.Time
-	// settle completes an answer that was held back; nil if there is nothing to complete.
+	// settle completes a response that was held back; nil if none was.
 	settle func()
 }
 
@@ -62,14 +61,14 @@
 type markKind int
 
 const (
-	// markStarted stands for any attempt of the request: the target got it.
+	// markStarted means that the target received some attempt of the request.
 	markStarted markKind = iota
-	// markDenied stands for one attempt: a gateway was told that it is unknown.
+	// markDenied means that a gateway was told that the attempt is unknown.
 	markDenied
 )
 
-// registry knows the runs of this agent. It guards against running a request
-// that is not idempotent twice, and keeps a "not run" true once it was said.
+// registry holds the runs of this agent. It keeps requests that are not idempotent from
+// running twice, and attempts that were reported as not run from running later.
 type registry struct {
 	now func() time.Time
 
@@ -79,7 +78,7 @@
 	denied  map[runKey]time.Time
 	marks   *list.List
 	ended   *list.List
-	// endedBytes is the size of the answers of ended runs.
+	// endedBytes is the size of the responses of ended runs.
 	endedBytes int
 }
 
@@ -94,12 +93,12 @@
 	}
 }
 
-// add takes a run in, or tells why it must not run.
+// add adds a run, or returns why it must not run.
 func (r *registry) add(n *run, draining func() bool) *sillproblem.Problem {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	// Asked under the lock, so that no run comes in after open has said how many
-	// a draining target has.
+	// Checked under the lock, so that no run is added after open has returned the
+	// number of runs of a draining target.
 	if draining() {
 		return sillproblem.New(sillproblem.Draining, "the target is being drained")
 	}
@@ -119,7 +118,7 @@
 	return nil
 }
 
-// start records that the target is about to get the request.
+// start records that the request is about to be sent to the target.
 func (r *registry) start(n *run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -129,7 +128,7 @@
 	r.marks.PushBack(mark{key: n.key, at: r.now(), kind: markStarted})
 }
 
-// end records that the answer is complete; it is kept for a while.
+// end records that the response is complete. The response is kept for a while.
 func (r *registry) end(n *run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -141,8 +140,8 @@
 	r.expire()
 }
 
-// hold keeps settle for later if no gateway reads the answer, or none is known
-// to be alive. It returns false if the answer is to be settled now.
+// hold defers settle if no gateway reads the response, or none is known to be alive. It
+// returns false if the response must be settled now.
 func (r *registry) hold(n *run, alive bool, settle func()) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -153,7 +152,7 @@
 	return true
 }
 
-// settleRead settles the held answers that gateways read.
+// settleRead settles the held responses that gateways read.
 func (r *registry) settleRead() {
 	r.mu.Lock()
 	var due []func()
@@ -169,8 +168,8 @@
 	}
 }
 
-// attach returns the run for one more reader. If this agent never got the
-// attempt, it never will run it: the denial is kept.
+// attach returns the run for one more reader. An attempt that this agent has not
+// received is recorded as denied, so that it does not run if it arrives later.
 func (r *registry) attach(key runKey) (*run, bool) {
 	n, settle := r.attachRun(key)
 	if settle != nil {
@@ -179,7 +178,7 @@
 	return n, n != nil
 }
 
-// attachRun returns the run, or nil, and what is left to settle.
+// attachRun returns the run, or nil, and its deferred settle function.
 func (r *registry) attachRun(key runKey) (*run, func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -197,7 +196,7 @@
 	return nil, nil
 }
 
-// hasStarted tells whether the target has got any attempt of the request.
+// hasStarted returns whether the target has received any attempt of the request.
 func (r *registry) hasStarted(id sillid.RequestID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -205,7 +204,7 @@
 	return ok
 }
 
-// detach records that a reader has left.
+// detach records that a reader has disconnected.
 func (r *registry) detach(n *run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -215,7 +214,7 @@
 	}
 }
 
-// lookup tells what is known of a request.
+// lookup returns what is known of a request.
 func (r *registry) lookup(id sillid.RequestID) (sillwire.RunState, sillid.AttemptID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -230,8 +229,8 @@
 	return sillwire.RunUnknown, ""
 }
 
-// abandoned returns the runs whose last reader left before the time given and
-// that may be cancelled.
+// abandoned returns the runs that may be cancelled and whose last reader disconnected
+// before the given time.
 func (r *registry) abandoned(before time.Time) []*run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -276,8 +275,8 @@
 	return all
 }
 
-// open returns the number of runs that have not ended, or whose answer a
-// gateway is still taking.
+// open returns the number of runs that have not ended, or whose response a gateway
+// still reads.
 func (r *registry) open() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -290,7 +289,7 @@
 	return count
 }
 
-// expire drops what need not be kept. The caller holds the mutex.
+// expire removes runs and marks that need not be kept. The caller holds the mutex.
 func (r *registry) expire() {
 	now := r.now()
 	for e := r.ended.Front(); e != nil; e = r.ended.Front() {
--- a/internal/sillagent/service.go
+++ b/internal/sillagent/service.go
@@ -53,7 +53,7 @@
 	return c.single.Do(req)
 }
 
-// hopHeaders belong to one connection and are not passed on.
+// hopHeaders apply to a single connection and are not passed on.
 var hopHeaders = map[string]bool{
 	"Connection":          true,
 	"Keep-Alive":          true,
@@ -97,11 +97,12 @@
 	return result
 }
 
-// shortAnswerBytes is the length up to which an answer is passed on as one. Its
-// caller sees a refusal instead of a cut answer if the target breaks off.
+// shortAnswerBytes is the length up to which a response is buffered before it is passed
+// on, so that the caller gets an error instead of a truncated response if the target
+// crashes.
 const shortAnswerBytes = 16 << 10
 
-// shortAnswer reads an answer of a known short length.
+// shortAnswer reads a response of a known short length.
 func (a *Agent) shortAnswer(ctx context.Context, head *sillwire.Head, resp *http.Response) outcome {
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
@@ -116,8 +117,8 @@
 	return result
 }
 
-// copyAnswer passes the service's body on; only a body that ended as its
-// framing says makes a whole answer.
+// copyAnswer passes the service's body on. The response is complete only if the body
+// ended as its framing says.
 func (a *Agent) copyAnswer(ctx context.Context, n *run, resp *http.Response) outcome {
 	result := outcome{billed: true}
 	buf := make([]byte, sillwire.MaxChunkBytes)
@@ -163,7 +164,8 @@
 	return req, nil
 }
 
-// serviceProblem tells a request that never reached the service from one that may have.
+// serviceProblem returns the problem of a failed request: whether it may have reached
+// the service decides about its outcome.
 func (a *Agent) serviceProblem(ctx context.Context, err error, connected bool) *sillproblem.Problem {
 	var op *net.OpError
 	if !connected && errors.As(err, &op) && op.Op == "dial" {
--- a/internal/sillagent/stream.go
+++ b/internal/sillagent/stream.go
@@ -21,7 +21,7 @@
 	streamDone quic.StreamErrorCode = 0
 	// streamMalformed ends a stream that breaks the protocol.
 	streamMalformed quic.StreamErrorCode = 2
-	// firstFrameLimit bounds the wait for the frame that opens an exchange.
+	// firstFrameLimit bounds the wait for the first frame of an exchange.
 	firstFrameLimit = 5 * time.Second
 	// maxBodyBytes bounds the body of one request, whatever its route allows.
 	maxBodyBytes = 64 << 20
@@ -91,9 +91,9 @@
 	case *sillwire.FetchBundle:
 		return a.cfg.SendConfig(stream)
 	case *sillwire.Bundle:
-		return a.cfg.TakeConfig(stream, m)
+		return a.cfg.ReceiveConfig(stream, m)
 	case *sillwire.WeightPlan:
-		return a.cfg.TakePlan(m)
+		return a.cfg.ReceivePlan(m)
 	}
 	return errNoExchange
 }
@@ -101,7 +101,7 @@
 // errNoExchange refuses a first frame that the peer's role may not send.
 var errNoExchange = &sillwire.FrameError{Reason: "the first frame of a stream does not open an exchange of the peer's role"}
 
-// answerAgent handles what agents send each other: weights, and no requests.
+// answerAgent handles the messages of other agents, which send weights but no requests.
 func (a *Agent) answerAgent(ctx context.Context, stream *quic.Stream, first sillwire.Message) error {
 	switch m := first.(type) {
 	case *sillwire.FetchWeights:
@@ -154,7 +154,7 @@
 	return sillwire.Write(stream, &sillwire.Drained{Open: a.registry.open()})
 }
 
-// runStream takes a request in, runs it and sends its answer.
+// runStream receives a request, runs it and sends its response.
 func (a *Agent) runStream(ctx context.Context, stream *quic.Stream, m *sillwire.Run) error {
 	received := a.cfg.Now()
 	body, err := readBody(stream, m.BodyBytes)
@@ -219,7 +219,7 @@
 	return body, nil
 }
 
-// attachStream sends the rest of an answer, or says that the request never ran.
+// attachStream sends the rest of a response, or reports that the request never ran.
 func (a *Agent) attachStream(ctx context.Context, stream *quic.Stream, m *sillwire.Attach) error {
 	if m.Agent != a.cfg.ID {
 		p := sillproblem.New(sillproblem.ConnectionSilent, "the agent restarted").WithOutcome(sillproblem.OutcomeUnknown)
@@ -236,8 +236,8 @@
 	return sillwire.Write(stream, refusal(p))
 }
 
-// sendAnswer writes the answer's frames from a position on as they come, and
-// waits until the gateway has taken the last one.
+// sendAnswer writes the frames of a response from a position on as they are produced,
+// and waits until the gateway has received the last one.
 func (a *Agent) sendAnswer(ctx context.Context, stream *quic.Stream, n *run, from int) error {
 	defer a.registry.detach(n)
 	watch := sillgroup.New(ctx)
@@ -270,7 +270,7 @@
 	return nil
 }
 
-// watchCancel ends the run if the gateway says that its caller is gone.
+// watchCancel ends the run once the gateway reports that its caller has disconnected.
 func watchCancel(stream *quic.Stream, n *run) {
 	m, err := sillwire.Read(stream)
 	if err != nil {
--- a/internal/sillagent/swap.go
+++ b/internal/sillagent/swap.go
@@ -11,39 +11,39 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// Engine is what the agent found loaded at its engine.
+// Engine is the engine's id and the weights that it has loaded.
 type Engine struct {
 	ID      sillid.EngineID
 	Model   sillid.ModelID
 	Version sillid.WeightVersion
 }
 
-// Engine returns what is loaded; false while that is not known.
+// Engine returns the loaded weights, and false while they are not known.
 func (a *Agent) Engine() (Engine, bool) {
 	s := a.control.snapshot()
 	return Engine{ID: s.engine, Model: s.model, Version: s.version}, s.engine != ""
 }
 
-// SwapBegan tells that an order to load a version is about to be sent. The
-// engine goes on generating during the load, so the agent goes on serving.
+// SwapBegan records that an order to load a version is about to be sent. The engine
+// generates during the load, so the agent continues to serve.
 func (a *Agent) SwapBegan(version sillid.WeightVersion) {
 	done := make(chan struct{})
 	a.control.await(swapBegan{version: version, done: done}, done)
 }
 
-// SwapEnded tells the outcome of the order. After any but LoadOK the engine's
-// next reports tell what is loaded.
+// SwapEnded records the outcome of the order. After any other outcome than LoadOK, the
+// engine's next reports determine what is loaded.
 func (a *Agent) SwapEnded(version sillid.WeightVersion, outcome sillattribution.LoadOutcome) {
 	done := make(chan struct{})
 	a.control.await(swapEnded{version: version, outcome: outcome, done: done}, done)
 }
 
-// TakeOut takes the target out of serving, or puts it back.
-func (a *Agent) TakeOut(out bool) {
-	a.control.send(takenOut{out: out})
+// SetOutOfService takes the target out of service, or returns it to service.
+func (a *Agent) SetOutOfService(out bool) {
+	a.control.send(outOfService{out: out})
 }
 
-// await hands an event over and waits until it is taken in.
+// await queues an event and waits until it is handled.
 func (c *control) await(e event, done chan struct{}) {
 	c.send(e)
 	select {
@@ -52,8 +52,8 @@
 	}
 }
 
-// Each change below is published while no generation starts, so that the start
-// of a bracket and the orders told to it have no gap between them.
+// Each change below is published while no generation starts, so that a new tracker
+// misses no order between its initial state and the orders recorded in it.
 
 func (c *control) swapBegan(e swapBegan) {
 	c.agent.generations.change(func(b *sillattribution.Tracker) { b.LoadStarted(e.version) }, func() {
@@ -78,8 +78,7 @@
 	close(e.done)
 }
 
-// swapConfirmed takes in a report from after the end of an order that did not
-// succeed.
+// swapConfirmed handles a report from after the end of an order that did not succeed.
 func (c *control) swapConfirmed(load sillengine.Load) {
 	now := c.agent.cfg.Now()
 	c.agent.generations.change(func(b *sillattribution.Tracker) { b.VersionConfirmed(now, load.Version, load.Engine) }, func() {
@@ -92,7 +91,7 @@
 	})
 }
 
-// change publishes a new state and tells it to every open bracket.
+// change publishes a new state and records it in every open tracker.
 func (g *generations) change(tell func(b *sillattribution.Tracker), publish func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -102,7 +101,7 @@
 	}
 }
 
-// settlePoll is the time between two looks at the outcome of an order.
+// settlePoll is the time between two checks of the outcome of an order.
 const settlePoll = 50 * time.Millisecond
 
 // AwaitSettled waits until it is known what is loaded after an order that did
--- a/internal/sillapp/agent.go
+++ b/internal/sillapp/agent.go
@@ -191,12 +191,12 @@
 			pong.DurableSequence = mark.Sequence
 			p.Weights.heartbeat(ping, pong)
 		},
-		SendConfig: p.Peer.Send,
-		TakeConfig: p.Peer.ReceivePushed,
+		SendConfig:    p.Peer.Send,
+		ReceiveConfig: p.Peer.ReceivePushed,
 		Weights: func(ctx context.Context, want *sillwire.FetchWeights, stream *quic.Stream) error {
 			return p.Weights.runner.SendWeights(ctx, want, stream)
 		},
-		TakePlan:     p.Weights.takePlan,
+		ReceivePlan:  p.Weights.receivePlan,
 		WeightStatus: p.Weights.runner.HandleStatus,
 		Suspects:     p.Suspects,
 		Metrics:      p.Metrics,
--- a/internal/sillapp/agentweight.go
+++ b/internal/sillapp/agentweight.go
@@ -82,7 +82,7 @@
 		Load: func(ctx context.Context, model sillid.ModelID, version sillid.WeightVersion) error {
 			return w.load(ctx, p.Metrics, model, version)
 		},
-		SetOutOfService: func(out bool) { w.agent.TakeOut(out) },
+		SetOutOfService: func(out bool) { w.agent.SetOutOfService(out) },
 		HoldTime:        weightHold,
 		Metrics:         p.Metrics,
 		Log:             p.Log.Named("weights"),
@@ -125,7 +125,7 @@
 	}
 }
 
-func (w *weights) takePlan(m *sillwire.WeightPlan) error {
+func (w *weights) receivePlan(m *sillwire.WeightPlan) error {
 	var plan sillweight.Plan
 	if err := json.Unmarshal(m.Data, &plan); err != nil {
 		return &sillwire.FrameError{Reason: "the weight plan is no JSON: " + err.Error()}
