Check evidence of other processes before it counts

The port between gateways is not authenticated: a weight above 1 would refuse a content at once, and a time far in the future for as long. Decode now rejects weights outside of 0 to 1, and Merge ignores what is more than a minute ahead.

--- a/internal/sillcrash/evidence.go
+++ b/internal/sillcrash/evidence.go
@@ -8,8 +8,13 @@
 	"github.com/rotisserie/eris"
 )
 
-// maxDecoded is the maximum number of requests in one message.
-const maxDecoded = 1024
+const (
+	// maxDecoded is the maximum number of requests in one message.
+	maxDecoded = 1024
+	// maxClockSkew is how far the clock of another process may be ahead. Evidence from
+	// later times is ignored, since it would be kept until then.
+	maxClockSkew = time.Minute
+)
 
 // evidenceMode encodes times with their fractions of a second: crashes that follow
 // each other within a second are told apart by them.
@@ -42,6 +47,14 @@
 	if len(evidence) > maxDecoded {
 		return nil, eris.Errorf("sillcrash.Decode: evidence on %d requests, want at most %d", len(evidence), maxDecoded)
 	}
+	for _, e := range evidence {
+		for _, c := range e.Crashes {
+			// Written so that NaN is rejected, too.
+			if !(c.Weight > 0 && c.Weight <= 1) {
+				return nil, eris.Errorf("sillcrash.Decode: weight %v of a crash, want above 0 and at most 1", c.Weight)
+			}
+		}
+	}
 	return evidence, nil
 }
 
@@ -77,9 +90,14 @@
 func (t *Tracker) Merge(now time.Time, evidence []Evidence) {
 	for _, e := range evidence {
 		s := t.suspectOf(now, e.Fingerprint)
-		s.clear(e.Cleared)
+		latest := now.Add(maxClockSkew)
+		if !e.Cleared.After(latest) {
+			s.clear(e.Cleared)
+		}
 		for _, c := range e.Crashes {
-			s.add(c)
+			if !c.At.After(latest) {
+				s.add(c)
+			}
 		}
 	}
 }
--- a/internal/sillcrash/tracker_test.go
+++ b/internal/sillcrash/tracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"os"
 	"slices"
 	"testing"
@@ -147,6 +148,56 @@
 	}
 }
 
+func TestForeignEvidenceIsChecked(t *testing.T) {
+	for name, c := range map[string]Crash{
+		"weight above 1": {Weight: 1.5}, "no weight": {}, "weight that is no number": {Weight: math.NaN()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, err := Encode([]Evidence{{Crashes: []Crash{c}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if evidence, err := Decode(b); err == nil {
+				t.Errorf("decoded %v", evidence)
+			}
+		})
+	}
+	t.Run("from the future", func(t *testing.T) {
+		ahead, tracker := NewTracker(Config{}), NewTracker(Config{})
+		for n := range 3 {
+			crash(ahead, 3600+n, "a")
+		}
+		tracker.Merge(epoch, ahead.Export(soon, 10))
+		checkRefused(t, tracker, epoch.Add(time.Hour+time.Minute), "a", false)
+	})
+}
+
+// FuzzDecode merges what can be decoded: it must not panic, and must not grow beyond the
+// bounds.
+func FuzzDecode(f *testing.F) {
+	tracker := NewTracker(Config{})
+	crash(tracker, 1, "a", "b")
+	seed, err := Encode(tracker.Export(soon, 10))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Add([]byte{0x80})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		evidence, err := Decode(b)
+		if err != nil {
+			return
+		}
+		tracker := NewTracker(Config{CountAllCrashes: true})
+		tracker.Merge(soon, evidence)
+		for _, e := range tracker.Export(soon, maxRequests) {
+			if len(e.Crashes) > maxCrashes || tracker.score(soon, e.Fingerprint) > maxCrashes {
+				t.Errorf("%d crashes kept", len(e.Crashes))
+			}
+		}
+	})
+}
+
 func TestExportRecent(t *testing.T) {
 	tracker := NewTracker(Config{})
 	for n := range 3 {
