Test rows of gateways of other versions, and who was last alive

During an upgrade gateways read rows without crash evidence, and older ones rows with it; and while the table is unavailable evidence goes to those that were alive when it was last read. No test had covered either.

--- a/internal/sillcluster/members_test.go
+++ b/internal/sillcluster/members_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
@@ -110,3 +112,38 @@
 	}
 	checkAlive(t, s, start, "run-good", true)
 }
+
+// TestRowsOfOtherVersions reads rows with a field less and a field more than this
+// version writes, as during an upgrade.
+func TestRowsOfOtherVersions(t *testing.T) {
+	for name, value := range map[string]map[string]any{
+		"older": {"instance": "i0", "run": "r", "address": "a", "zone": "z", "leaving": false, "renewal": 3},
+		"newer": {"instance": "i0", "run": "r", "address": "a", "zone": "z", "renewal": 3, "crash-evidence": []byte{0x80}, "later": true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, err := cbor.Marshal(value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			m, err := Decode(silltable.Row{Key: Key("i0"), Value: b})
+			if err != nil || m.Run != "r" || m.Address != "a" || m.Renewal != 3 {
+				t.Errorf("decoded %+v, %v", m, err)
+			}
+		})
+	}
+}
+
+// TestLastLive asks, long after the table was last read, for those that were alive then.
+func TestLastLive(t *testing.T) {
+	s := members(t, 2)
+	later := start.Add(2 * MemberTimeout)
+	if err := s.Apply(later, []silltable.Change{change(t, Member{Instance: "i1", Run: "run-i1", Renewal: 9})}); err != nil {
+		t.Fatal(err)
+	}
+	if live := s.LastLive(); len(live) != 1 || live[0].Instance != "i1" {
+		t.Errorf("last live %+v, want i1 alone", live)
+	}
+	if live := s.Live(later.Add(time.Hour)); len(live) != 0 {
+		t.Errorf("live %+v an hour later, want none", live)
+	}
+}
