Count every crash of a target against the request that it ran

Callers behind agents saw: in a pool of one target a request that crashes it was never refused (40 of 40 sends crashed it, new case of TestCrashingRequestIsStopped, which failed before). Cause: crashes of one target counted twice at most, lest a faulty target be blamed on a request. The users' rule counts each end of a server, and the gateway without agents counted so already; the limit is gone in both.

The subtest 'one faulty target' of TestUncountedCrashes asserted that limit and is wrong by the rule. In its place stand three: a faulty target under several requests, and under one that others serve in between, refuse none of them; six crashes under one request without a success refuse it (TestCrashesOfOneTarget). While a pool has other targets, one that crashed under a request does not get it again, so a faulty one is not the cause of three crashes by itself.

--- a/internal/sillapp/agent.go
+++ b/internal/sillapp/agent.go
@@ -109,7 +109,7 @@
 const maxEvidence = 8
 
 func newSuspects() *sillcrash.SharedTracker {
-	return sillcrash.NewSharedTracker(time.Now, sillcrash.Config{})
+	return sillcrash.NewSharedTracker(time.Now)
 }
 
 func newGate(s *sillsettings.Agent) *silllimit.Gate {
--- a/internal/sillcrash/shared.go
+++ b/internal/sillcrash/shared.go
@@ -18,8 +18,8 @@
 
 // NewSharedTracker returns a tracker without evidence. Now returns the current
 // time.
-func NewSharedTracker(now func() time.Time, cfg Config) *SharedTracker {
-	return &SharedTracker{now: now, tracker: NewTracker(cfg)}
+func NewSharedTracker(now func() time.Time) *SharedTracker {
+	return &SharedTracker{now: now, tracker: NewTracker()}
 }
 
 // RecordCrash records that a run of a target crashed while it ran the requests. The
--- a/internal/sillcrash/tracker.go
+++ b/internal/sillcrash/tracker.go
@@ -7,7 +7,6 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
-	"math"
 	"slices"
 	"time"
 
@@ -15,8 +14,8 @@
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
 
-// A request is refused once it has run on several targets that crashed one
-// after the other. A crash counts only if the request started on the target
+// A request is refused once several runs of targets have crashed under it, one after
+// the other; a pool may have a single target, which starts again. A crash counts only if the request started on the target
 // after the previous counted crash. A zone that fails while many equal requests
 // run therefore counts once.
 //
@@ -30,9 +29,6 @@
 	// bystanderWeight is the weight of a crash for which another request is the
 	// more likely cause.
 	bystanderWeight = 0.25
-	// maxScorePerTarget limits the score from crashes of one target, because
-	// the target itself may be faulty; see Config.CountAllCrashes.
-	maxScorePerTarget = 2.0
 	// refusePeriod is how long a request is refused after its last crash. After
 	// that it may run once more.
 	refusePeriod = 10 * time.Minute
@@ -47,22 +43,6 @@
 	recentPeriod = 10 * time.Second
 )
 
-// Config holds the parameters of a tracker.
-type Config struct {
-	// CountAllCrashes counts every crash of a target. Otherwise a target counts
-	// maxScorePerTarget at most. It is for targets that may keep their id when they
-	// start again, in pools that may have a single one.
-	CountAllCrashes bool
-}
-
-// scorePerTarget returns the highest score from crashes of one target.
-func (c Config) scorePerTarget() float64 {
-	if c.CountAllCrashes {
-		return math.Inf(1)
-	}
-	return maxScorePerTarget
-}
-
 // Fingerprint identifies requests of one organisation with the same content.
 type Fingerprint [16]byte
 
@@ -117,22 +97,19 @@
 // Tracker records the crashes of each request. It is not safe for concurrent
 // use.
 type Tracker struct {
-	cfg      Config
 	requests map[Fingerprint]*suspect
 }
 
 // suspect is the crash evidence on one request.
 type suspect struct {
-	// scorePerTarget is the highest score from crashes of one target.
-	scorePerTarget float64
 	// crashes are sorted by time; at most maxCrashes.
 	crashes []Crash
 	cleared time.Time
 }
 
 // NewTracker returns a tracker without evidence.
-func NewTracker(cfg Config) *Tracker {
-	return &Tracker{cfg: cfg, requests: make(map[Fingerprint]*suspect)}
+func NewTracker() *Tracker {
+	return &Tracker{requests: make(map[Fingerprint]*suspect)}
 }
 
 // RecordCrash records that a run of a target crashed while it ran the requests.
@@ -220,7 +197,7 @@
 	if len(t.requests) >= maxRequests {
 		t.evictLowestScores(now)
 	}
-	s := &suspect{scorePerTarget: t.cfg.scorePerTarget()}
+	s := &suspect{}
 	t.requests[f] = s
 	return s
 }
@@ -300,16 +277,13 @@
 
 // score returns the total weight of the crashes that count.
 func (s *suspect) score(now time.Time) float64 {
-	perTarget := make(map[sillid.TargetID]float64, len(s.crashes))
 	var counted time.Time
 	sum := 0.0
 	for _, c := range s.crashes {
 		if now.Sub(c.At) > crashExpiry || !c.Started.After(counted) {
 			continue
 		}
-		weight := min(c.Weight, s.scorePerTarget-perTarget[c.Target])
-		perTarget[c.Target] += weight
-		sum += weight
+		sum += c.Weight
 		counted = c.At
 	}
 	return sum
--- a/internal/silldirectgateway/crashevidence.go
+++ b/internal/silldirectgateway/crashevidence.go
@@ -56,7 +56,7 @@
 
 func newCrashEvidence(adapter *Adapter, r *prometheus.Registry, log *zap.Logger) *crashEvidence {
 	e := &crashEvidence{
-		suspects: sillcrash.NewSharedTracker(time.Now, sillcrash.Config{CountAllCrashes: true}),
+		suspects: sillcrash.NewSharedTracker(time.Now),
 		pool:     adapter.PeerPool,
 		log:      log.Named("crash-evidence"),
 		urgent:   make(chan struct{}, 1),
