--- a/internal/sillcrash/tracker.go
+++ b/internal/sillcrash/tracker.go
@@ -15,9 +15,9 @@
 )
 
 // A request is refused once several runs of targets have crashed under it, one after
-// the other; a pool may have a single target, which starts again. A crash counts only if the request started on the target
-// after the previous counted crash. A zone that fails while many equal requests
-// run therefore counts once.
+// the other; a pool may have a single target, which starts again. A crash counts only
+// if the request started on the target after the previous counted crash. A zone that
+// fails while many equal requests run therefore counts once.
 //
 // Of the requests that a target ran when it crashed, those with the highest
 // score before the crash are the likely cause and get the full weight; the
--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -226,7 +226,7 @@
 }
 
 // maxTextBytes bounds the text of a generation: its result must fit into a transaction.
-const maxTextBytes = maxTxnBytes / 2
+const maxTextBytes = maxTxnBytes
 
 // acceptEvent adds an event to a generation. It returns false if the event does
 // not follow the last one, if the job does not accept its weight version, or if the
