Take back that items use the slots of an engine that the first one left

Cause: the slow engine is filled again with items that then migrate, too.

That a migrated item returns to the only engine left stays.

--- a/internal/silljob/dispatch.go
+++ b/internal/silljob/dispatch.go
@@ -28,12 +28,11 @@
 			continue
 		}
 		grant, ok := r.cfg.Directory.Pick(now, r.query(now, it))
-		switch {
-		case ok:
-			r.start(it, grant)
-		case len(it.avoid) == 0:
+		if !ok {
 			full[required] = true
+			continue
 		}
+		r.start(it, grant)
 	}
 }
 
