--- a/internal/silljob/dispatch.go
+++ b/internal/silljob/dispatch.go
@@ -28,11 +28,12 @@
 			continue
 		}
 		grant, ok := r.cfg.Directory.Pick(now, r.query(now, it))
-		if !ok {
+		switch {
+		case ok:
+			r.start(it, grant)
+		case len(it.avoid) == 0:
 			full[required] = true
-			continue
 		}
-		r.start(it, grant)
 	}
 }
 
