Send no requests to a server that says that it leaves

What callers saw: a server that answers with Server-Leaving: 1 while its registry entry still says ready went on getting requests; when its answers were errors, callers got those errors although sound servers stayed.

Cause: nothing read the header.

Change: the head of every answer (plain, stream, error, rejection, item, score call, report, order) tells the directory of targets whether its run leaves. A leaving run counts as draining whatever the registry says, until the run ends; gateways share what they learn in their rows, and directly while rows can't be written. A pool of which all targets leave refuses at once. Sending to peers, which crash evidence had alone, moved to a file of its own.

--- a/internal/sillcluster/members.go
+++ b/internal/sillcluster/members.go
@@ -12,6 +12,7 @@
 
 	"github.com/wasabisill/wasabisill/internal/silllease"
 	"github.com/wasabisill/wasabisill/internal/silltable"
+	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -45,6 +46,8 @@
 	// CrashEvidence is the process's evidence on requests that crash targets, encoded
 	// by package sillcrash.
 	CrashEvidence []byte `cbor:"crash-evidence,omitempty"`
+	// LeavingTargets are runs of targets that said in a response that they leave.
+	LeavingTargets []silltarget.Run `cbor:"leaving-targets,omitempty"`
 }
 
 // PoolLoad is the number of running requests of one process at the targets of a
@@ -123,7 +126,7 @@
 			continue
 		}
 		s.onRow(m)
-		m.CrashEvidence = nil
+		m.CrashEvidence, m.LeavingTargets = nil, nil
 		s.rows[instance] = memberRow{Member: m, lastRenewed: now}
 	}
 	return failure
--- a/internal/silldirectgateway/adapter.go
+++ b/internal/silldirectgateway/adapter.go
@@ -39,7 +39,7 @@
 	// DecodeTarget decodes the registry entry of a target; id is the row's key without
 	// the table.
 	DecodeTarget func(id string, b []byte) (silltarget.Entry, error)
-	SendOrder    func(ctx context.Context, l sillweightcontroller.LoadOrder, fence sillid.Epoch) sillweightcontroller.Reply
+	SendOrder    func(ctx context.Context, l sillweightcontroller.LoadOrder, fence sillid.Epoch) (sillweightcontroller.Reply, silltarget.Notice)
 	FetchReport  func(ctx context.Context, e silltarget.Entry) (sillweightcontroller.Report, error)
 	SendUsage    func(ctx context.Context, w sillmeter.Window, counts sillmeter.Counts, fence sillid.Epoch) error
 	// SendScaleOrder orders a number of targets for a pool in an availability zone.
--- a/internal/silldirectgateway/controltasks.go
+++ b/internal/silldirectgateway/controltasks.go
@@ -80,7 +80,7 @@
 	defer group.Stop()
 	controller := sillweightcontroller.NewController(sillweightcontroller.Config{
 		Engines: c.view.engines, Desired: c.view.desiredVersions,
-		Order: c.adapter.SendOrder, Report: c.adapter.FetchReport, Now: sillclock.Boot, Log: c.log,
+		Order: c.adapter.SendOrder, Report: c.adapter.FetchReport, OnNotice: c.view.observeNotice, Now: sillclock.Boot, Log: c.log,
 	})
 	group.Go(func(ctx context.Context) { controller.Run(ctx, guard) })
 	retention := &silljob.Retention{Store: c.store, Board: c.view.board, Period: c.settings.JobRetention, Log: c.log}
--- a/internal/silldirectgateway/crashevidence.go
+++ b/internal/silldirectgateway/crashevidence.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -12,7 +10,6 @@
 
 	"github.com/wasabisill/wasabisill/internal/sillcluster"
 	"github.com/wasabisill/wasabisill/internal/sillcrash"
-	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
 )
@@ -23,14 +20,6 @@
 	// maxSharedRequests bounds the requests on which a gateway shares its evidence at
 	// a time. The evidence on one takes up to 600 bytes of the gateway's row.
 	maxSharedRequests = 32
-	// maxEvidenceBytes bounds the evidence that a peer sends in one call.
-	maxEvidenceBytes = 64 << 10
-	// evidenceFanOut is the number of peers to which a gateway sends its evidence
-	// directly. They pass it on, so that all of some hundred gateways have it after
-	// three renewals of a row.
-	evidenceFanOut = 8
-	// evidenceCallTimeout is the time limit of sending evidence to a peer.
-	evidenceCallTimeout = 300 * time.Millisecond
 )
 
 // Ways on which evidence comes, for metrics.
@@ -125,46 +114,19 @@
 	if body == nil {
 		return
 	}
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	ctx, cancel := context.WithTimeout(ctx, evidenceCallTimeout)
-	defer cancel()
-	group := sillgroup.New(ctx)
-	for _, address := range peers[:min(len(peers), evidenceFanOut)] {
-		group.Go(func(ctx context.Context) {
-			outcome := "done"
-			if !e.sendTo(ctx, address, body) {
-				outcome = "failed"
-			}
-			e.sent.WithLabelValues(outcome).Inc()
-		})
-	}
-	group.Wait()
-}
-
-func (e *crashEvidence) sendTo(ctx context.Context, address string, body []byte) bool {
-	resp, err := e.pool.Send(ctx, address, &silltransport.Request{
-		Method: http.MethodPost, RequestURI: evidencePath, Host: address, Body: body,
+	sendToPeers(ctx, e.pool, peers, evidencePath, body, func(ok bool) {
+		outcome := "done"
+		if !ok {
+			outcome = "failed"
+		}
+		e.sent.WithLabelValues(outcome).Inc()
 	})
-	if err != nil {
-		e.pool.CloseIdle(address)
-		return false
-	}
-	defer resp.Body.Close()
-	// The body is read so that the connection can be reused.
-	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxEvidenceBytes))
-	return err == nil && resp.StatusCode == http.StatusNoContent
 }
 
 // serve accepts the evidence of a peer.
 func (e *crashEvidence) serve(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxEvidenceBytes))
-	if err == nil {
-		err = e.merge(body, wayPeer)
-	}
+	err := servePeerMessage(w, r, func(body []byte) error { return e.merge(body, wayPeer) })
 	if err != nil {
 		e.log.Warn("Crash evidence of a peer can't be read.", zap.String("peer", r.RemoteAddr), silllog.Err(err))
-		http.Error(w, "evidence can't be read", http.StatusBadRequest)
-		return
 	}
-	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -35,13 +35,14 @@
 	poolLoads func() []sillcluster.PoolLoad
 	renewals  atomic.Uint64
 	evidence  *crashEvidence
-	// restored is whether the evidence in the row of the process's last run is merged.
+	leaving   *leavingTargets
+	// restored is whether what the row of the process's last run tells is merged.
 	restored bool
 }
 
-func newMembership(s *Settings, e *crashEvidence, r *prometheus.Registry, log *zap.Logger) *membership {
-	m := &membership{settings: s, log: log.Named("members"), run: sillcluster.Run(sillid.Fresh("run")), evidence: e}
-	m.members = sillcluster.NewMembers(m.mergeEvidence)
+func newMembership(s *Settings, e *crashEvidence, l *leavingTargets, r *prometheus.Registry, log *zap.Logger) *membership {
+	m := &membership{settings: s, log: log.Named("members"), run: sillcluster.Run(sillid.Fresh("run")), evidence: e, leaving: l}
+	m.members = sillcluster.NewMembers(m.mergeKnowledge)
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "wasabisill_live_gateways", Help: "Gateways that this process knows to be alive.",
 	}, func() float64 { return float64(m.countLive()) }))
@@ -50,10 +51,11 @@
 
 func (m *membership) countLive() int { return len(m.members.Live(sillclock.Boot())) }
 
-// mergeEvidence adds the evidence in the row of another process.
-func (m *membership) mergeEvidence(other sillcluster.Member) {
+// mergeKnowledge adds what the row of another process tells of targets and requests.
+func (m *membership) mergeKnowledge(other sillcluster.Member) {
 	if other.Run != m.run {
 		m.evidence.mergeRow(other, wayRow)
+		m.leaving.merge(other.LeavingTargets)
 	}
 }
 
@@ -130,18 +132,18 @@
 	}
 }
 
-// renewOnce writes the process's row. It sends the crash evidence to peers directly if
-// the row can't be written.
+// renewOnce writes the process's row. It sends the crash evidence and the leaving targets
+// to peers directly if the row can't be written.
 func (m *membership) renewOnce(ctx context.Context, store *silltable.Store) {
-	if m.restoreEvidence(ctx, store) && m.write(ctx, store, false) {
+	if m.restoreKnowledge(ctx, store) && m.write(ctx, store, false) {
 		return
 	}
 	m.evidence.send(ctx, m.lastPeers())
+	m.leaving.send(ctx, m.lastPeers())
 }
 
-// restoreEvidence merges the evidence that the last run of the process left in its row,
-// which the first renewal replaces. It returns false if the row can't be read.
-func (m *membership) restoreEvidence(ctx context.Context, store *silltable.Store) bool {
+// restoreKnowledge merges what the last run of the process left in its row, which the first renewal replaces. It returns false if the row can't be read.
+func (m *membership) restoreKnowledge(ctx context.Context, store *silltable.Store) bool {
 	if m.restored {
 		return true
 	}
@@ -162,6 +164,7 @@
 		return true
 	}
 	m.evidence.mergeRow(last, wayRestored)
+	m.leaving.merge(last.LeavingTargets)
 	return true
 }
 
@@ -183,6 +186,7 @@
 	write, err := sillcluster.Encode(sillcluster.Member{
 		Instance: m.settings.Instance, Run: m.run, Address: m.address, Zone: m.settings.Zone,
 		Leaving: leaving, PoolLoads: m.poolLoads(), Renewal: m.renewals.Add(1), CrashEvidence: m.evidence.encode(),
+		LeavingTargets: m.leaving.runs(),
 	})
 	if err != nil {
 		m.log.Error("Row of this gateway can't be encoded.", silllog.Err(err))
--- a/internal/silldirectgateway/scaling_test.go
+++ b/internal/silldirectgateway/scaling_test.go
@@ -4,8 +4,6 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/wasabisill/wasabisill/internal/sillclock"
 	"github.com/wasabisill/wasabisill/internal/sillcluster"
 	"github.com/wasabisill/wasabisill/internal/sillscaler"
@@ -27,7 +25,7 @@
 	for range 3 {
 		v.directory.Pick(time.Now(), silltarget.Query{Pool: "p", Zone: "a"})
 	}
-	m := newMembership(&Settings{Instance: "front-a"}, newCrashEvidence(&Adapter{}, newRegistry(), zap.NewNop()), newRegistry(), zap.NewNop())
+	m := newTestMembership("front-a")
 	var rows []silltable.Row
 	for _, member := range []sillcluster.Member{
 		{Instance: "front-a", Run: "a", PoolLoads: v.poolLoads()},
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -65,6 +65,7 @@
 	cache        *silljob.Cache
 	relay        *sillrelay.Relay
 	evidence     *crashEvidence
+	leaving      *leavingTargets
 	tables       tables
 	followers    *followers
 	controlTasks *controlTasks
@@ -85,11 +86,11 @@
 		fx.StopTimeout(settings.GracePeriod),
 		fx.Supply(settings, adapter, log),
 		fx.Provide(
-			newRegistry, newCrashEvidence, newMembership, newRelay, newTables, newView, newMeter, newFollowers,
+			newRegistry, newCrashEvidence, newDirectory, newLeavingTargets, newMembership, newRelay, newTables, newView, newMeter, newFollowers,
 			newForwarder, silljob.NewCache, newStore, newReader, newRunnerParts, newRunner, newControlTasks,
 		),
 		fx.Populate(
-			&s.registry, &s.evidence, &s.members, &s.relay, &s.tables, &s.view, &s.meter, &s.followers,
+			&s.registry, &s.evidence, &s.leaving, &s.members, &s.relay, &s.tables, &s.view, &s.meter, &s.followers,
 			&s.Forwarder, &s.cache, &s.Reader, &s.Runner, &s.controlTasks,
 		),
 		fx.Invoke(func(lc fx.Lifecycle) { lc.Append(fx.Hook{OnStart: s.start, OnStop: s.stop}) }),
@@ -211,5 +212,6 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", s.relay.Handler())
 	mux.HandleFunc("POST "+evidencePath, s.evidence.serve)
+	mux.HandleFunc("POST "+leavingPath, s.leaving.serve)
 	return mux
 }
--- a/internal/silldirectgateway/view.go
+++ b/internal/silldirectgateway/view.go
@@ -30,11 +30,11 @@
 	announced map[sillid.ModelID]sillid.WeightVersion
 }
 
-func newView(adapter *Adapter, log *zap.Logger) *view {
+func newView(adapter *Adapter, directory *silltarget.Directory, log *zap.Logger) *view {
 	return &view{
 		adapter:   adapter,
 		catalog:   &sillcatalog.Holder{},
-		directory: silltarget.NewDirectory(),
+		directory: directory,
 		board:     silljob.NewBoard(),
 		log:       log.Named("view"),
 		announced: make(map[sillid.ModelID]sillid.WeightVersion),
@@ -135,6 +135,12 @@
 	}
 }
 
+// observeNotice records what a response to an order or a call for a report says of its
+// target leaving.
+func (v *view) observeNotice(run silltarget.Run, n silltarget.Notice) {
+	v.directory.ObserveNotice(time.Now(), run, n)
+}
+
 // engines returns the targets of the pools that serve models.
 func (v *view) engines() map[sillid.PoolID][]silltarget.Entry {
 	c := v.catalog.Get()
--- a/internal/silldirectgateway/view_test.go
+++ b/internal/silldirectgateway/view_test.go
@@ -37,7 +37,7 @@
 			e.ID = sillid.TargetID(id)
 			return e, err
 		},
-	}, zap.NewNop())
+	}, silltarget.NewDirectory(), zap.NewNop())
 }
 
 func target(id, value string) silltable.Change {
--- a/internal/sillforwarder/attempt.go
+++ b/internal/sillforwarder/attempt.go
@@ -93,6 +93,9 @@
 	if !streamed {
 		defer cancel()
 	}
+	if !metadata.Misdirected {
+		f.cfg.Directory.ObserveNotice(time.Now(), a.Run(), metadata.Notice)
+	}
 	switch {
 	case metadata.Misdirected:
 		return f.finishRejected(a, resp, metadata, silltarget.Misdirected)
--- a/internal/sillforwarder/forwarder.go
+++ b/internal/sillforwarder/forwarder.go
@@ -188,7 +188,8 @@
 
 // pick waits for a target, for a share of the latency objective at most. It prefers
 // a target with a free slot to one that queues but is expected to respond in time.
-// At the end of the wait it also accepts one in backoff.
+// At the end of the wait it also accepts one in backoff. It does not wait if all targets
+// of the pool leave: none of them will accept the request.
 func (f *Forwarder) pick(ctx context.Context, req *Request, tried map[sillid.TargetID]bool, p progress) (silltarget.Grant, bool) {
 	query := silltarget.Query{Pool: req.Pool, Zone: f.cfg.Zone, Exclude: tried, MaxResponseTime: maxResponseTime(req, p, time.Now())}
 	wait := time.NewTimer(min(time.Duration(pickWaitShare*float64(req.Route.LatencyObjective)), time.Until(req.Deadline)))
@@ -201,6 +202,9 @@
 				return g, true
 			}
 		}
+		if f.cfg.Directory.AllLeaving(req.Pool) {
+			return silltarget.Grant{}, false
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/internal/sillheader/header.go
+++ b/internal/sillheader/header.go
@@ -38,6 +38,9 @@
 	Signature string
 	// Load is nil if the response does not report it.
 	Load *silltarget.Load
+	// Notice is whether the target says that it leaves. It says nothing of the intended
+	// target if Misdirected is set.
+	Notice silltarget.Notice
 	// Version is the weight version at the first event; 0 if not reported.
 	Version sillid.WeightVersion
 }
--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -138,10 +138,12 @@
 	defer resp.Body.Close()
 	metadata := r.cfg.Codec.ParseResponse(resp)
 	r.cfg.Directory.Observe(time.Now(), g, metadata.Load, 0)
-	switch {
-	case metadata.Misdirected:
+	if metadata.Misdirected {
 		discardBody(resp.Body)
 		return incomplete, silltarget.Misdirected, nil
+	}
+	r.cfg.Directory.ObserveNotice(time.Now(), g.Run(), metadata.Notice)
+	switch {
 	case metadata.NotRun:
 		discardBody(resp.Body)
 		return incomplete, silltarget.Rejected, nil
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -19,11 +19,21 @@
 	// changed is closed and replaced when a request may find a target that it
 	// did not find before.
 	changed chan struct{}
+	// leaving holds the runs that said that they leave, with the time at which this
+	// process learned of it.
+	leaving map[Run]time.Time
+	hooks   NoticeHooks
 }
 
-// NewDirectory returns an empty directory.
-func NewDirectory() *Directory {
-	return &Directory{targets: make(map[sillid.TargetID]*target), changed: make(chan struct{})}
+// NewDirectory returns an empty directory without hooks.
+func NewDirectory() *Directory { return NewDirectoryWithHooks(NoticeHooks{}) }
+
+// NewDirectoryWithHooks returns an empty directory that reports notices to hooks.
+func NewDirectoryWithHooks(hooks NoticeHooks) *Directory {
+	return &Directory{
+		targets: make(map[sillid.TargetID]*target), changed: make(chan struct{}),
+		leaving: make(map[Run]time.Time), hooks: hooks,
+	}
 }
 
 // Changed returns a channel that is closed at the next change after which a
@@ -47,9 +57,13 @@
 func (d *Directory) Apply(e Entry) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	registered := e.State
+	if _, leaving := d.leaving[e.Run()]; leaving {
+		e.State = Draining
+	}
 	t := d.targets[e.ID]
 	if t == nil || !t.entry.StartedAt.Equal(e.StartedAt) || t.entry.Address != e.Address {
-		fresh := &target{entry: e}
+		fresh := &target{entry: e, registered: registered}
 		if t != nil {
 			fresh.running = t.running
 		}
@@ -59,7 +73,7 @@
 	}
 	e.Versions = newest(t.entry.Versions, e.Versions)
 	changed := t.entry.State != e.State || !maps.Equal(t.entry.Versions, e.Versions) || !t.missingSince.IsZero()
-	t.entry = e
+	t.entry, t.registered = e, registered
 	t.missingSince = time.Time{}
 	d.signalChange()
 	return changed
--- a/internal/silltarget/target.go
+++ b/internal/silltarget/target.go
@@ -89,7 +89,10 @@
 
 // target is an entry with the state that this process keeps for it.
 type target struct {
+	// entry.State is Draining for a run that said in a response that it leaves.
 	entry Entry
+	// registered is the state in the registry entry.
+	registered State
 	// running is the number of this process's requests at the target.
 	running int
 	// failures counts the failures since the last success.
--- a/internal/sillweightcontroller/controller.go
+++ b/internal/sillweightcontroller/controller.go
@@ -37,6 +37,9 @@
 	OrderCount uint64
 	// Versions holds the weight version that is loaded of each model.
 	Versions map[sillid.ModelID]sillid.WeightVersion
+	// Notice is whether the engine says that it leaves. It is set even if the call failed
+	// after the head of the response.
+	Notice silltarget.Notice
 }
 
 // Config holds the dependencies of a Controller.
@@ -45,10 +48,13 @@
 	Engines func() map[sillid.PoolID][]silltarget.Entry
 	// Desired returns the desired version of each model of a pool.
 	Desired func(pool sillid.PoolID) map[sillid.ModelID]DesiredVersion
-	// Order sends one order with a fencing number.
-	Order func(ctx context.Context, l LoadOrder, fence sillid.Epoch) Reply
+	// Order sends one order with a fencing number. It also returns whether the engine
+	// says that it leaves.
+	Order func(ctx context.Context, l LoadOrder, fence sillid.Epoch) (Reply, silltarget.Notice)
 	// Report fetches an engine's order count and versions.
 	Report func(ctx context.Context, e silltarget.Entry) (Report, error)
+	// OnNotice receives what a response of an engine says of its leaving.
+	OnNotice func(run silltarget.Run, n silltarget.Notice)
 	// Now reads the clock that lease expiry is measured with.
 	Now func() time.Time
 	Log *zap.Logger
@@ -121,7 +127,9 @@
 	defer cancel()
 	reply := NotSent
 	if guard.MayAct(c.cfg.Now().Add(sendMargin)) {
-		reply = c.cfg.Order(callCtx, l, guard.Epoch)
+		var notice silltarget.Notice
+		reply, notice = c.cfg.Order(callCtx, l, guard.Epoch)
+		c.cfg.OnNotice(l.Target.Run(), notice)
 	}
 	c.cfg.Log.Info("Ordered weights.", zap.String("target", string(l.Target.ID)), zap.String("model", string(l.Model)),
 		zap.Uint64("version", uint64(l.Version)), zap.Uint64("orders", l.OrderCount), zap.Bool("finish-runs", l.FinishRuns), zap.Uint64("fence", uint64(guard.Epoch)),
@@ -138,6 +146,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	report, err := c.cfg.Report(ctx, e)
+	c.cfg.OnNotice(e.Run(), report.Notice)
 	if err != nil {
 		c.cfg.Log.Warn("Engine did not report.", zap.String("target", string(e.ID)), silllog.Err(err))
 		return nil
--- a/internal/sillweightcontroller/controller_test.go
+++ b/internal/sillweightcontroller/controller_test.go
@@ -35,14 +35,14 @@
 			Desired: func(sillid.PoolID) map[sillid.ModelID]DesiredVersion {
 				return map[sillid.ModelID]DesiredVersion{"a": {Version: 2, MinVersion: 2}}
 			},
-			Order: func(_ context.Context, l LoadOrder, fence sillid.Epoch) Reply {
+			Order: func(_ context.Context, l LoadOrder, fence sillid.Epoch) (Reply, silltarget.Notice) {
 				mu.Lock()
 				defer mu.Unlock()
 				orders = append(orders, sentOrder{l.OrderCount, fence})
-				return reply(l)
+				return reply(l), silltarget.NoNotice
 			},
-			Report: func(context.Context, silltarget.Entry) (Report, error) { return report, nil },
-			Now:    time.Now, Log: zap.NewNop(),
+			Report:   func(context.Context, silltarget.Entry) (Report, error) { return report, nil },
+			OnNotice: func(silltarget.Run, silltarget.Notice) {}, Now: time.Now, Log: zap.NewNop(),
 		})
 		group := sillgroup.New(t.Context())
 		guard := silllease.PermanentGuard(7)
