--- a/internal/silltransport/conn.go
+++ b/internal/silltransport/conn.go
@@ -51,6 +51,8 @@
 	// source reads from tcp, and reader from source.
 	source *headLimiter
 	reader *bufio.Reader
+	// used is whether a response was read on the connection.
+	used bool
 	// expires is when the connection may no longer be used for a new request.
 	expires time.Time
 	closed  sync.Once
@@ -225,7 +227,9 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if c.pool.cfg.ResponseMatches == nil || c.pool.cfg.ResponseMatches(req, resp.Header) {
+		first := !c.used
+		c.used = true
+		if c.pool.cfg.ResponseMatches == nil || c.pool.cfg.ResponseMatches(req, resp.Header, first) {
 			return resp, nil
 		}
 		if c.pool.cfg.OnSkipped != nil {
--- a/internal/silltransport/endless_test.go
+++ b/internal/silltransport/endless_test.go
@@ -58,7 +58,7 @@
 			})
 			pool := NewPool(Config{
 				ConnectTimeout: time.Second, TCPUserTimeout: time.Second, IdleTimeout: time.Minute,
-				ResponseMatches: func(_ *Request, h http.Header) bool { return h.Get("Id") != "other" },
+				ResponseMatches: func(_ *Request, h http.Header, _ bool) bool { return h.Get("Id") != "other" },
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 			defer cancel()
--- a/internal/silltransport/transport.go
+++ b/internal/silltransport/transport.go
@@ -66,8 +66,10 @@
 	// Keep-Alive timeout.
 	IdleTimeout time.Duration
 	// ResponseMatches returns whether a response belongs to the request. Other
-	// responses are skipped. If nil, every response is accepted.
-	ResponseMatches func(req *Request, header http.Header) bool
+	// responses are skipped. first is whether the connection has carried no response
+	// before: only later ones can be extra responses to earlier requests. If nil,
+	// every response is accepted.
+	ResponseMatches func(req *Request, header http.Header, first bool) bool
 	// OnDialed, if not nil, is called for each new connection.
 	OnDialed func()
 	// OnSkipped, if not nil, is called for each skipped response.
--- a/internal/silltransport/transport_test.go
+++ b/internal/silltransport/transport_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -109,13 +110,13 @@
 	return p.accepted, len(p.requests)
 }
 
-func newTestPool(matches func(*Request, http.Header) bool) *Pool {
+func newTestPool(matches func(*Request, http.Header, bool) bool) *Pool {
 	return NewPool(Config{
 		ConnectTimeout: time.Second, TCPUserTimeout: time.Second, IdleTimeout: time.Minute, ResponseMatches: matches,
 	})
 }
 
-func sameID(req *Request, header http.Header) bool { return header.Get("Id") == req.Header.Get("Id") }
+func sameID(req *Request, header http.Header, _ bool) bool { return header.Get("Id") == req.Header.Get("Id") }
 
 func request(id string) *Request {
 	return &Request{Method: "POST", RequestURI: "/a", Host: "h.example", Header: http.Header{"Id": {id}}, Body: []byte("body")}
@@ -399,3 +400,22 @@
 	}
 	t.Fatal("the condition did not become true within 5 seconds")
 }
+
+// TestFirstResponseOfAConnection checks which responses count as the first one of their
+// connection: skipped ones count as well.
+func TestFirstResponseOfAConnection(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, r string) bool {
+		_, _ = io.WriteString(c, responseWith("0", "", "no")+responseWith(idOf(r), "", "ok"))
+		return true
+	})
+	var got []bool
+	pool := newTestPool(func(req *Request, header http.Header, first bool) bool {
+		got = append(got, first)
+		return sameID(req, header, first)
+	})
+	checkBody(t, pool, p.address(), "1", "ok")
+	checkBody(t, pool, p.address(), "2", "ok")
+	if want := []bool{true, false, false, false}; !slices.Equal(got, want) {
+		t.Errorf("first responses %v, want %v", got, want)
+	}
+}
