Pass on no success that its server did not sign

What callers saw: a 2xx that carries no server's signature was passed on as a complete answer, plain or as a stream. What such bytes are is not known: they may come from a faulty server or from something that is no server.

Cause: the signature was read, but only used for scores of items.

Change: an unsigned success counts as malformed: repeated where the request is idempotent, else 502. The stand-in target signs its streams too.

--- a/internal/sillforwarder/attempt.go
+++ b/internal/sillforwarder/attempt.go
@@ -103,6 +103,13 @@
 		return f.finishRejected(a, resp, metadata, silltarget.Rejected)
 	}
 	f.cfg.OnStarted(req.Organisation, sentAt)
+	if metadata.Signature == "" && isSuccess(resp.StatusCode) {
+		// Closing the body before its end closes the connection, too.
+		resp.Body.Close()
+		cancel()
+		f.release(a, silltarget.Malformed)
+		return nil, silltarget.Malformed, true
+	}
 	if streamed {
 		body := &streamBody{forwarder: f, attempt: a, body: resp.Body, cancel: cancel, ctx: ctx, outcome: silltarget.Abandoned}
 		return &Response{Status: resp.StatusCode, Header: resp.Header, Metadata: metadata, Stream: body}, silltarget.Answered, true
@@ -121,6 +128,12 @@
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Metadata: metadata, Body: body}, silltarget.Answered, true
 }
 
+// isSuccess returns whether a status is a success, which counts only if it is signed:
+// anything else may come from something that is not the target.
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // finishRejected handles the response of a target that did not run the request.
 func (f *Forwarder) finishRejected(a activeAttempt, resp *http.Response, metadata sillheader.ResponseMetadata, o silltarget.Outcome) (*Response, silltarget.Outcome, bool) {
 	// The body is read so that the connection can be reused; an error only costs
--- a/internal/sillstandtarget/target.go
+++ b/internal/sillstandtarget/target.go
@@ -240,6 +240,7 @@
 		version = b.NextVersion
 	}
 	w.Header().Set("Content-Type", contentTypeSSE)
+	w.Header().Set(headerSignature, "signed-"+string(t.ID))
 	w.Header().Set(headerVersion, strconv.FormatUint(uint64(version), 10))
 	controller := http.NewResponseController(w)
 	sent := 0
