Send a repeated request on another connection than before

What callers saw: an item or a score request that is sent again under its id, to the same server on the same kept connection, could take a late copy of the first answer for the answer to the second sending: a score call that failed once counted as failed twice, a rejected item as rejected although it ran.

Cause: responses are told apart by the request's id, which is the same for both.

Change: a connection remembers the ids of its last eight requests and is not reused for one of them.

Evidence: TestRepeatedRequestGetsAnotherConnection; without the check, each sending from the second on gets the response to the one before it.

--- a/internal/sillforwarder/attempt.go
+++ b/internal/sillforwarder/attempt.go
@@ -48,7 +48,7 @@
 	attemptCtx, cancel := context.WithTimeout(ctx, limit)
 	sentAt := time.Now()
 	resp, err := f.cfg.Pool.Send(attemptCtx, a.Address, &silltransport.Request{
-		Method: req.Method, RequestURI: req.RequestURI, Host: req.Host, Header: header, Body: req.Body,
+		ID: string(req.ID), Method: req.Method, RequestURI: req.RequestURI, Host: req.Host, Header: header, Body: req.Body,
 	})
 	if err == nil {
 		return f.readResponse(ctx, req, a, resp, sentAt, cancel)
--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -172,7 +172,7 @@
 		Resume: len(it.events) > 0, LastEvent: it.lastEvent, Version: exactVersion(it),
 	})
 	return &silltransport.Request{
-		Method: http.MethodPost, RequestURI: it.item.Path, Host: it.job.sub.Host, Header: header, Body: it.item.Body,
+		ID: string(it.item.ID), Method: http.MethodPost, RequestURI: it.item.Path, Host: it.job.sub.Host, Header: header, Body: it.item.Body,
 	}
 }
 
--- a/internal/silltransport/conn.go
+++ b/internal/silltransport/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -25,6 +26,9 @@
 	// maxReadResponses bounds the responses that are read for one request, skipped
 	// ones included.
 	maxReadResponses = 4
+	// maxCarriedIDs bounds the ids that a connection remembers. A late response comes
+	// within the next few requests.
+	maxCarriedIDs = 8
 	// maxHeadBytes bounds the status line and header of a response.
 	maxHeadBytes = 64 << 10
 	// maxSkippedBytes bounds the body of a skipped response.
@@ -51,6 +55,8 @@
 	// source reads from tcp, and reader from source.
 	source *headLimiter
 	reader *bufio.Reader
+	// carried holds the ids of the newest requests, maxCarriedIDs at most.
+	carried []string
 	// used is whether a response was read on the connection.
 	used bool
 	// expires is when the connection may no longer be used for a new request.
@@ -120,6 +126,19 @@
 	return err == nil && idle
 }
 
+// hasCarried returns whether one of the newest requests on the connection had the id.
+func (c *conn) hasCarried(id string) bool { return id != "" && slices.Contains(c.carried, id) }
+
+func (c *conn) recordCarried(id string) {
+	if id == "" {
+		return
+	}
+	if len(c.carried) == maxCarriedIDs {
+		c.carried = slices.Delete(c.carried, 0, 1)
+	}
+	c.carried = append(c.carried, id)
+}
+
 // exchange writes a request and reads the head of its response.
 func (c *conn) exchange(ctx context.Context, req *Request) (*http.Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.tcp.SetDeadline(expiredDeadline) })
@@ -134,6 +153,7 @@
 	if ctx.Err() != nil {
 		return fail(false, ctx.Err())
 	}
+	c.recordCarried(req.ID)
 	written := c.write(req)
 	if err := written.failed(); err != nil {
 		return fail(true, err)
--- a/internal/silltransport/transport.go
+++ b/internal/silltransport/transport.go
@@ -13,12 +13,17 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
 
 // Request is a request to one address.
 type Request struct {
+	// ID, if not empty, is the id that responses repeat. A request with the id of an
+	// earlier one gets another connection than that one, so that a late copy of the
+	// earlier response is not taken for its own.
+	ID     string
 	Method string
 	// RequestURI is the path and query, sent unchanged in the request line.
 	RequestURI string
@@ -94,7 +99,7 @@
 // must read the body to its end or close it. When ctx ends, the connection is
 // closed, also while the body is read. Errors are of type *Error.
 func (p *Pool) Send(ctx context.Context, address string, req *Request) (*http.Response, error) {
-	c, err := p.acquire(ctx, address)
+	c, err := p.acquire(ctx, address, req.ID)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
@@ -105,10 +110,11 @@
 	return resp, nil
 }
 
-// acquire returns an idle connection that is still open, or a new one.
-func (p *Pool) acquire(ctx context.Context, address string) (*conn, error) {
+// acquire returns an idle connection that is still open and has not carried a request
+// with the id, or a new one.
+func (p *Pool) acquire(ctx context.Context, address, id string) (*conn, error) {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, id)
 		if c == nil {
 			return p.dial(ctx, address)
 		}
@@ -119,16 +125,19 @@
 	}
 }
 
-func (p *Pool) pop(address string) *conn {
+// pop removes and returns the most recently used idle connection that has not carried a
+// request with the id, or nil.
+func (p *Pool) pop(address, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; !c.hasCarried(id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) put(c *conn) {
@@ -154,6 +163,14 @@
 	return newConn(p, tcp, address), nil
 }
 
+// HasIdle returns whether the pool has an idle connection to an address.
+func (p *Pool) HasIdle(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	return len(list) > 0 && time.Now().Before(list[len(list)-1].expires)
+}
+
 // CloseIdle closes the idle connections of an address, for example after a
 // connection to it stopped responding.
 func (p *Pool) CloseIdle(address string) {
--- a/internal/silltransport/transport_test.go
+++ b/internal/silltransport/transport_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -116,7 +117,9 @@
 	})
 }
 
-func sameID(req *Request, header http.Header, _ bool) bool { return header.Get("Id") == req.Header.Get("Id") }
+func sameID(req *Request, header http.Header, _ bool) bool {
+	return header.Get("Id") == req.Header.Get("Id")
+}
 
 func request(id string) *Request {
 	return &Request{Method: "POST", RequestURI: "/a", Host: "h.example", Header: http.Header{"Id": {id}}, Body: []byte("body")}
@@ -365,7 +368,7 @@
 	if err == nil && body != "early" {
 		t.Errorf("body %q", body)
 	}
-	if pool.pop(l.Addr().String()) != nil {
+	if pool.pop(l.Addr().String(), "") != nil {
 		t.Error("the connection was kept")
 	}
 }
@@ -378,13 +381,13 @@
 	pool := newTestPool(sameID)
 	checkBody(t, pool, p.address(), "1", "ok")
 	pool.CloseExpired(time.Now())
-	if c := pool.pop(p.address()); c == nil {
+	if c := pool.pop(p.address(), ""); c == nil {
 		t.Fatal("a fresh connection was closed")
 	} else {
 		pool.put(c)
 	}
 	pool.CloseExpired(time.Now().Add(6 * time.Second))
-	if pool.pop(p.address()) != nil {
+	if pool.pop(p.address(), "") != nil {
 		t.Error("an old connection was kept")
 	}
 }
@@ -419,3 +422,28 @@
 		t.Errorf("first responses %v, want %v", got, want)
 	}
 }
+
+// TestRepeatedRequestGetsAnotherConnection sends a request again while a copy of the
+// response to its first sending is under way: the copy must not answer the second one.
+func TestRepeatedRequestGetsAnotherConnection(t *testing.T) {
+	var mu sync.Mutex
+	sent := 0
+	last := make(map[net.Conn]string)
+	p := newPeer(t, func(c net.Conn, r string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		sent++
+		response := responseWith(idOf(r), "", fmt.Sprint("response ", sent))
+		_, _ = io.WriteString(c, last[c]+response)
+		last[c] = response
+		return true
+	})
+	pool := newTestPool(sameID)
+	for i := range 6 {
+		r := request("1")
+		r.ID = "1"
+		if _, body, err := send(t, pool, p.address(), r); err != nil || body != fmt.Sprint("response ", i+1) {
+			t.Errorf("sending %d got %q, %v", i+1, body, err)
+		}
+	}
+}
