Write the rows of a zone's gateways in one transaction

Cause: 133 gateways renew their rows each 0.5 s, 266 transactions a second in one partition of the store, which handles 200 one after another.

Change: one gateway of a zone, chosen from the live ones, gathers the rows of the others for 0.2 s and commits them in one transaction; whoever gets no confirmation in time writes directly. Readers ignore rows that were delayed. Finding the first of all members for a name no longer sorts all members once for each of them.

--- a/internal/sillcluster/members.go
+++ b/internal/sillcluster/members.go
@@ -3,6 +3,7 @@
 package sillcluster
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -39,6 +40,8 @@
 	Zone    sillid.ZoneID `cbor:"zone"`
 	// Leaving is whether the process is stopping and accepts no new work.
 	Leaving bool `cbor:"leaving"`
+	// GroupCommit is whether the process commits the rows of others with its own.
+	GroupCommit bool `cbor:"group-commit,omitempty"`
 	// PoolLoads holds the process's running requests in the autoscaled pools.
 	PoolLoads []PoolLoad `cbor:"busy,omitempty"`
 	// Renewal counts the renewals of this run.
@@ -125,6 +128,10 @@
 			failure = err
 			continue
 		}
+		if known, ok := s.rows[instance]; ok && known.Run == m.Run && known.Renewal > m.Renewal {
+			// A transaction that was delayed has replaced a newer row.
+			continue
+		}
 		s.onRow(m)
 		m.CrashEvidence, m.LeavingTargets = nil, nil
 		s.rows[instance] = memberRow{Member: m, lastRenewed: now}
@@ -174,6 +181,26 @@
 	return live
 }
 
+// groupCommitSize is the number of gateways from which an availability zone has another
+// leader: a leader receives about three writes a second of each gateway.
+const groupCommitSize = 40
+
+// CommitLeader returns the process that commits the rows of a live process with its own,
+// and false if there is none. An availability zone has one leader for each
+// groupCommitSize of its processes that take part.
+func (s *Members) CommitLeader(now time.Time, self sillid.InstanceID) (Member, bool) {
+	live := s.Live(now)
+	own := slices.IndexFunc(live, func(m Member) bool { return m.Instance == self })
+	if own < 0 || !live[own].GroupCommit {
+		return Member{}, false
+	}
+	zone := live[own].Zone
+	candidates := slices.DeleteFunc(live, func(m Member) bool { return !m.GroupCommit || m.Zone != zone })
+	groups := (len(candidates) + groupCommitSize - 1) / groupCommitSize
+	group := silllease.Score("group-commit", sillid.GatewayID(self)) % uint64(groups)
+	return first(candidates, fmt.Sprintf("group-commit/%s/%d", zone, group)), true
+}
+
 // LastLive returns the processes that were alive and not leaving when the newest row
 // was read, in no particular order. It is for calls that must reach them while the
 // table is unavailable.
@@ -195,26 +222,51 @@
 	return live
 }
 
-// Rank returns the rank of an instance among the live ones for a name, by rendezvous
-// hashing, and false if the instance is not live.
+// Rank returns the rank of an instance among the live ones for a name, and false if the
+// instance is not live.
 func (s *Members) Rank(now time.Time, name string, self sillid.InstanceID) (int, bool) {
 	live := s.Live(now)
-	ids := make([]sillid.GatewayID, 0, len(live))
-	found := false
+	own := slices.IndexFunc(live, func(m Member) bool { return m.Instance == self })
+	if own < 0 {
+		return 0, false
+	}
+	rank := 0
 	for _, m := range live {
-		ids = append(ids, sillid.GatewayID(m.Instance))
-		found = found || m.Instance == self
+		if isAhead(name, m, live[own]) {
+			rank++
+		}
 	}
-	return silllease.Rank(name, sillid.GatewayID(self), ids), found
+	return rank, true
 }
 
 // First returns the live process with rank 0 for a name, and false if no process
 // is live.
 func (s *Members) First(now time.Time, name string) (Member, bool) {
-	for _, m := range s.Live(now) {
-		if rank, _ := s.Rank(now, name, m.Instance); rank == 0 {
-			return m, true
+	live := s.Live(now)
+	if len(live) == 0 {
+		return Member{}, false
+	}
+	return first(live, name), true
+}
+
+// first returns the member with rank 0 for a name; there must be one member at least.
+func first(members []Member, name string) Member {
+	best := members[0]
+	for _, m := range members[1:] {
+		if isAhead(name, m, best) {
+			best = m
 		}
 	}
-	return Member{}, false
+	return best
+}
+
+// isAhead returns whether a ranks before b for a name, by rendezvous hashing: every
+// process with the same rows computes the same order, and a process that leaves changes
+// only the ranks behind its own.
+func isAhead(name string, a, b Member) bool {
+	scoreA, scoreB := silllease.Score(name, sillid.GatewayID(a.Instance)), silllease.Score(name, sillid.GatewayID(b.Instance))
+	if scoreA != scoreB {
+		return scoreA > scoreB
+	}
+	return a.Instance > b.Instance
 }
--- a/internal/sillcluster/members_test.go
+++ b/internal/sillcluster/members_test.go
@@ -147,3 +147,54 @@
 		t.Errorf("live %+v an hour later, want none", live)
 	}
 }
+
+// TestDelayedRowsAreIgnored applies a transaction that was delayed after a newer one of
+// the same process: the older row must not undo that the process leaves.
+func TestDelayedRowsAreIgnored(t *testing.T) {
+	s := members(t, 1)
+	leaving := change(t, Member{Instance: "i0", Run: "run-i0", Renewal: 9, Leaving: true})
+	delayed := change(t, Member{Instance: "i0", Run: "run-i0", Renewal: 8})
+	later := start.Add(MemberTimeout - time.Millisecond)
+	if err := s.Apply(start, []silltable.Change{leaving}); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Apply(later, []silltable.Change{delayed}); err != nil {
+		t.Fatal(err)
+	}
+	if live := s.Live(later); len(live) != 0 {
+		t.Errorf("live %+v after the process left", live)
+	}
+	checkAlive(t, s, later.Add(2*time.Millisecond), "run-i0", false)
+}
+
+func TestCommitLeaders(t *testing.T) {
+	s := NewMembers(func(Member) {})
+	for i := range 200 {
+		m := Member{Instance: sillid.InstanceID(fmt.Sprintf("i%d", i)), Run: "r", Zone: "z", GroupCommit: i >= 20}
+		if i%2 == 1 {
+			m.Zone = "other"
+		}
+		if err := s.Apply(start, []silltable.Change{change(t, m)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	followers := make(map[sillid.InstanceID]int)
+	for _, m := range s.Live(start) {
+		leader, ok := s.CommitLeader(start, m.Instance)
+		if ok != m.GroupCommit {
+			t.Errorf("%s has a leader: %t, want %t", m.Instance, ok, m.GroupCommit)
+		}
+		if !ok {
+			continue
+		}
+		if leader.Zone != m.Zone || !leader.GroupCommit {
+			t.Errorf("%s of %s has the leader %+v", m.Instance, m.Zone, leader)
+		}
+		followers[leader.Instance]++
+	}
+	for leader, n := range followers {
+		if n > 2*groupCommitSize {
+			t.Errorf("%s commits for %d gateways", leader, n)
+		}
+	}
+}
--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -11,14 +11,16 @@
 
 	"github.com/wasabisill/wasabisill/internal/sillclock"
 	"github.com/wasabisill/wasabisill/internal/sillcluster"
+	"github.com/wasabisill/wasabisill/internal/sillgroupcommit"
 	"github.com/wasabisill/wasabisill/internal/silljob"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// renewTimeout is the time limit for one renewal of the process's row.
-const renewTimeout = 600 * time.Millisecond
+// renewTimeout is the time limit for one renewal of the process's row: through the leader
+// of its group commits and, if that fails, directly.
+const renewTimeout = time.Second
 
 // membership holds the running gateways and keeps this process's row among them.
 type membership struct {
@@ -34,6 +36,9 @@
 	// It is set before renew is called.
 	poolLoads func() []sillcluster.PoolLoad
 	renewals  atomic.Uint64
+	// committer writes the process's row. It is set before renew is called; nil writes
+	// directly.
+	committer *sillgroupcommit.Committer
 	evidence  *crashEvidence
 	leaving   *leavingTargets
 	// restored is whether what the row of the process's last run tells is merged.
@@ -83,6 +88,18 @@
 	return m.members.Alive(sillclock.Boot(), sillcluster.Run(run))
 }
 
+// commitLeader returns the gateway that commits the row of this one.
+func (m *membership) commitLeader() sillgroupcommit.Leader {
+	leader, ok := m.members.CommitLeader(sillclock.Boot(), m.settings.Instance)
+	switch {
+	case !ok:
+		return sillgroupcommit.Leader{}
+	case leader.Run == m.run:
+		return sillgroupcommit.Leader{Self: true}
+	}
+	return sillgroupcommit.Leader{Address: leader.Address}
+}
+
 // peers returns the addresses of the other live gateways: first those of this
 // availability zone, then the others in random order.
 func (m *membership) peers() []string {
@@ -185,7 +202,7 @@
 func (m *membership) write(ctx context.Context, store *silltable.Store, leaving bool) bool {
 	write, err := sillcluster.Encode(sillcluster.Member{
 		Instance: m.settings.Instance, Run: m.run, Address: m.address, Zone: m.settings.Zone,
-		Leaving: leaving, PoolLoads: m.poolLoads(), Renewal: m.renewals.Add(1), CrashEvidence: m.evidence.encode(),
+		Leaving: leaving, GroupCommit: true, PoolLoads: m.poolLoads(), Renewal: m.renewals.Add(1), CrashEvidence: m.evidence.encode(),
 		LeavingTargets: m.leaving.runs(),
 	})
 	if err != nil {
@@ -194,9 +211,19 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	if _, err := store.Commit(ctx, silltable.Txn{Writes: []silltable.Write{write}}); err != nil {
+	if err := m.commit(ctx, store, write, leaving); err != nil {
 		m.log.Warn("Row of this gateway not renewed.", zap.Bool("leaving", leaving), silllog.Err(err))
 		return false
 	}
 	return true
 }
+
+// commit writes a row. The row of a leaving process is not gathered with others, so that
+// it gets no new work from now on.
+func (m *membership) commit(ctx context.Context, store *silltable.Store, row silltable.Write, leaving bool) error {
+	if m.committer != nil && !leaving {
+		return m.committer.Commit(ctx, []silltable.Write{row})
+	}
+	_, err := store.Commit(ctx, silltable.Txn{Writes: []silltable.Write{row}})
+	return err
+}
--- a/internal/silldirectgateway/providers.go
+++ b/internal/silldirectgateway/providers.go
@@ -1,13 +1,16 @@
 package silldirectgateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"go.uber.org/zap"
 
+	"github.com/wasabisill/wasabisill/internal/sillclock"
 	"github.com/wasabisill/wasabisill/internal/sillforwarder"
+	"github.com/wasabisill/wasabisill/internal/sillgroupcommit"
 	"github.com/wasabisill/wasabisill/internal/silljob"
 	"github.com/wasabisill/wasabisill/internal/sillmeter"
 	"github.com/wasabisill/wasabisill/internal/sillrelay"
@@ -44,8 +47,17 @@
 	return tables{store: r.Table(), feed: r.Feed()}
 }
 
-func newMeter(s *Settings, t tables, m *membership, log *zap.Logger) *sillmeter.Meter {
-	return sillmeter.NewMeter(sillmeter.MeterConfig{Table: t.store, WindowLength: s.UsageWindow, RunID: string(m.run), Log: log})
+func newCommitter(adapter *Adapter, t tables, m *membership, r *prometheus.Registry, log *zap.Logger) *sillgroupcommit.Committer {
+	return sillgroupcommit.New(sillgroupcommit.Config{
+		Table: t.store, Leader: m.commitLeader, Now: sillclock.Boot, Registerer: r, Log: log,
+		Post: func(ctx context.Context, address, path string, body []byte) bool {
+			return postToPeer(ctx, adapter.PeerPool, address, path, body)
+		},
+	})
+}
+
+func newMeter(s *Settings, c *sillgroupcommit.Committer, m *membership, log *zap.Logger) *sillmeter.Meter {
+	return sillmeter.NewMeter(sillmeter.MeterConfig{Commit: c.Commit, WindowLength: s.UsageWindow, RunID: string(m.run), Log: log})
 }
 
 func newForwarder(s *Settings, adapter *Adapter, v *view, m *sillmeter.Meter, e *crashEvidence, r *prometheus.Registry, log *zap.Logger) *sillforwarder.Forwarder {
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -15,6 +15,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
 	"github.com/wasabisill/wasabisill/internal/sillforwarder"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/sillgroupcommit"
 	"github.com/wasabisill/wasabisill/internal/silljob"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/sillmeter"
@@ -67,6 +68,7 @@
 	evidence     *crashEvidence
 	leaving      *leavingTargets
 	tables       tables
+	committer    *sillgroupcommit.Committer
 	followers    *followers
 	controlTasks *controlTasks
 	registry     *prometheus.Registry
@@ -86,11 +88,11 @@
 		fx.StopTimeout(settings.GracePeriod),
 		fx.Supply(settings, adapter, log),
 		fx.Provide(
-			newRegistry, newCrashEvidence, newDirectory, newLeavingTargets, newMembership, newRelay, newTables, newView, newMeter, newFollowers,
+			newRegistry, newCrashEvidence, newDirectory, newLeavingTargets, newMembership, newRelay, newTables, newCommitter, newView, newMeter, newFollowers,
 			newForwarder, silljob.NewCache, newStore, newReader, newRunnerParts, newRunner, newControlTasks,
 		),
 		fx.Populate(
-			&s.registry, &s.evidence, &s.leaving, &s.members, &s.relay, &s.tables, &s.view, &s.meter, &s.followers,
+			&s.registry, &s.evidence, &s.leaving, &s.members, &s.relay, &s.tables, &s.committer, &s.view, &s.meter, &s.followers,
 			&s.Forwarder, &s.cache, &s.Reader, &s.Runner, &s.controlTasks,
 		),
 		fx.Invoke(func(lc fx.Lifecycle) { lc.Append(fx.Hook{OnStart: s.start, OnStop: s.stop}) }),
@@ -133,12 +135,14 @@
 	}
 	s.members.address = s.Addresses.Peers
 	s.members.poolLoads = s.view.poolLoads
+	s.members.committer = s.committer
 	s.background = sillgroup.New(context.Background())
 	s.work = sillgroup.New(context.Background())
 	for _, f := range s.followers.all() {
 		s.background.Go(f.Run)
 	}
 	s.background.Go(s.relay.Run)
+	s.background.Go(s.committer.Run)
 	s.background.Go(s.cleanUp)
 	if s.settings.ReportsUsage {
 		s.background.Go(s.meter.Run)
@@ -212,6 +216,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", s.relay.Handler())
 	mux.HandleFunc("POST "+evidencePath, s.evidence.serve)
+	mux.Handle("POST "+sillgroupcommit.Path, s.committer)
 	mux.HandleFunc("POST "+leavingPath, s.leaving.serve)
 	return mux
 }
--- a/internal/silllease/rank.go
+++ b/internal/silllease/rank.go
@@ -15,17 +15,19 @@
 // same order, and a member that leaves changes only the ranks behind its own. Self
 // counts as a member even if the list lacks it.
 func Rank(name string, self sillid.GatewayID, members []sillid.GatewayID) int {
-	own := score(name, self)
+	own := Score(name, self)
 	rank := 0
 	for _, m := range members {
-		if s := score(name, m); s > own || (s == own && m > self) {
+		if s := Score(name, m); s > own || (s == own && m > self) {
 			rank++
 		}
 	}
 	return rank
 }
 
-func score(name string, member sillid.GatewayID) uint64 {
+// Score returns the rendezvous hash of a member for a name. The member with the highest
+// score comes first.
+func Score(name string, member sillid.GatewayID) uint64 {
 	h := fnv.New64a()
 	// Writes to a hash never fail.
 	_, _ = h.Write([]byte(name))
--- a/internal/sillmeter/meter.go
+++ b/internal/sillmeter/meter.go
@@ -55,7 +55,8 @@
 
 // MeterConfig holds the dependencies of a Meter.
 type MeterConfig struct {
-	Table *silltable.Store
+	// Commit writes rows that no other process writes.
+	Commit func(ctx context.Context, writes []silltable.Write) error
 	// WindowLength is the length of a window.
 	WindowLength time.Duration
 	// RunID identifies this run of the process. It is unique among all runs.
@@ -116,7 +117,7 @@
 
 // write stores the changed counts.
 func (m *Meter) write(ctx context.Context) {
-	txn, windows, err := m.takeDirty()
+	writes, windows, err := m.takeDirty()
 	if err != nil {
 		m.cfg.Log.Error("Counts can't be encoded.", silllog.Err(err))
 		return
@@ -126,29 +127,29 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if _, err := m.cfg.Table.Commit(ctx, txn); err != nil {
+	if err := m.cfg.Commit(ctx, writes); err != nil {
 		m.cfg.Log.Warn("Counts not written.", zap.Int("windows", len(windows)), silllog.Err(err))
 		m.markDirty(windows)
 	}
 }
 
-// takeDirty returns a transaction that writes the counts of the dirty windows, with
-// these windows, and marks them as clean.
-func (m *Meter) takeDirty() (silltable.Txn, []Window, error) {
+// takeDirty returns the rows with the counts of the dirty windows, with these windows,
+// and marks them as clean.
+func (m *Meter) takeDirty() ([]silltable.Write, []Window, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var txn silltable.Txn
+	var writes []silltable.Write
 	var windows []Window
 	for w := range m.dirty {
 		b, err := cbor.Marshal(m.counts[w])
 		if err != nil {
-			return silltable.Txn{}, nil, eris.Wrap(err, "sillmeter.takeDirty")
+			return nil, nil, eris.Wrap(err, "sillmeter.takeDirty")
 		}
-		txn.Writes = append(txn.Writes, silltable.Write{Key: countKey(w) + m.cfg.RunID, Value: b})
+		writes = append(writes, silltable.Write{Key: countKey(w) + m.cfg.RunID, Value: b})
 		windows = append(windows, w)
 	}
 	clear(m.dirty)
-	return txn, windows, nil
+	return writes, windows, nil
 }
 
 // markDirty marks windows to be written again after a failed write.
--- a/internal/sillmeter/meter_test.go
+++ b/internal/sillmeter/meter_test.go
@@ -18,8 +18,16 @@
 
 const length = 5 * time.Second
 
+// commitTo returns a function that commits writes to a table.
+func commitTo(table *sillmemtable.Table) func(context.Context, []silltable.Write) error {
+	return func(ctx context.Context, writes []silltable.Write) error {
+		_, err := table.Store().Commit(ctx, silltable.Txn{Writes: writes})
+		return err
+	}
+}
+
 func newTestMeter(table *sillmemtable.Table, run string) *Meter {
-	return NewMeter(MeterConfig{Table: table.Store(), WindowLength: length, RunID: run, Log: zap.NewNop()})
+	return NewMeter(MeterConfig{Commit: commitTo(table), WindowLength: length, RunID: run, Log: zap.NewNop()})
 }
 
 // fakeReceiver records the reports that it receives.
