Keep the rows of gateways in partitions of their zones

Cause: the queue of the partition was full from the start. All gateways write their first row within 0.3 s, beside the heartbeats of 152 targets; followers whose leader waited in that queue got no confirmation in time and wrote directly, so that it stayed full.

Change: the rows of gateways are in one partition for each zone, where nothing else is; usage counts stay in "", through group commits. A feed follows a table over all partitions, so builds before this one see the rows. An instance may have a row of each build: the newer one counts, and a start looks for both.

Evidence: TestFullPartitionOfOtherRows keeps the partition "" full; with all rows in it gateways count as dead.

--- a/internal/sillcluster/members.go
+++ b/internal/sillcluster/members.go
@@ -3,8 +3,10 @@
 package sillcluster
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,7 +19,8 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// Table is the name of the table with one row per instance, keyed by the instance.
+// Table is the name of the table with one row per instance. Its partitions are the
+// availability zones. Builds before that wrote their rows to the partition "".
 const Table = "gateway-node"
 
 const (
@@ -83,12 +86,19 @@
 }
 
 // Key returns the key of an instance's row.
-func Key(instance sillid.InstanceID) string { return Table + "/" + string(instance) }
+func Key(zone sillid.ZoneID, instance sillid.InstanceID) string {
+	return Table + "/" + string(zone) + "/" + string(instance)
+}
+
+// instanceOf returns the instance whose row has a key.
+func instanceOf(key string) sillid.InstanceID {
+	return sillid.InstanceID(key[strings.LastIndexByte(key, '/')+1:])
+}
 
 // Encode returns the write that stores the row of a member.
 func Encode(m Member) (silltable.Write, error) {
 	b, err := cbor.Marshal(m)
-	return silltable.Write{Key: Key(m.Instance), Value: b}, eris.Wrap(err, "sillcluster.Encode")
+	return silltable.Write{Key: Key(m.Zone, m.Instance), Value: b}, eris.Wrap(err, "sillcluster.Encode")
 }
 
 // Decode decodes the row of a member.
@@ -99,11 +109,14 @@
 }
 
 // Reset replaces all rows. Every process gets the full MemberTimeout from now, since
-// the time of its last renewal is unknown. It returns errors as Apply does.
+// the time of its last renewal is unknown. Of an instance with rows in two partitions,
+// the newer one counts. It returns errors as Apply does.
 func (s *Members) Reset(now time.Time, rows []silltable.Row) error {
 	s.mu.Lock()
 	s.rows = make(map[sillid.InstanceID]memberRow)
 	s.mu.Unlock()
+	rows = slices.Clone(rows)
+	slices.SortFunc(rows, func(a, b silltable.Row) int { return cmp.Compare(a.Revision, b.Revision) })
 	changes := make([]silltable.Change, len(rows))
 	for i, row := range rows {
 		changes[i].Row = row
@@ -118,7 +131,7 @@
 	defer s.mu.Unlock()
 	var failure error
 	for _, c := range changes {
-		instance := sillid.InstanceID(c.Row.Key[len(Table)+1:])
+		instance := instanceOf(c.Row.Key)
 		if c.Removed {
 			delete(s.rows, instance)
 			continue
--- a/internal/sillcluster/members_test.go
+++ b/internal/sillcluster/members_test.go
@@ -104,7 +104,7 @@
 func TestUnreadableRowsAreLeftOut(t *testing.T) {
 	s := members(t, 1)
 	err := s.Apply(start, []silltable.Change{
-		{Row: silltable.Row{Key: Key("bad"), Value: []byte("?")}},
+		{Row: silltable.Row{Key: Key("z", "bad"), Value: []byte("?")}},
 		change(t, Member{Instance: "good", Run: "run-good"}),
 	})
 	if err == nil {
@@ -125,7 +125,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			m, err := Decode(silltable.Row{Key: Key("i0"), Value: b})
+			m, err := Decode(silltable.Row{Key: Key("z", "i0"), Value: b})
 			if err != nil || m.Run != "r" || m.Address != "a" || m.Renewal != 3 {
 				t.Errorf("decoded %+v, %v", m, err)
 			}
@@ -167,6 +167,21 @@
 	checkAlive(t, s, later.Add(2*time.Millisecond), "run-i0", false)
 }
 
+// TestNewerRowOfAnInstanceCounts reads the rows that two builds wrote for one instance, to
+// different partitions.
+func TestNewerRowOfAnInstanceCounts(t *testing.T) {
+	older, newer := change(t, Member{Instance: "i0", Run: "last"}), change(t, Member{Instance: "i0", Run: "next", Zone: "z"})
+	older.Row.Revision, newer.Row.Revision = 3, 8
+	for _, rows := range [][]silltable.Row{{older.Row, newer.Row}, {newer.Row, older.Row}} {
+		s := NewMembers(func(Member) {})
+		if err := s.Reset(start, rows); err != nil {
+			t.Fatal(err)
+		}
+		checkAlive(t, s, start, "next", true)
+		checkAlive(t, s, start, "last", false)
+	}
+}
+
 func TestCommitLeaders(t *testing.T) {
 	s := NewMembers(func(Member) {})
 	for i := range 200 {
--- a/internal/silldirectgateway/followers.go
+++ b/internal/silldirectgateway/followers.go
@@ -35,7 +35,7 @@
 	return &followers{
 		operator: f.make(adapter.OperatorTable, pauseFast, v.resetOperator, v.applyOperator),
 		registry: f.make(adapter.RegistryTable, pauseSlow, v.resetTargets, v.applyTargets),
-		members:  f.make(sillcluster.Table, pauseSlow, m.reset, m.apply),
+		members:  f.partitioned().make(sillcluster.Table, pauseSlow, m.reset, m.apply),
 		jobs:     f.partitioned().make(silljob.StateTable, pauseFast, v.resetJobs, v.applyJobs),
 	}
 }
--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -166,7 +166,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	row, err := store.GetOrAbsent(ctx, sillcluster.Key(m.settings.Instance))
+	row, err := m.lastRow(ctx, store)
 	if err != nil {
 		m.log.Warn("Row of this gateway not read; not replacing it.", silllog.Err(err))
 		return false
@@ -185,6 +185,16 @@
 	return true
 }
 
+// lastRow returns the row that the last run of the process left, or an absent row.
+func (m *membership) lastRow(ctx context.Context, store *silltable.Store) (silltable.Row, error) {
+	row, err := store.GetOrAbsent(ctx, sillcluster.Key(m.settings.Zone, m.settings.Instance))
+	if err != nil || row.Revision != silltable.Absent {
+		return row, err
+	}
+	// The last run may be of a build that did not write to the partition of the zone.
+	return store.GetOrAbsent(ctx, sillcluster.Key("", m.settings.Instance))
+}
+
 // lastPeers returns the addresses of the other gateways that were alive when the table
 // was last read.
 func (m *membership) lastPeers() []string {
@@ -222,7 +232,7 @@
 // it gets no new work from now on.
 func (m *membership) commit(ctx context.Context, store *silltable.Store, row silltable.Write, leaving bool) error {
 	if m.committer != nil && !leaving {
-		return m.committer.Commit(ctx, []silltable.Write{row})
+		return m.committer.Commit(ctx, string(m.settings.Zone), []silltable.Write{row})
 	}
 	_, err := store.Commit(ctx, silltable.Txn{Writes: []silltable.Write{row}})
 	return err
--- a/internal/silldirectgateway/providers.go
+++ b/internal/silldirectgateway/providers.go
@@ -56,8 +56,13 @@
 	})
 }
 
+// commitUsage returns a function that writes usage counts. Their table has one partition.
+func commitUsage(c *sillgroupcommit.Committer) func(context.Context, []silltable.Write) error {
+	return func(ctx context.Context, writes []silltable.Write) error { return c.Commit(ctx, "", writes) }
+}
+
 func newMeter(s *Settings, c *sillgroupcommit.Committer, m *membership, log *zap.Logger) *sillmeter.Meter {
-	return sillmeter.NewMeter(sillmeter.MeterConfig{Commit: c.Commit, WindowLength: s.UsageWindow, RunID: string(m.run), Log: log})
+	return sillmeter.NewMeter(sillmeter.MeterConfig{Commit: commitUsage(c), WindowLength: s.UsageWindow, RunID: string(m.run), Log: log})
 }
 
 func newForwarder(s *Settings, adapter *Adapter, v *view, m *sillmeter.Meter, e *crashEvidence, r *prometheus.Registry, log *zap.Logger) *sillforwarder.Forwarder {
--- a/internal/sillgroupcommit/committer.go
+++ b/internal/sillgroupcommit/committer.go
@@ -1,8 +1,8 @@
 // Package sillgroupcommit writes the rows that each gateway keeps about itself. One
 // gateway of an availability zone, the leader, gathers the writes of the others and
 // commits them in one transaction (group commit). So the number of transactions follows
-// the number of zones, not that of gateways: all these rows are in one partition, which
-// handles its transactions one after another.
+// the number of zones, not that of gateways: a partition handles its transactions one
+// after another.
 //
 // A gateway whose leader does not confirm a write in time writes directly. So a leader
 // that is lost, paused or cut off delays one write of each follower.
@@ -82,6 +82,7 @@
 
 // pendingWrites are the writes of one call.
 type pendingWrites struct {
+	partition  string
 	writes     []silltable.Write
 	receivedAt time.Time
 	// result receives the outcome; it buffers one value.
@@ -108,17 +109,17 @@
 	return c
 }
 
-// Commit writes rows that only this process writes. They may be written twice, also
-// after an error; a reader orders them by what the rows say. Errors: ErrUnavailable,
-// ErrUnknown of package silltable, and the error of ctx.
-func (c *Committer) Commit(ctx context.Context, writes []silltable.Write) error {
+// Commit writes rows of one partition that only this process writes. They may be written
+// twice, also after an error; a reader orders them by what the rows say. Errors:
+// ErrUnavailable, ErrUnknown of package silltable, and the error of ctx.
+func (c *Committer) Commit(ctx context.Context, partition string, writes []silltable.Write) error {
 	leader := c.cfg.Leader()
 	if leader.Self {
-		err := c.gather(ctx, writes)
+		err := c.gather(ctx, partition, writes)
 		c.count("self", err)
 		return err
 	}
-	if leader.Address != "" && c.throughLeader(ctx, leader.Address, writes) {
+	if leader.Address != "" && c.throughLeader(ctx, leader.Address, partition, writes) {
 		return nil
 	}
 	_, err := c.cfg.Table.Commit(ctx, silltable.Txn{Writes: writes})
@@ -140,11 +141,11 @@
 var errNotConfirmed = eris.New("sillgroupcommit: the leader did not confirm the write in time")
 
 // throughLeader writes through the leader and returns whether the leader confirmed it.
-func (c *Committer) throughLeader(ctx context.Context, address string, writes []silltable.Write) bool {
+func (c *Committer) throughLeader(ctx context.Context, address, partition string, writes []silltable.Write) bool {
 	if c.inBackoff(address) {
 		return false
 	}
-	body, err := encodeWrites(writes)
+	body, err := encodeWrites(partition, writes)
 	if err != nil {
 		c.cfg.Log.Error("Writes can't be encoded.", silllog.Err(err))
 		return false
@@ -179,8 +180,8 @@
 }
 
 // gather adds writes to the next transaction and waits for its outcome.
-func (c *Committer) gather(ctx context.Context, writes []silltable.Write) error {
-	p := &pendingWrites{writes: writes, receivedAt: c.cfg.Now(), result: make(chan error, 1)}
+func (c *Committer) gather(ctx context.Context, partition string, writes []silltable.Write) error {
+	p := &pendingWrites{partition: partition, writes: writes, receivedAt: c.cfg.Now(), result: make(chan error, 1)}
 	c.mu.Lock()
 	c.gathered = append(c.gathered, p)
 	c.mu.Unlock()
@@ -251,9 +252,21 @@
 	}
 }
 
-// splitTxns splits calls into transactions within maxTxnWrites and maxTxnBytes. A call
-// that is larger by itself gets a transaction of its own.
+// splitTxns splits calls into transactions of one partition each, within maxTxnWrites and
+// maxTxnBytes. A call that is larger by itself gets a transaction of its own.
 func splitTxns(calls []*pendingWrites) [][]*pendingWrites {
+	byPartition := make(map[string][]*pendingWrites)
+	for _, p := range calls {
+		byPartition[p.partition] = append(byPartition[p.partition], p)
+	}
+	var txns [][]*pendingWrites
+	for _, partition := range byPartition {
+		txns = append(txns, splitPartition(partition)...)
+	}
+	return txns
+}
+
+func splitPartition(calls []*pendingWrites) [][]*pendingWrites {
 	var txns [][]*pendingWrites
 	var txn []*pendingWrites
 	rows, size := 0, 0
--- a/internal/sillgroupcommit/committer_test.go
+++ b/internal/sillgroupcommit/committer_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,19 +31,19 @@
 	storeLatency = 4 * time.Millisecond
 )
 
-// partition is one partition of the store with the rows of the gateways, and the view
-// that all gateways have of them.
-type partition struct {
+// store is the platform's store with the rows of the gateways, and the view that all
+// gateways have of them.
+type store struct {
 	mu sync.Mutex
-	// busyUntil is when the accepted transactions are done.
-	busyUntil time.Time
+	// busyUntil is when the accepted transactions of each partition are done.
+	busyUntil map[string]time.Time
 	// txns and refused count the transactions that were done and refused.
 	txns, refused int
 	members       *sillcluster.Members
 }
 
-func (p *partition) commit(ctx context.Context, txn silltable.Txn) ([]silltable.Revision, error) {
-	done, err := p.enqueue()
+func (p *store) commit(ctx context.Context, txn silltable.Txn) ([]silltable.Revision, error) {
+	done, err := p.enqueue(partitionOf(txn))
 	if err != nil {
 		return nil, err
 	}
@@ -58,24 +59,34 @@
 	return make([]silltable.Revision, len(txn.Writes)), nil
 }
 
-// enqueue returns when a new transaction is done.
-func (p *partition) enqueue() (time.Time, error) {
+// partitionOf returns the partition of the rows of a transaction.
+func partitionOf(txn silltable.Txn) string {
+	parts := strings.Split(txn.Writes[0].Key, "/")
+	if len(parts) < 3 {
+		return ""
+	}
+	return parts[1]
+}
+
+// enqueue returns when a new transaction in a partition is done.
+func (p *store) enqueue(partition string) (time.Time, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	if p.busyUntil.Sub(now) > maxPartitionQueue {
+	busy := p.busyUntil[partition]
+	if busy.Sub(now) > maxPartitionQueue {
 		p.refused++
 		return time.Time{}, silltable.ErrUnavailable
 	}
-	if p.busyUntil.Before(now) {
-		p.busyUntil = now
+	if busy.Before(now) {
+		busy = now
 	}
-	p.busyUntil = p.busyUntil.Add(time.Second / partitionRate)
+	p.busyUntil[partition] = busy.Add(time.Second / partitionRate)
 	p.txns++
-	return p.busyUntil, nil
+	return p.busyUntil[partition], nil
 }
 
-func (p *partition) apply(txn silltable.Txn) {
+func (p *store) apply(txn silltable.Txn) {
 	changes := make([]silltable.Change, len(txn.Writes))
 	for i, w := range txn.Writes {
 		changes[i].Row = silltable.Row{Key: w.Key, Value: w.Value}
@@ -87,7 +98,7 @@
 	}
 }
 
-func (p *partition) counts() (txns, refused int) {
+func (p *store) counts() (txns, refused int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.txns, p.refused
@@ -108,7 +119,7 @@
 // fleet is a set of gateways that share the partition.
 type fleet struct {
 	t        *testing.T
-	store    *partition
+	store    *store
 	group    *sillgroup.Group
 	mu       sync.Mutex
 	gateways map[string]*gateway
@@ -120,7 +131,7 @@
 	t.Helper()
 	f := &fleet{
 		t: t, group: sillgroup.New(t.Context()), gateways: make(map[string]*gateway),
-		store: &partition{members: sillcluster.NewMembers(func(sillcluster.Member) {})},
+		store: &store{busyUntil: make(map[string]time.Time), members: sillcluster.NewMembers(func(sillcluster.Member) {})},
 	}
 	for i := range count {
 		name := fmt.Sprintf("front-%d", i)
@@ -168,7 +179,7 @@
 	if err != nil {
 		panic(err)
 	}
-	if err := g.committer.Commit(ctx, []silltable.Write{row}); err != nil {
+	if err := g.committer.Commit(ctx, string(g.member.Zone), []silltable.Write{row}); err != nil {
 		g.fleet.mu.Lock()
 		g.failures++
 		g.fleet.mu.Unlock()
@@ -270,6 +281,21 @@
 	})
 }
 
+// TestFullPartitionOfOtherRows guards against renewals waiting behind the rows of others,
+// such as the registry of targets: a queue there must not make gateways count as dead, nor
+// last because gateways whose renewals time out write all the more.
+func TestFullPartitionOfOtherRows(t *testing.T) {
+	runFleet(t, 133, 0, func(_ *testing.T, f *fleet) {
+		f.group.Go(func(ctx context.Context) {
+			for ctx.Err() == nil {
+				_, _ = f.store.enqueue("")
+				time.Sleep(time.Second / partitionRate)
+			}
+		})
+		f.checkAllAlive(5 * time.Second)
+	})
+}
+
 func TestMixedFleet(t *testing.T) {
 	runFleet(t, 60, 30, func(_ *testing.T, f *fleet) { f.checkAllAlive(5 * time.Second) })
 }
@@ -319,7 +345,7 @@
 		group := sillgroup.New(t.Context())
 		defer group.Stop()
 		result := make(chan error, 1)
-		group.Go(func(ctx context.Context) { result <- c.Commit(ctx, []silltable.Write{{Key: "a"}}) })
+		group.Go(func(ctx context.Context) { result <- c.Commit(ctx, "", []silltable.Write{{Key: "a"}}) })
 		synctest.Wait()
 		paused = 3 * time.Second
 		group.Go(c.Run)
--- a/internal/sillgroupcommit/wire.go
+++ b/internal/sillgroupcommit/wire.go
@@ -19,13 +19,14 @@
 // maxMessageBytes bounds the writes of one call.
 const maxMessageBytes = 256 << 10
 
-// wireWrites are the writes of one gateway.
+// wireWrites are the writes of one gateway to one partition.
 type wireWrites struct {
-	Writes []silltable.Write `cbor:"writes"`
+	Partition string            `cbor:"partition"`
+	Writes    []silltable.Write `cbor:"writes"`
 }
 
-func encodeWrites(writes []silltable.Write) ([]byte, error) {
-	b, err := cbor.Marshal(wireWrites{Writes: writes})
+func encodeWrites(partition string, writes []silltable.Write) ([]byte, error) {
+	b, err := cbor.Marshal(wireWrites{Partition: partition, Writes: writes})
 	return b, eris.Wrap(err, "sillgroupcommit.encodeWrites")
 }
 
@@ -44,7 +45,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), leaderTimeout)
 	defer cancel()
-	if err := c.gather(ctx, message.Writes); err != nil {
+	if err := c.gather(ctx, message.Partition, message.Writes); err != nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
