Let large instances own the models of a mixed fleet

What callers saw: nothing yet; 70 of the 133 gateways of the large site have 0.144 of a core, and half of the models went to one of them, which runs all of its items.

Cause: ranks look at names alone.

Change: gateways tell their capacity in their rows; ranks are weighted by its cube. Instances of equal or unknown capacity keep the order that they had.

Evidence: TestSmallInstancesRarelyComeFirst (500 names, 60 and 60 instances; half of the names before), TestEqualInstancesRankAsBefore.

--- a/internal/sillcluster/members.go
+++ b/internal/sillcluster/members.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -43,6 +44,8 @@
 	Zone    sillid.ZoneID `cbor:"zone"`
 	// Leaving is whether the process is stopping and accepts no new work.
 	Leaving bool `cbor:"leaving"`
+	// Capacity is the number of processor cores that the process may use; 0 if unknown.
+	Capacity float64 `cbor:"capacity,omitempty"`
 	// GroupCommit is whether the process commits the rows of others with its own.
 	GroupCommit bool `cbor:"group-commit,omitempty"`
 	// PoolLoads holds the process's running requests in the autoscaled pools.
@@ -273,13 +276,32 @@
 	return best
 }
 
-// isAhead returns whether a ranks before b for a name, by rendezvous hashing: every
-// process with the same rows computes the same order, and a process that leaves changes
-// only the ranks behind its own.
+// isAhead returns whether a ranks before b for a name, by weighted rendezvous hashing:
+// every process with the same rows computes the same order, and a process that leaves
+// changes only the ranks behind its own.
 func isAhead(name string, a, b Member) bool {
-	scoreA, scoreB := silllease.Score(name, sillid.GatewayID(a.Instance)), silllease.Score(name, sillid.GatewayID(b.Instance))
-	if scoreA != scoreB {
-		return scoreA > scoreB
+	priorityA, priorityB := priority(name, a), priority(name, b)
+	if priorityA != priorityB {
+		return priorityA > priorityB
 	}
 	return a.Instance > b.Instance
 }
+
+const (
+	// unknownCapacity stands for the capacity of processes that tell none.
+	unknownCapacity = 0.5
+	// capacityExponent makes processes of small instances rarely the first: the
+	// work that goes to one process can need more than a small instance has.
+	capacityExponent = 3
+)
+
+// priority returns the place of a member in the order for a name; the highest comes first.
+func priority(name string, m Member) float64 {
+	capacity := m.Capacity
+	if capacity <= 0 {
+		capacity = unknownCapacity
+	}
+	hash := silllease.Score(name, sillid.GatewayID(m.Instance))
+	uniform := (float64(hash) + 0.5) / (1 << 64)
+	return math.Pow(capacity, capacityExponent) / -math.Log(uniform)
+}
--- a/internal/sillcluster/members_test.go
+++ b/internal/sillcluster/members_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/wasabisill/wasabisill/internal/silllease"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
@@ -213,3 +214,50 @@
 		}
 	}
 }
+
+// TestSmallInstancesRarelyComeFirst ranks the gateways of a fleet of which half have a
+// fifth of the processor of the others.
+func TestSmallInstancesRarelyComeFirst(t *testing.T) {
+	s := NewMembers(func(Member) {})
+	for i := range 120 {
+		m := Member{Instance: sillid.InstanceID(fmt.Sprintf("i%d", i)), Run: "r", Capacity: 0.8}
+		if i%2 == 1 {
+			m.Capacity = 0.144
+		}
+		if err := s.Apply(start, []silltable.Change{change(t, m)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	const names = 500
+	small := 0
+	firsts := make(map[sillid.InstanceID]bool)
+	for i := range names {
+		first, _ := s.First(start, fmt.Sprint("model-", i))
+		firsts[first.Instance] = true
+		if first.Capacity < 0.5 {
+			small++
+		}
+	}
+	if small > names/50 {
+		t.Errorf("a small instance comes first for %d of %d names", small, names)
+	}
+	if len(firsts) < 50 {
+		t.Errorf("%d instances come first for %d names, want most of the 60 large ones", len(firsts), names)
+	}
+}
+
+// TestEqualInstancesRankAsBefore checks that a fleet of equal instances, of which some
+// tell no capacity, has the same order for builds that do not look at capacities.
+func TestEqualInstancesRankAsBefore(t *testing.T) {
+	s := members(t, 20)
+	ids := make([]sillid.GatewayID, 20)
+	for i := range ids {
+		ids[i] = sillid.GatewayID(fmt.Sprintf("i%d", i))
+	}
+	for _, id := range ids {
+		rank, _ := s.Rank(start, "m", sillid.InstanceID(id))
+		if want := silllease.Rank("m", id, ids); rank != want {
+			t.Errorf("%s has rank %d, want %d", id, rank, want)
+		}
+	}
+}
--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -212,7 +212,7 @@
 func (m *membership) write(ctx context.Context, store *silltable.Store, leaving bool) bool {
 	write, err := sillcluster.Encode(sillcluster.Member{
 		Instance: m.settings.Instance, Run: m.run, Address: m.address, Zone: m.settings.Zone,
-		Leaving: leaving, GroupCommit: true, PoolLoads: m.poolLoads(), Renewal: m.renewals.Add(1), CrashEvidence: m.evidence.encode(),
+		Leaving: leaving, GroupCommit: true, Capacity: m.settings.Capacity, PoolLoads: m.poolLoads(), Renewal: m.renewals.Add(1), CrashEvidence: m.evidence.encode(),
 		LeavingTargets: m.leaving.runs(),
 	})
 	if err != nil {
--- a/internal/silldirectgateway/settings.go
+++ b/internal/silldirectgateway/settings.go
@@ -43,6 +43,8 @@
 	ScalesTargets bool
 	// JobRetention is how long after its submission an ended job can be read.
 	JobRetention time.Duration
+	// Capacity is the number of cores that the process may use on average; 0 if unknown.
+	Capacity float64
 	// Cores and MemoryBytes are the limits of the process; 0 for no limit.
 	Cores       int
 	MemoryBytes int64
@@ -68,6 +70,7 @@
 	require(s.LeaseBound > 0, "the bound for leases must be above 0 s")
 	require(!s.ReportsUsage || s.UsageWindow > 0, "the length of usage windows must be above 0 s")
 	require(s.JobRetention > 0, "the time for which ended jobs are kept must be above 0 s")
+	require(s.Capacity >= 0, "the number of cores to use must not be negative")
 	require(s.FirstPort <= s.LastPort, "the ports for calls between gateways must be in ascending order")
 	if len(faults) == 0 {
 		return nil
