Prefer targets to which a connection is open

Cause: targets were picked by load and speed alone, so that an owner spread its requests over all targets and its connections timed out unused; targets of equal cost were taken by the lowest id, by all gateways alike.

Change: a target without an idle connection costs half as much again, and ties are broken by a seed of the process. Each cost is computed once for a pick.

--- a/internal/silldirectgateway/crashevidence_test.go
+++ b/internal/silldirectgateway/crashevidence_test.go
@@ -25,9 +25,9 @@
 // newTestMembership returns the membership of a gateway that has not written its row.
 func newTestMembership(instance sillid.InstanceID) *membership {
 	pool := silltransport.NewPool(silltransport.Config{ConnectTimeout: time.Second, TCPUserTimeout: time.Second, IdleTimeout: time.Minute})
-	adapter, log := &Adapter{PeerPool: pool}, zap.NewNop()
+	adapter, log := &Adapter{PeerPool: pool, TargetPool: pool}, zap.NewNop()
 	evidence := newCrashEvidence(adapter, newRegistry(), log)
-	leaving := newLeavingTargets(newDirectory(newRegistry(), log), adapter, log)
+	leaving := newLeavingTargets(newDirectory(adapter, newRegistry(), log), adapter, log)
 	m := newMembership(&Settings{Instance: instance}, evidence, leaving, newRegistry(), log)
 	m.poolLoads = func() []sillcluster.PoolLoad { return nil }
 	return m
--- a/internal/silldirectgateway/leaving.go
+++ b/internal/silldirectgateway/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -24,8 +25,15 @@
 	maxSharedLeaving = 64
 )
 
-// newDirectory returns the directory of targets, which logs and counts their notices.
-func newDirectory(r *prometheus.Registry, log *zap.Logger) *silltarget.Directory {
+// newDirectory returns the directory of targets.
+func newDirectory(adapter *Adapter, r *prometheus.Registry, log *zap.Logger) *silltarget.Directory {
+	return silltarget.NewDirectoryWith(silltarget.Config{
+		Notices: newNoticeHooks(r, log), Seed: rand.Uint64(), Connected: adapter.TargetPool.HasIdle,
+	})
+}
+
+// newNoticeHooks returns hooks that log and count the notices of targets.
+func newNoticeHooks(r *prometheus.Registry, log *zap.Logger) silltarget.NoticeHooks {
 	log = log.Named("targets")
 	leaving := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wasabisill_targets_leaving_total",
@@ -36,7 +44,7 @@
 		Help: "Responses of targets with a notice of leaving in a form that is not defined.",
 	})
 	r.MustRegister(leaving, invalid)
-	return silltarget.NewDirectoryWithHooks(silltarget.NoticeHooks{
+	return silltarget.NoticeHooks{
 		OnLeaving: func(run silltarget.Run, from silltarget.NoticeSource) {
 			leaving.WithLabelValues(string(from)).Inc()
 			log.Info("Target leaves; sending it no new requests.", zap.String("target", string(run.Target)),
@@ -46,7 +54,7 @@
 			invalid.Inc()
 			log.Warn("Notice of leaving is invalid; ignoring it.", zap.String("target", string(run.Target)))
 		},
-	})
+	}
 }
 
 // leavingTargets shares the targets that leave with the other gateways: through the rows
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -1,6 +1,8 @@
 package silltarget
 
 import (
+	"encoding/binary"
+	"hash/fnv"
 	"maps"
 	"sync"
 	"time"
@@ -22,17 +24,28 @@
 	// leaving holds the runs that said that they leave, with the time at which this
 	// process learned of it.
 	leaving map[Run]time.Time
-	hooks   NoticeHooks
+	cfg     Config
 }
 
-// NewDirectory returns an empty directory without hooks.
-func NewDirectory() *Directory { return NewDirectoryWithHooks(NoticeHooks{}) }
+// Config holds the settings of a Directory. The zero Config is valid.
+type Config struct {
+	Notices NoticeHooks
+	// Seed decides between targets of equal cost. Processes with different seeds
+	// decide differently; 0 takes the lowest id.
+	Seed uint64
+	// Connected returns whether this process has an idle connection to an address. Such
+	// targets are preferred. If nil, none is.
+	Connected func(address string) bool
+}
+
+// NewDirectory returns an empty directory with the zero Config.
+func NewDirectory() *Directory { return NewDirectoryWith(Config{}) }
 
-// NewDirectoryWithHooks returns an empty directory that reports notices to hooks.
-func NewDirectoryWithHooks(hooks NoticeHooks) *Directory {
+// NewDirectoryWith returns an empty directory.
+func NewDirectoryWith(cfg Config) *Directory {
 	return &Directory{
 		targets: make(map[sillid.TargetID]*target), changed: make(chan struct{}),
-		leaving: make(map[Run]time.Time), hooks: hooks,
+		leaving: make(map[Run]time.Time), cfg: cfg,
 	}
 }
 
@@ -63,7 +76,7 @@
 	}
 	t := d.targets[e.ID]
 	if t == nil || !t.entry.StartedAt.Equal(e.StartedAt) || t.entry.Address != e.Address {
-		fresh := &target{entry: e, registered: registered}
+		fresh := &target{entry: e, registered: registered, tieBreak: d.tieBreak(e.ID)}
 		if t != nil {
 			fresh.running = t.running
 		}
@@ -79,6 +92,18 @@
 	return changed
 }
 
+// tieBreak returns the place of a target among those of equal cost, the lowest first.
+func (d *Directory) tieBreak(id sillid.TargetID) uint64 {
+	if d.cfg.Seed == 0 {
+		return 0
+	}
+	h := fnv.New64a()
+	// Writes to a hash never fail.
+	_ = binary.Write(h, binary.LittleEndian, d.cfg.Seed)
+	_, _ = h.Write([]byte(id))
+	return h.Sum64()
+}
+
 // newest returns the higher version of each model. The versions only grow within
 // one run of a target, and a response may report a newer one than the entry.
 func newest(a, b map[sillid.ModelID]sillid.WeightVersion) map[sillid.ModelID]sillid.WeightVersion {
--- a/internal/silltarget/leaving.go
+++ b/internal/silltarget/leaving.go
@@ -68,8 +68,8 @@
 	case Leaving:
 		d.markLeaving(now, run, FromResponse)
 	case InvalidNotice:
-		if d.hooks.OnInvalid != nil {
-			d.hooks.OnInvalid(run)
+		if d.cfg.Notices.OnInvalid != nil {
+			d.cfg.Notices.OnInvalid(run)
 		}
 	case NoNotice:
 	}
@@ -93,8 +93,8 @@
 	if t := d.targets[run.Target]; t != nil && t.entry.Run() == run {
 		t.entry.State = Draining
 	}
-	if d.hooks.OnLeaving != nil {
-		d.hooks.OnLeaving(run, from)
+	if d.cfg.Notices.OnLeaving != nil {
+		d.cfg.Notices.OnLeaving(run, from)
 	}
 }
 
--- a/internal/silltarget/pick.go
+++ b/internal/silltarget/pick.go
@@ -57,15 +57,28 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	meanLatency, meanServiceTime := d.meanUnitLatency(q.Pool), d.meanServiceTime(q.Pool)
-	var best *target
+	var best candidate
 	for _, t := range d.targets {
 		if !t.isEligible(now, &q, meanServiceTime) {
 			continue
 		}
-		if best == nil || better(now, &q, meanLatency, t, best) {
-			best = t
+		c := candidate{target: t, cost: d.cost(now, &q, meanLatency, t)}
+		if best.target == nil || c.isBetter(&q, &best) {
+			best = c
 		}
 	}
+	return best.grant(now)
+}
+
+// candidate is an eligible target with its cost.
+type candidate struct {
+	*target
+	cost float64
+}
+
+// grant returns a grant of the candidate, or false if there is none.
+func (c *candidate) grant(now time.Time) (Grant, bool) {
+	best := c.target
 	if best == nil {
 		return Grant{}, false
 	}
@@ -170,29 +183,36 @@
 	return e.Versions[q.Model] >= q.MinVersion
 }
 
-// better returns whether a is picked before b. Among equally preferred targets
+// isBetter returns whether c is picked before o. Among equally preferred targets
 // the one with the lower cost wins, so slow targets get fewer requests.
-func better(now time.Time, q *Query, meanLatency time.Duration, a, b *target) bool {
-	if va, vb := a.entry.Versions[q.Model], b.entry.Versions[q.Model]; q.PreferNewest && va != vb {
-		return va > vb
+func (c *candidate) isBetter(q *Query, o *candidate) bool {
+	if version, other := c.entry.Versions[q.Model], o.entry.Versions[q.Model]; q.PreferNewest && version != other {
+		return version > other
 	}
-	if prefersA, prefersB := a.entry.ID == q.Prefer, b.entry.ID == q.Prefer; prefersA != prefersB {
-		return prefersA
+	if preferred, other := c.entry.ID == q.Prefer, o.entry.ID == q.Prefer; preferred != other {
+		return preferred
 	}
-	ca, cb := a.cost(now, q, meanLatency), b.cost(now, q, meanLatency)
-	if ca != cb {
-		return ca < cb
+	if c.cost != o.cost {
+		return c.cost < o.cost
 	}
-	return a.entry.ID < b.entry.ID
+	if c.tieBreak != o.tieBreak {
+		return c.tieBreak < o.tieBreak
+	}
+	return c.entry.ID < o.entry.ID
 }
 
-// crossZoneCost is the relative cost added for a target in another availability
-// zone: traffic between zones costs money and adds delay.
-const crossZoneCost = 0.05
+const (
+	// crossZoneCost is the relative cost added for a target in another availability
+	// zone: traffic between zones costs money and adds delay.
+	crossZoneCost = 0.05
+	// connectCost is the relative cost added for a target to which this process has no
+	// idle connection. Targets take few connections, and a new one holds up a slot.
+	connectCost = 0.5
+)
 
 // cost returns the utilisation of the target with one more request, multiplied by
 // its unit latency. meanLatency replaces an unknown unit latency.
-func (t *target) cost(now time.Time, q *Query, meanLatency time.Duration) float64 {
+func (d *Directory) cost(now time.Time, q *Query, meanLatency time.Duration, t *target) float64 {
 	cost := (float64(t.load(now)) + 1) / float64(max(t.entry.Slots, 1))
 	latency := t.unitLatency
 	if latency == 0 {
@@ -204,5 +224,8 @@
 	if q.Zone != "" && t.entry.Zone != q.Zone {
 		cost *= 1 + crossZoneCost
 	}
+	if d.cfg.Connected != nil && !d.cfg.Connected(t.entry.Address) {
+		cost *= 1 + connectCost
+	}
 	return cost
 }
--- a/internal/silltarget/target.go
+++ b/internal/silltarget/target.go
@@ -93,6 +93,8 @@
 	entry Entry
 	// registered is the state in the registry entry.
 	registered State
+	// tieBreak orders targets of equal cost.
+	tieBreak uint64
 	// running is the number of this process's requests at the target.
 	running int
 	// failures counts the failures since the last success.
