Tell full engines from stalled ones before cutting an item

What callers saw: on a small twin of the large site 449 of 5,426 attempts at items were cut after exactly 2.0 s without an event although the engines were slow and full, not stalled; each cost the prefill of its prompt and a slot elsewhere.

Cause: one time limit, 2 s to the first event and 1 s between events, whatever the engine did otherwise.

Change: at the limit an attempt stays if its engine gave an event of another generation within the last second and no other engine has a free slot, up to 6 s to the first and 3 s to a later event. Otherwise it is cut as before, and its next attempt goes to another engine if one is left, which it did not when the group preferred the stalled one. Only whole events count, so that an engine that sends a byte now and then is left.

Evidence: TestQueuedItemIsNotCut, an engine that lets an item wait for 3.5 s while it generates another: cut and sent again for ever before (1 of 2 results after 20 s), one call for each item now; TestDrippingEngineIsLeft.

--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -17,15 +17,8 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-const (
-	// firstEventTimeout bounds the time to the first event. It is longer than
-	// stallTimeout because a weight load may delay that event.
-	firstEventTimeout = 2 * time.Second
-	// stallTimeout bounds the time between two events. Slow engines need a fifth of it.
-	stallTimeout = time.Second
-	// retryDelay is the time until an item is retried after a response with an error status.
-	retryDelay = 100 * time.Millisecond
-)
+// retryDelay is the time until an item is retried after a response with an error status.
+const retryDelay = 100 * time.Millisecond
 
 // errStalled is the cancellation cause of an attempt that received no event in time.
 var errStalled = errors.New("no event arrived within the time limit")
@@ -128,8 +121,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	r.recordTarget(it, g.ID, func() { cancel(errMigrated) })
-	watchdog := time.AfterFunc(firstEventTimeout, func() { cancel(errStalled) })
-	defer watchdog.Stop()
+	watch := r.watchStall(it, g.ID, func() { cancel(errStalled) })
+	defer watch.stop()
 
 	resp, err := r.cfg.Pool.Send(ctx, g.Address, r.request(it, g))
 	if err != nil {
@@ -157,7 +150,7 @@
 		discardBody(resp.Body)
 		return unexpectedStatus, silltarget.Answered, nil
 	}
-	return r.readEvents(ctx, it, g, resp, metadata, watchdog)
+	return r.readEvents(ctx, it, g, resp, metadata, watch)
 }
 
 // request builds the request of an item. It asks the target to resume after the
@@ -199,7 +192,7 @@
 
 // readEvents adds the events of a response to the generation. It reports the
 // time between events and the weight version of each to the directory.
-func (r *Runner) readEvents(ctx context.Context, it *itemRun, g silltarget.Grant, resp *http.Response, metadata sillheader.ResponseMetadata, watchdog *time.Timer) (attemptResult, silltarget.Outcome, error) {
+func (r *Runner) readEvents(ctx context.Context, it *itemRun, g silltarget.Grant, resp *http.Response, metadata sillheader.ResponseMetadata, watch *stallWatch) (attemptResult, silltarget.Outcome, error) {
 	reader := sillevent.NewReader(resp.Body, r.cfg.Codec.VersionField)
 	version := metadata.Version
 	var last time.Time
@@ -212,7 +205,7 @@
 		if err != nil {
 			return incomplete, r.outcomeOf(ctx, err), err
 		}
-		watchdog.Reset(stallTimeout)
+		watch.recordEvent(now)
 		if e.Version != 0 {
 			version = e.Version
 			r.cfg.Directory.ObserveVersion(g.ID, it.job.sub.Model, version)
--- a/internal/silljob/item.go
+++ b/internal/silljob/item.go
@@ -49,7 +49,7 @@
 	// while no attempt is in flight.
 	target        sillid.TargetID
 	cancelAttempt func()
-	// avoid holds the targets that the item migrated away from.
+	// avoid holds the targets that the item migrated away from or that stalled under it.
 	avoid map[sillid.TargetID]bool
 }
 
--- a/internal/silljob/move.go
+++ b/internal/silljob/move.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
 // Slow items migrate to faster targets. A few long generations decide when a job is
@@ -74,10 +72,7 @@
 	r.cfg.Log.Warn("Moving an item.", zap.String("request", string(it.item.ID)), zap.String("job", string(it.job.sub.Job)),
 		zap.String("target", string(it.target)), zap.Int("events", len(it.events)),
 		zap.Duration("pace", unitLatency), zap.Duration("usual-pace", mean))
-	if it.avoid == nil {
-		it.avoid = make(map[sillid.TargetID]bool)
-	}
-	it.avoid[it.target] = true
+	it.avoid = excluding(it.avoid, it.target)
 	it.cancelAttempt()
 	it.cancelAttempt = nil
 }
--- a/internal/silljob/runner_test.go
+++ b/internal/silljob/runner_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -200,6 +201,50 @@
 	checkComplete(t, sub, a.results(t, "job", 2), testEvents)
 }
 
+// TestQueuedItemIsNotCut fills an engine that lets an item wait for longer than the
+// timeout of its first event while it generates another one: a full but sound engine.
+func TestQueuedItemIsNotCut(t *testing.T) {
+	const queueTime = firstEventTimeout + 1500*time.Millisecond
+	plan := func(engine int, ca call, _ int) behaviour {
+		if engine == 0 && strings.HasSuffix(string(ca.Request), "1") {
+			return behaviour{Events: testEvents, FirstDelay: queueTime, Version: 1}
+		}
+		return behaviour{Events: 20, Delay: 200 * time.Millisecond, Version: 1}
+	}
+	t.Run("no other engine", func(t *testing.T) {
+		c := newCluster(t, 1, plan)
+		a := c.start("a")
+		a.submit(t, submission("job", 2))
+		a.results(t, "job", 2)
+		if n := len(c.engines[0].Calls()); n != 2 {
+			t.Errorf("the engine got %d calls for 2 items", n)
+		}
+	})
+	t.Run("another engine has a free slot", func(t *testing.T) {
+		c := newCluster(t, 2, plan)
+		a := c.start("a")
+		a.submit(t, submission("job", 2))
+		a.results(t, "job", 2)
+		if n := c.engines[0].Disconnects(); n > 1 {
+			t.Errorf("%d attempts were cut, want 1 at most", n)
+		}
+	})
+}
+
+// TestDrippingEngineIsLeft guards against an engine that sends bytes, but no event.
+func TestDrippingEngineIsLeft(t *testing.T) {
+	c := newCluster(t, 2, func(engine int, _ call, _ int) behaviour {
+		if engine == 0 {
+			return behaviour{Dripping: true}
+		}
+		return behaviour{Events: testEvents, Version: 1}
+	})
+	a := c.start("a")
+	sub := submission("job", 2)
+	a.submit(t, sub)
+	checkComplete(t, sub, a.results(t, "job", 2), testEvents)
+}
+
 func TestEndStopsItems(t *testing.T) {
 	c := newCluster(t, 1, func(int, call, int) behaviour {
 		return behaviour{Events: 1000, Delay: 10 * time.Millisecond, Version: 1}
--- a/internal/sillstandtarget/target.go
+++ b/internal/sillstandtarget/target.go
@@ -64,6 +64,9 @@
 	NotRun bool
 	// NoResponse sends nothing until the caller disconnects.
 	NoResponse bool
+	// Dripping sends a comment of an event stream now and then, but no event, until the
+	// caller disconnects.
+	Dripping bool
 	// Truncated closes the connection in the middle of a plain response.
 	Truncated bool
 	// Events is the number of events of a complete stream; 0 sends a plain response.
@@ -74,6 +77,8 @@
 	Skip int
 	// SkipTo, if not 0, is the id of the first event that is not left out of a stream.
 	SkipTo int
+	// FirstDelay is the time before the first event of a stream, besides Delay.
+	FirstDelay time.Duration
 	// Delay is the time before each event, or before a plain response.
 	Delay time.Duration
 	// Version is the weight version that generates the events. NextVersion, if not 0,
@@ -182,6 +187,8 @@
 	case b.NoResponse:
 		<-r.Context().Done()
 		t.recordDisconnect()
+	case b.Dripping:
+		t.drip(w, r)
 	case b.NotRun:
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -194,6 +201,21 @@
 	}
 }
 
+// dripInterval is the time between two comments of a dripping stream.
+const dripInterval = 100 * time.Millisecond
+
+func (t *Target) drip(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", contentTypeSSE)
+	w.Header().Set(headerSignature, "signed-"+string(t.ID))
+	controller := http.NewResponseController(w)
+	for t.sleep(r, dripInterval) {
+		_, _ = io.WriteString(w, ":\n")
+		if controller.Flush() != nil {
+			return
+		}
+	}
+}
+
 func (t *Target) recordDisconnect() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -242,6 +264,9 @@
 	w.Header().Set("Content-Type", contentTypeSSE)
 	w.Header().Set(headerSignature, "signed-"+string(t.ID))
 	w.Header().Set(headerVersion, strconv.FormatUint(uint64(version), 10))
+	if !t.sleep(r, b.FirstDelay) {
+		return
+	}
 	controller := http.NewResponseController(w)
 	sent := 0
 	for id := c.After + 1; id < b.Events; id++ {
--- a/internal/silltarget/connections_test.go
+++ b/internal/silltarget/connections_test.go
@@ -32,12 +32,12 @@
 }
 
 const (
-	poolTargets      = 60
-	poolSlots        = 6
-	arrivalInterval     = 25 * time.Millisecond
-	meanWork  = 200 * time.Millisecond
-	idleLifetime = 4 * time.Second
-	playedTime     = time.Minute
+	poolTargets     = 60
+	poolSlots       = 6
+	arrivalInterval = 25 * time.Millisecond
+	meanWork        = 200 * time.Millisecond
+	idleLifetime    = 4 * time.Second
+	playedTime      = time.Minute
 )
 
 func newConnectionLoad(prefer bool) *connectionLoad {
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -242,11 +242,21 @@
 		}
 	}
 	if unitLatency > 0 {
+		t.progressAt = now
 		t.unitLatency = average(t.unitLatency, unitLatency)
 		t.serviceTime = average(t.serviceTime, time.Duration(float64(unitLatency)/max(1, g.utilisation)))
 	}
 }
 
+// MadeProgress returns whether a request of this process at a target has made progress
+// since a time.
+func (d *Directory) MadeProgress(id sillid.TargetID, since time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.targets[id]
+	return t != nil && t.progressAt.After(since)
+}
+
 // MeanUnitLatency returns the mean unit latency of a pool's targets; 0 if unknown.
 func (d *Directory) MeanUnitLatency(pool sillid.PoolID) time.Duration {
 	d.mu.Lock()
--- a/internal/silltarget/target.go
+++ b/internal/silltarget/target.go
@@ -110,6 +110,8 @@
 	// unitLatency is the moving average of the time that the target takes for
 	// one unit of work, such as an event of a stream; 0 if unknown.
 	unitLatency time.Duration
+	// progressAt is when a request of this process at the target last made progress.
+	progressAt time.Time
 	// serviceTime is the moving average of the time for one unit of work without
 	// queueing; 0 if unknown.
 	serviceTime time.Duration
