Run a job that can't be complete in time group by group

Cause: waiting items went by length, the longest first, whatever their group. That is best for a job that its engines can complete in time; beyond that it spreads the work over all groups.

Change: a job counts as crowded once its waiting items, with those of older jobs of the model, can't be complete in the slots that there are before the route's time for all results, by the moving average of the time of an attempt. Its groups then go by the work that is left, the least first. The time comes with the route and is kept with the job; a job without one is run as before.

Evidence: TestCrowdedJobCompletesGroups plays a step of 23 groups of 8 unlike items: 5, 11 and 14 groups whole in time at 6, 12 and 18 slots, of 5.6, 11.2 and 16.9 for which there is time; none without the order. A step that fits is run as before (TestRoomyJobRunsLongestFirst).

--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -68,6 +68,7 @@
 	}
 	switch result {
 	case complete:
+		r.recordAttemptTime(now.Sub(started))
 		r.score(ctx, it)
 	case unprocessable:
 		r.finish(it, Result{Item: it.item.ID}, "target can't do it")
--- a/internal/silljob/dispatch.go
+++ b/internal/silljob/dispatch.go
@@ -20,6 +20,7 @@
 		return
 	}
 	r.applyRoutes()
+	r.orderGroups(now)
 	full := make(map[requirements]bool)
 	for _, it := range r.waitingItems(now) {
 		r.discardUnresumable(now, it)
@@ -137,6 +138,12 @@
 	return q
 }
 
+// jobQuery selects the targets with a free slot that may run a job's items from their
+// beginning.
+func (r *Runner) jobQuery(j *ownedJob) silltarget.Query {
+	return silltarget.Query{Pool: j.pool, Model: j.sub.Model, MinVersion: j.sub.MinVersion, FreeOnly: true}
+}
+
 // waitingItems returns the items that may be sent now, in the order of byUrgency.
 func (r *Runner) waitingItems(now time.Time) []*itemRun {
 	var list []*itemRun
--- a/internal/silljob/item.go
+++ b/internal/silljob/item.go
@@ -95,13 +95,14 @@
 	it.started = it.started || len(p.Events) > 0
 }
 
-// byUrgency orders waiting items: older jobs first, then generations in progress,
-// then the longest expected outputs. The items of a job differ in length and nearly
-// all of them are needed at the same time, so the last item to finish decides how
-// long the job takes.
+// byUrgency orders waiting items: older jobs first, of a crowded job the groups in its
+// order, then generations in progress, then the longest expected outputs. The items of a
+// job differ in length and nearly all of them are needed at the same time, so the last
+// item to finish decides how long the job takes.
 func byUrgency(a, b *itemRun) int {
 	return cmp.Or(
 		cmp.Compare(a.job.sub.SubmittedMS, b.job.sub.SubmittedMS),
+		cmp.Compare(a.job.groupOrder[a.item.Group], b.job.groupOrder[b.item.Group]),
 		cmp.Compare(min(len(b.events), 1), min(len(a.events), 1)),
 		cmp.Compare(b.item.ExpectedTokens, a.item.ExpectedTokens),
 		cmp.Compare(a.item.ID, b.item.ID),
--- a/internal/silljob/job.go
+++ b/internal/silljob/job.go
@@ -44,6 +44,9 @@
 	MaxFailedAttempts int `cbor:"attempts"`
 	// SubmittedMS is when the job was first submitted, in Unix milliseconds.
 	SubmittedMS int64 `cbor:"submitted-ms"`
+	// DueAfterMS is the time in milliseconds after SubmittedMS at which all results are
+	// due; 0 for no such time.
+	DueAfterMS int64 `cbor:"due-after-ms,omitempty"`
 	// AbandonAfterMS is the time in milliseconds after SubmittedMS from which items
 	// that would be retried are abandoned instead; 0 for no limit.
 	AbandonAfterMS int64 `cbor:"give-up-after-ms"`
@@ -51,6 +54,14 @@
 	Items []Item `cbor:"-"`
 }
 
+// DueAt returns the time at which all results are due, or the zero time if there is none.
+func (s *Submission) DueAt() time.Time {
+	if s.DueAfterMS == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(s.SubmittedMS + s.DueAfterMS)
+}
+
 // AbandonAt returns the time from which items are abandoned instead of retried, or
 // the zero time if there is no limit.
 func (s *Submission) AbandonAt() time.Time {
--- a/internal/silljob/owned.go
+++ b/internal/silljob/owned.go
@@ -30,6 +30,11 @@
 	savedEvents int
 	// group runs the writer and the attempts of the job's items.
 	group *sillgroup.Group
+	// crowded is whether the job can't be complete when it is due. It stays set.
+	crowded bool
+	// groupOrder is the place of each group in the order of a crowded job; nil for
+	// others.
+	groupOrder map[string]int
 	// groupTarget is the target of the last item sent of each group. The items of a
 	// group prefer it because it has their prompt cached.
 	groupTarget map[string]sillid.TargetID
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -53,6 +53,9 @@
 	loading map[ID]bool
 	// orphanSince is when each job without a live owner was first seen.
 	orphanSince map[ID]time.Time
+	// attemptTime is the moving average of the time that a complete attempt takes at an
+	// engine; 0 if unknown.
+	attemptTime time.Duration
 	// stopping is set once the process releases its jobs.
 	stopping bool
 	// dispatchSignal notifies the dispatch loop; it buffers one signal.
