Count a job as crowded only by the work that is left

Cause: took jobs that fit for crowded: its estimate added the time of one more attempt, and left out the slots in which older jobs of the model run; and a job stayed crowded for good.

Change: the estimate is the attempts that are left, running ones by half, over the slots of the model, against the time that is left; from 1.1 of it a job is crowded, below 0.8 no longer.

--- a/internal/silljob/crowd.go
+++ b/internal/silljob/crowd.go
@@ -30,20 +30,56 @@
 	r.attemptTime += time.Duration(attemptTimeWeight * float64(took-r.attemptTime))
 }
 
+const (
+	// crowdedShare is the share of the time until a job is due from which the work that
+	// is left makes it crowded; below roomyShare it is no longer. Between the two it
+	// stays as it is, so that estimates that vary do not change the order all the time.
+	crowdedShare = 1.1
+	roomyShare   = 0.8
+)
+
+// modelLoad is the number of items of a model's jobs.
+type modelLoad struct {
+	waiting, running int
+}
+
+// add returns the sum of two loads.
+func (l modelLoad) add(o modelLoad) modelLoad {
+	return modelLoad{waiting: l.waiting + o.waiting, running: l.running + o.running}
+}
+
 // orderGroups finds the crowded jobs and orders their groups. The caller holds r.mu.
 func (r *Runner) orderGroups(now time.Time) {
-	ahead := make(map[sillid.ModelID]int)
-	for _, j := range r.jobsByAge() {
-		waiting, running := j.countPhases()
-		if !j.crowded && r.isLate(now, j, ahead[j.sub.Model]+waiting, running) {
-			j.crowded = true
+	jobs := r.jobsByAge()
+	running := make(map[sillid.ModelID]int)
+	for _, j := range jobs {
+		running[j.sub.Model] += j.countPhases().running
+	}
+	ahead := make(map[sillid.ModelID]modelLoad)
+	for _, j := range jobs {
+		load := ahead[j.sub.Model].add(j.countPhases())
+		ahead[j.sub.Model] = load
+		wasCrowded := j.crowded
+		j.updateCrowded(r.shareOfTimeNeeded(now, j, load, running[j.sub.Model]))
+		if j.crowded && !wasCrowded {
 			r.cfg.Log.Info("Job can't be complete when it is due; running it group by group.", zap.String("job", string(j.sub.Job)),
-				zap.Int("waiting", waiting), zap.Int("running", running), zap.Duration("attempt-time", r.attemptTime))
+				zap.Int("waiting", load.waiting), zap.Int("running", running[j.sub.Model]), zap.Duration("attempt-time", r.attemptTime))
 		}
+		j.groupOrder = nil
 		if j.crowded {
 			j.groupOrder = groupOrder(j.items)
 		}
-		ahead[j.sub.Model] += waiting
+	}
+}
+
+// updateCrowded updates whether the job is crowded from the share of the time until it is
+// due that the work left takes; 0 if unknown.
+func (j *ownedJob) updateCrowded(share float64) {
+	switch {
+	case share > crowdedShare:
+		j.crowded = true
+	case share < roomyShare:
+		j.crowded = false
 	}
 }
 
@@ -59,36 +95,39 @@
 	return jobs
 }
 
-// isLate returns whether a job is expected to be complete only after it is due. waiting
-// counts the items that wait for its engines, those of older jobs included.
-func (r *Runner) isLate(now time.Time, j *ownedJob, waiting, running int) bool {
+// shareOfTimeNeeded returns the time that a job and the older ones of its model still
+// take, as a share of the time until the job is due; 0 if either is unknown. running is
+// the number of the model's items at engines.
+func (r *Runner) shareOfTimeNeeded(now time.Time, j *ownedJob, load modelLoad, running int) float64 {
 	due := j.sub.DueAt()
-	if due.IsZero() || r.attemptTime == 0 || waiting == 0 {
-		return false
+	if due.IsZero() || r.attemptTime == 0 || load.waiting == 0 {
+		return 0
 	}
 	slots := running + r.cfg.Directory.FreeSlots(now, r.jobQuery(j))
-	return now.Add(timeToComplete(waiting, slots, r.attemptTime)).After(due)
+	left := max(due.Sub(now), time.Millisecond)
+	return timeToComplete(load, slots, r.attemptTime).Seconds() / left.Seconds()
 }
 
-// timeToComplete returns the expected time until a number of waiting items is complete
-// in slots that are in use now.
-func timeToComplete(waiting, slots int, attemptTime time.Duration) time.Duration {
-	rounds := float64(waiting)/float64(max(slots, 1)) + 1
-	return time.Duration(rounds * float64(attemptTime))
+// timeToComplete returns the expected time until items are complete in a number of slots.
+// Running items are half done on average.
+func timeToComplete(load modelLoad, slots int, attemptTime time.Duration) time.Duration {
+	attempts := float64(load.waiting) + float64(load.running)/2
+	return time.Duration(attempts / float64(max(slots, 1)) * float64(attemptTime))
 }
 
 // countPhases returns how many items wait for an engine, and how many one runs.
-func (j *ownedJob) countPhases() (waitingItems, runningItems int) {
+func (j *ownedJob) countPhases() modelLoad {
+	var load modelLoad
 	for _, it := range j.items {
 		switch it.phase {
 		case waiting:
-			waitingItems++
+			load.waiting++
 		case running:
-			runningItems++
+			load.running++
 		case scoring, finished:
 		}
 	}
-	return waitingItems, runningItems
+	return load
 }
 
 // groupOrder returns the place of each group, from 1, by the work that is left, the
--- a/internal/silljob/owned.go
+++ b/internal/silljob/owned.go
@@ -30,7 +30,7 @@
 	savedEvents int
 	// group runs the writer and the attempts of the job's items.
 	group *sillgroup.Group
-	// crowded is whether the job can't be complete when it is due. It stays set.
+	// crowded is whether the job can't be complete when it is due.
 	crowded bool
 	// groupOrder is the place of each group in the order of a crowded job; nil for
 	// others.
