Rank a gateway whose own row is not known as before

What callers saw: nothing.

Cause: Members.Rank returned 0 for an instance that is not live, where it had computed the rank among the live ones.

Change: the rank is computed with an unknown capacity; a test compares it.

--- a/internal/sillcluster/members.go
+++ b/internal/sillcluster/members.go
@@ -21,7 +21,7 @@
 )
 
 // Table is the name of the table with one row per instance. Its partitions are the
-// availability zones. Builds before that wrote their rows to the partition "".
+// availability zones. Earlier builds wrote their rows to the partition "".
 const Table = "gateway-node"
 
 const (
@@ -238,21 +238,21 @@
 	return live
 }
 
-// Rank returns the rank of an instance among the live ones for a name, and false if the
-// instance is not live.
+// Rank returns the rank that an instance has or would have among the live ones for a
+// name, and whether it is live.
 func (s *Members) Rank(now time.Time, name string, self sillid.InstanceID) (int, bool) {
 	live := s.Live(now)
-	own := slices.IndexFunc(live, func(m Member) bool { return m.Instance == self })
-	if own < 0 {
-		return 0, false
+	own, found := Member{Instance: self}, false
+	if i := slices.IndexFunc(live, func(m Member) bool { return m.Instance == self }); i >= 0 {
+		own, found = live[i], true
 	}
 	rank := 0
 	for _, m := range live {
-		if isAhead(name, m, live[own]) {
+		if isAhead(name, m, own) {
 			rank++
 		}
 	}
-	return rank, true
+	return rank, found
 }
 
 // First returns the live process with rank 0 for a name, and false if no process
--- a/internal/sillcluster/members_test.go
+++ b/internal/sillcluster/members_test.go
@@ -260,4 +260,8 @@
 			t.Errorf("%s has rank %d, want %d", id, rank, want)
 		}
 	}
+	rank, live := s.Rank(start, "m", "absent")
+	if want := silllease.Rank("m", "absent", ids); rank != want || live {
+		t.Errorf("an absent process has rank %d, live %t; want %d, false", rank, live, want)
+	}
 }
--- a/internal/silljob/crowd.go
+++ b/internal/silljob/crowd.go
@@ -53,11 +53,11 @@
 	jobs := r.jobsByAge()
 	running := make(map[sillid.ModelID]int)
 	for _, j := range jobs {
-		running[j.sub.Model] += j.countPhases().running
+		running[j.sub.Model] += j.load().running
 	}
 	ahead := make(map[sillid.ModelID]modelLoad)
 	for _, j := range jobs {
-		load := ahead[j.sub.Model].add(j.countPhases())
+		load := ahead[j.sub.Model].add(j.load())
 		ahead[j.sub.Model] = load
 		wasCrowded := j.crowded
 		j.updateCrowded(r.shareOfTimeNeeded(now, j, load, running[j.sub.Model]))
@@ -115,8 +115,8 @@
 	return time.Duration(attempts / float64(max(slots, 1)) * float64(attemptTime))
 }
 
-// countPhases returns how many items wait for an engine, and how many one runs.
-func (j *ownedJob) countPhases() modelLoad {
+// load returns how many items wait for an engine, and how many one runs.
+func (j *ownedJob) load() modelLoad {
 	var load modelLoad
 	for _, it := range j.items {
 		switch it.phase {
