Run an overdue job as a whole if little of it is left

Cause: work left was compared with the time until the job is due, which is nothing for a job that became due while no gateway ran. Such a job counted as crowded whatever was left of it; its groups came one after the other and the trainer, which waits for nine tenths of them, went on late.

Change: it is compared with half of the job's whole time at least.

--- a/internal/silljob/crowd.go
+++ b/internal/silljob/crowd.go
@@ -36,6 +36,10 @@
 	// stays as it is, so that estimates that vary do not change the order all the time.
 	crowdedShare = 1.1
 	roomyShare   = 0.8
+	// minHorizonShare is the least time for which the work left is compared, as a share
+	// of the whole time of a job. A job that is nearly or already due, with little work
+	// left, is best completed as a whole: its trainer waits for it.
+	minHorizonShare = 0.5
 )
 
 // modelLoad is the number of items of a model's jobs.
@@ -96,7 +100,8 @@
 }
 
 // shareOfTimeNeeded returns the time that a job and the older ones of its model still
-// take, as a share of the time until the job is due; 0 if either is unknown. running is
+// take, as a share of the time until the job is due, or of minHorizonShare of its whole
+// time if that is longer; 0 if either is unknown. running is
 // the number of the model's items at engines.
 func (r *Runner) shareOfTimeNeeded(now time.Time, j *ownedJob, load modelLoad, running int) float64 {
 	due := j.sub.DueAt()
@@ -104,7 +109,7 @@
 		return 0
 	}
 	slots := running + r.cfg.Directory.FreeSlots(now, r.jobQuery(j))
-	left := max(due.Sub(now), time.Millisecond)
+	left := max(due.Sub(now), time.Duration(minHorizonShare*float64(j.sub.DueAfterMS))*time.Millisecond)
 	return timeToComplete(load, slots, r.attemptTime).Seconds() / left.Seconds()
 }
 
--- a/internal/silljob/crowd_test.go
+++ b/internal/silljob/crowd_test.go
@@ -174,3 +174,19 @@
 		}
 	}
 }
+
+// TestOverdueJobWithLittleLeft checks that a job that became due while no gateway ran is
+// not run group by group for the little that is left of it.
+func TestOverdueJobWithLittleLeft(t *testing.T) {
+	s := newStepLoad(60, stepDue)
+	s.now = s.now.Add(stepDue + time.Second)
+	s.dispatch()
+	if s.job.crowded {
+		t.Error("an overdue job of three attempts for each slot counts as crowded")
+	}
+	s = newStepLoad(6, stepDue)
+	s.now = s.now.Add(stepDue + time.Second)
+	if s.dispatch(); !s.job.crowded {
+		t.Error("an overdue job of thirty attempts for each slot does not count as crowded")
+	}
+}
