--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -159,7 +159,8 @@
 	m.leaving.send(ctx, m.lastPeers())
 }
 
-// restoreKnowledge merges what the last run of the process left in its row, which the first renewal replaces. It returns false if the row can't be read.
+// restoreKnowledge merges what the last run of the process left in its row, which the first
+// renewal replaces. It returns false if the row can't be read.
 func (m *membership) restoreKnowledge(ctx context.Context, store *silltable.Store) bool {
 	if m.restored {
 		return true
