Log which side may have closed a caller's connection

Callers saw a booking end without an answer at a planned stop. "Gave a request up." with the reason caller-left is the same line whether the caller or the gateway closed the connection, so the logs could not tell the hypotheses of the incident apart.

--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -115,6 +115,9 @@
 // configuration.
 func (s *Service) Ready() bool { return !s.stopping.Load() && s.Catalog() != nil }
 
+// Stopping returns whether the gateway has begun to stop.
+func (s *Service) Stopping() bool { return s.stopping.Load() }
+
 // Run serves until ctx ends, and then stops within the grace period. It calls started
 // once the gateway listens on all addresses.
 func (s *Service) Run(ctx context.Context, started func()) error {
@@ -168,6 +171,7 @@
 	time.Sleep(min(balancerCheckDelay, time.Until(deadline)))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	s.Log.Info("Closing the listener of callers.")
 	if err := s.servers.callers.shutdown(ctx); err != nil {
 		s.Log.Warn("Requests were cut at the end of the grace.", silllog.Err(err))
 	}
--- a/internal/silltimeline/timeline.go
+++ b/internal/silltimeline/timeline.go
@@ -24,7 +24,7 @@
 
 // processMessages tell what a process is able to do.
 var processMessages = map[string]bool{
-	started: true, "Stopping.": true, "Stopped.": true, "Requests were cut at the end of the grace.": true,
+	started: true, "Stopping.": true, "Closing the listener of callers.": true, "Stopped.": true, "Requests were cut at the end of the grace.": true,
 	"Read the settings again.": true, "Configuration in force.": true, "Configuration can't be read.": true,
 	"Table is away.": true, "Table is back.": true,
 	"Table service out of reach; asking peers.": true, "Table service within reach.": true,
