Answer every request that a stopping gateway reads

Cause: net/http counts a kept connection as idle until it has read the whole header of the next request. SetKeepAlivesEnabled(false) and Shutdown close idle connections at once, from another goroutine. A request that is being read at that moment is handled all the same: it is passed on, its caller's connection is found closed, and the run is cut.

Change: package sillserver. The goroutine that reads a connection ends it itself, and only if the kernel has no byte for it; an idle or new connection gets a short time for a request that is under way. Responses say Connection: close from SIGTERM on, so that clients move while the balancer still sends requests; what waits to be accepted is served before the listener closes. The same rule holds for the idle timeout: a request that arrived in time is read although the process was late.

--- a/internal/silldirectgateway/listen.go
+++ b/internal/silldirectgateway/listen.go
@@ -2,43 +2,22 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/sillserver"
 )
 
-// listener is one HTTP server; the zero listener serves nothing.
-type listener struct {
-	server *http.Server
-	socket net.Listener
-}
-
-func (l *listener) address() string { return l.socket.Addr().String() }
-
-// shutdown closes connections after their next response and waits for running
-// requests. If ctx ends first, it closes their connections and returns an error.
-func (l *listener) shutdown(ctx context.Context) error {
-	l.server.SetKeepAlivesEnabled(false)
-	err := l.server.Shutdown(ctx)
-	if err != nil {
-		_ = l.server.Close()
-	}
-	return err
-}
-
-// servers are the process's listeners.
+// servers are the process's listeners; those without an address are nil.
 type servers struct {
-	callers, ready, peers, metrics listener
+	callers, ready, peers, metrics *sillserver.Server
 }
 
 // listenSpec describes a listener to open; an empty address opens none.
 type listenSpec struct {
-	listener *listener
-	address  string
-	handler  http.Handler
+	server  **sillserver.Server
+	address string
+	handler http.Handler
 }
 
 func (s *servers) open(list ...listenSpec) error {
@@ -46,36 +25,44 @@
 		if o.address == "" {
 			continue
 		}
-		socket, err := net.Listen("tcp", o.address)
+		server, err := sillserver.Listen(sillserver.Config{
+			Address: o.address, Handler: o.handler, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		})
 		if err != nil {
 			s.close()
-			return eris.Wrapf(err, "silldirectgateway.open: can't listen on %s; choose a free address of this instance", o.address)
-		}
-		*o.listener = listener{
-			socket: socket,
-			server: &http.Server{Handler: o.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout},
+			return err
 		}
+		*o.server = server
 	}
 	return nil
 }
 
-func (s *servers) all() []*listener {
-	return []*listener{&s.callers, &s.ready, &s.peers, &s.metrics}
+// all returns the open listeners.
+func (s *servers) all() []*sillserver.Server {
+	var open []*sillserver.Server
+	for _, server := range [...]*sillserver.Server{s.callers, s.ready, s.peers, s.metrics} {
+		if server != nil {
+			open = append(open, server)
+		}
+	}
+	return open
 }
 
 func (s *servers) serve(group *sillgroup.Group) {
-	for _, l := range s.all() {
-		if l.server != nil {
-			group.Go(func(context.Context) { _ = l.server.Serve(l.socket) })
-		}
+	for _, server := range s.all() {
+		group.Go(func(context.Context) { server.Serve() })
+	}
+}
+
+// drain makes the next response on each connection its last one.
+func (s *servers) drain() {
+	for _, server := range s.all() {
+		server.Drain()
 	}
 }
 
 func (s *servers) close() {
-	for _, l := range s.all() {
-		if l.server != nil {
-			_ = l.server.Close()
-			_ = l.socket.Close()
-		}
+	for _, server := range s.all() {
+		server.Close()
 	}
 }
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -17,7 +17,6 @@
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/sillgroupcommit"
 	"github.com/wasabisill/wasabisill/internal/silljob"
-	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/sillmeter"
 	"github.com/wasabisill/wasabisill/internal/sillrelay"
 )
@@ -168,12 +167,13 @@
 	s.Log.Info("Stopping.", zap.Duration("grace", s.settings.GracePeriod))
 	s.members.write(ctx, s.tables.store, true)
 	s.work.Cancel()
+	s.servers.drain()
 	time.Sleep(min(balancerCheckDelay, time.Until(deadline)))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	s.Log.Info("Closing the listener of callers.")
-	if err := s.servers.callers.shutdown(ctx); err != nil {
-		s.Log.Warn("Requests were cut at the end of the grace.", silllog.Err(err))
+	if cut := s.servers.callers.Shutdown(ctx).Cut; cut > 0 {
+		s.Log.Warn("Requests were cut at the end of the grace.", zap.Int("cut", cut))
 	}
 	s.work.Wait()
 	s.servers.close()
@@ -210,7 +210,7 @@
 		return err
 	}
 	s.Addresses = Addresses{
-		Callers: s.servers.callers.address(), Ready: s.servers.ready.address(), Peers: s.servers.peers.address(),
+		Callers: s.servers.callers.Address(), Ready: s.servers.ready.Address(), Peers: s.servers.peers.Address(),
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/sillserver/conn.go
@@ -0,0 +1,205 @@
+package sillserver
+
+import (
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/wasabisill/wasabisill/internal/sillsocket"
+)
+
+// Times for which a connection without a request stays open once idle connections are
+// ended: its caller may have sent a request that has not arrived.
+const (
+	// newLinger applies to a connection on which nothing has arrived.
+	newLinger = time.Second
+	// idleLinger applies after a response that did not say that it was the last one.
+	idleLinger = 500 * time.Millisecond
+	// partLinger applies after a part of a request.
+	partLinger = 5 * time.Second
+)
+
+// phase is what happens on a connection.
+type phase int
+
+const (
+	// phaseNew: nothing has been read.
+	phaseNew phase = iota
+	// phaseReading: a part of a request has been read.
+	phaseReading
+	// phaseHandling: the header of a request has been read and its response is not complete.
+	phaseHandling
+	// phaseIdle: the last response is complete and nothing has been read since.
+	phaseIdle
+	// phaseEnded: the connection was ended while no request was on it.
+	phaseEnded
+)
+
+// conn is a connection that ends itself when it is idle: its reader sees the end of the
+// input, which net/http takes for a caller that has closed the connection.
+type conn struct {
+	*net.TCPConn
+	listener *listener
+	closed   sync.Once
+
+	mu    sync.Mutex
+	phase phase
+	// since is when the phase began or, while reading, when bytes last arrived.
+	since time.Time
+	// deadline is the read deadline that net/http has set.
+	deadline time.Time
+	// ending is whether the connection ends when it is idle.
+	ending bool
+}
+
+func newConn(tcp *net.TCPConn, l *listener) *conn {
+	return &conn{TCPConn: tcp, listener: l, since: time.Now()}
+}
+
+// recordState follows the state that net/http gives a connection. It is called by the
+// goroutine that reads the connection.
+func recordState(c net.Conn, state http.ConnState) {
+	if encrypted, ok := c.(*tls.Conn); ok {
+		c = encrypted.NetConn()
+	}
+	own, ok := c.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		own.enter(phaseHandling)
+	case http.StateIdle:
+		own.enter(phaseIdle)
+	case http.StateNew, http.StateHijacked, http.StateClosed:
+	}
+}
+
+func (c *conn) enter(p phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.since = p, time.Now()
+	if c.ending {
+		_ = c.applyDeadline()
+	}
+}
+
+// end makes the connection end once it is idle for the linger of its phase.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	_ = c.applyDeadline()
+}
+
+func (c *conn) isHandling() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == phaseHandling
+}
+
+func (c *conn) isEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == phaseEnded
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	err := c.TCPConn.Close()
+	c.closed.Do(func() { c.listener.remove(c) })
+	return err
+}
+
+// SetReadDeadline sets the time limit for reads.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.applyDeadline()
+}
+
+// SetDeadline sets the time limit for reads and writes.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// applyDeadline sets the earlier of the deadline of net/http and the end of the linger.
+func (c *conn) applyDeadline() error {
+	t := c.deadline
+	if end, ok := c.lingerEnd(); ok && (t.IsZero() || end.Before(t)) {
+		t = end
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// lingerEnd returns when the connection ends if nothing arrives before; false if it does
+// not end by itself.
+func (c *conn) lingerEnd() (time.Time, bool) {
+	if !c.ending {
+		return time.Time{}, false
+	}
+	switch c.phase {
+	case phaseNew:
+		return c.since.Add(newLinger), true
+	case phaseReading:
+		return c.since.Add(partLinger), true
+	case phaseIdle:
+		return c.since.Add(idleLinger), true
+	case phaseHandling, phaseEnded:
+	}
+	return time.Time{}, false
+}
+
+// Read reads what the caller sent. It returns io.EOF if the connection has ended itself.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(p)
+		if n > 0 {
+			c.recordRead()
+			return n, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if err := c.expire(time.Now()); err != nil {
+			return 0, err
+		}
+	}
+}
+
+func (c *conn) recordRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseHandling {
+		return
+	}
+	c.phase, c.since = phaseReading, time.Now()
+	if c.ending {
+		_ = c.applyDeadline()
+	}
+}
+
+// expire handles a deadline that has passed. It returns nil if the read is to be repeated.
+func (c *conn) expire(now time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waiting := c.phase == phaseNew || c.phase == phaseIdle
+	if waiting && sillsocket.Peek(c.TCPConn) == sillsocket.Unread {
+		// A request has arrived in time, so it is read whatever the deadline.
+		return c.TCPConn.SetReadDeadline(time.Time{})
+	}
+	if !c.deadline.IsZero() && !now.Before(c.deadline) {
+		return os.ErrDeadlineExceeded
+	}
+	if end, ok := c.lingerEnd(); ok && !now.Before(end) {
+		c.phase = phaseEnded
+		return io.EOF
+	}
+	return c.applyDeadline()
+}
--- /dev/null
+++ b/internal/sillserver/listener.go
@@ -0,0 +1,139 @@
+package sillserver
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wasabisill/wasabisill/internal/sillsocket"
+)
+
+// acceptRetry is the time limit of accepting a connection that is known to wait.
+const acceptRetry = 20 * time.Millisecond
+
+// listener accepts connections and keeps those that are open.
+type listener struct {
+	*net.TCPListener
+	// stopping is whether no connection is accepted but those that wait already.
+	stopping atomic.Bool
+
+	mu sync.Mutex
+	// open holds the connections that are not closed.
+	open map[*conn]struct{}
+	// ending is whether idle connections are ended.
+	ending bool
+	// ended is the number of connections that were ended while idle.
+	ended int
+	// emptied signals that the last connection was closed; it buffers one signal.
+	emptied chan struct{}
+}
+
+func newListener(l *net.TCPListener) *listener {
+	return &listener{TCPListener: l, open: make(map[*conn]struct{}), emptied: make(chan struct{}, 1)}
+}
+
+// Accept returns the next connection. After stop, it returns those that wait already, and
+// then net.ErrClosed.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		tcp, err := l.AcceptTCP()
+		if err == nil {
+			return l.add(tcp), nil
+		}
+		if !l.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, err
+		}
+		// The deadline may have passed before the kernel was asked.
+		if !sillsocket.HasPending(l.TCPListener) {
+			return nil, net.ErrClosed
+		}
+		if err := l.SetDeadline(time.Now().Add(acceptRetry)); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// stop makes Accept return once no connection waits.
+func (l *listener) stop() {
+	l.stopping.Store(true)
+	// It fails if the listener is closed; then Accept returns as well.
+	_ = l.SetDeadline(time.Now())
+}
+
+func (l *listener) add(tcp *net.TCPConn) *conn {
+	c := newConn(tcp, l)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = struct{}{}
+	if l.ending {
+		c.end()
+	}
+	return c
+}
+
+func (l *listener) remove(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+	if c.isEnded() {
+		l.ended++
+	}
+	if len(l.open) > 0 {
+		return
+	}
+	select {
+	case l.emptied <- struct{}{}:
+	default:
+	}
+}
+
+// endIdle ends the connections on which no request is, now and from now on.
+func (l *listener) endIdle() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ending = true
+	for c := range l.open {
+		c.end()
+	}
+}
+
+// awaitClosed waits until no connection is open or ctx ends.
+func (l *listener) awaitClosed(ctx context.Context) {
+	for l.countOpen() > 0 {
+		select {
+		case <-l.emptied:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *listener) countOpen() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
+// countEnded returns the number of connections that were ended while idle.
+func (l *listener) countEnded() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ended
+}
+
+// countHandling returns the number of open connections with a request.
+func (l *listener) countHandling() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for c := range l.open {
+		if c.isHandling() {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/silltransport/conn.go
+++ b/internal/silltransport/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/wasabisill/wasabisill/internal/sillsocket"
 )
 
 // keepAlive detects a peer that lost power or became unreachable while a response
@@ -109,22 +111,8 @@
 	return now.Before(c.expires) && c.reader.Buffered() == 0 && c.isIdle()
 }
 
-// isIdle returns whether the connection is open without unread bytes. It peeks at
-// the socket without blocking.
-func (c *conn) isIdle() bool {
-	raw, err := c.tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		idle = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && idle
-}
+// isIdle returns whether the connection is open without unread bytes.
+func (c *conn) isIdle() bool { return sillsocket.Peek(c.tcp) == sillsocket.Empty }
 
 // hasCarried returns whether one of the newest requests on the connection had the id.
 func (c *conn) hasCarried(id string) bool { return id != "" && slices.Contains(c.carried, id) }
