Answer the calls of peers when a gateway stops

What callers saw: a gateway that the store turned away lost the outcome of the calls that a peer made for it, when that peer stopped. A write of unknown outcome is not repeated: a submission of a job ends in doubt, a renewal is missed.

The listeners of peers and of metrics were closed at once at the end of the stop, under the calls that ran on them.

Change: they shut down like the callers' listener and beside it, so a stop takes no longer. The listener of readiness checks still closes at once at the end: a check that is cut counts as not ready, which is the answer.

--- a/internal/silldirectgateway/listen.go
+++ b/internal/silldirectgateway/listen.go
@@ -61,6 +61,20 @@
 	}
 }
 
+// shutdown ends the listeners but that of readiness checks, after the calls that run on
+// them or when ctx ends. It returns the number of callers' requests that it cut.
+func (s *servers) shutdown(ctx context.Context) int {
+	group := sillgroup.New(ctx)
+	for _, server := range s.all() {
+		if server != s.callers && server != s.ready {
+			group.Go(func(ctx context.Context) { server.Shutdown(ctx) })
+		}
+	}
+	summary := s.callers.Shutdown(ctx)
+	group.Wait()
+	return summary.Cut
+}
+
 func (s *servers) close() {
 	for _, server := range s.all() {
 		server.Close()
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -172,7 +172,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	s.Log.Info("Closing the listener of callers.")
-	if cut := s.servers.callers.Shutdown(ctx).Cut; cut > 0 {
+	if cut := s.servers.shutdown(ctx); cut > 0 {
 		s.Log.Warn("Requests were cut at the end of the grace.", zap.Int("cut", cut))
 	}
 	s.work.Wait()
