Answer requests on kept connections when a process with agents stops

What callers saw: at a planned stop, the next request on every kept connection got a closed connection in place of a response, also if it had arrived or had been read.

Cause: the class of the request lost at a stop, in the path with agents. Shutdown of net/http closes idle connections at once, without notice.

Change: the listeners of callers, administrators and metrics are those of sillserver. Responses say Connection: close during the notice of a stop.

--- a/internal/sillapp/admin.go
+++ b/internal/sillapp/admin.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	g.Addresses.Admin = srv.address()
+	g.Addresses.Admin = srv.Address()
 	appendServer(lc, srv)
 	return nil
 }
--- a/internal/sillapp/agent.go
+++ b/internal/sillapp/agent.go
@@ -211,7 +211,7 @@
 	if err != nil {
 		return err
 	}
-	a.Addresses = AgentAddresses{Inner: l.Addr().String(), Metrics: srv.address()}
+	a.Addresses = AgentAddresses{Inner: l.Addr().String(), Metrics: srv.Address()}
 	appendServer(lc, srv)
 	return nil
 }
--- a/internal/sillapp/agentweight.go
+++ b/internal/sillapp/agentweight.go
@@ -98,7 +98,7 @@
 		if err != nil {
 			return err
 		}
-		w.url = "http://" + srv.address()
+		w.url = "http://" + srv.Address()
 		appendServer(lc, srv)
 	}
 	w.agent = a
--- a/internal/sillapp/gateway.go
+++ b/internal/sillapp/gateway.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	g.Addresses.Metrics = srv.address()
+	g.Addresses.Metrics = srv.Address()
 	appendServer(lc, srv)
 	return nil
 }
@@ -141,13 +141,14 @@
 	if err != nil {
 		return err
 	}
-	g.Addresses.Callers = srv.address()
+	g.Addresses.Callers = srv.Address()
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			srv.start(context.Background())
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
+			srv.Drain()
 			g.giveNotice(ctx, s.Control.StopNotice.Duration())
 			return srv.stop(ctx)
 		},
--- a/internal/sillapp/listen.go
+++ b/internal/sillapp/listen.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"net"
 	"net/http"
 	"net/http/pprof"
 	"runtime/debug"
@@ -21,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/sillserver"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
 )
 
@@ -35,52 +35,44 @@
 
 // server is one HTTP listener.
 type server struct {
-	http     *http.Server
-	listener net.Listener
-	group    *sillgroup.Group
+	*sillserver.Server
+	group *sillgroup.Group
 }
 
 // listen opens an address; TLS is used if the files are named.
 func listen(address sillsettings.Address, files sillsettings.ServerTLS, h http.Handler) (*server, error) {
-	l, err := net.Listen("tcp", string(address))
-	if err != nil {
-		return nil, eris.Wrapf(err, "sillapp.listen: %s; choose a free address of this instance", address)
+	cfg := sillserver.Config{
+		Address: string(address), Handler: h,
+		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	if files.CertificateFile != "" {
 		cert, err := tls.LoadX509KeyPair(files.CertificateFile, files.KeyFile)
 		if err != nil {
 			return nil, eris.Wrap(err, "sillapp.listen: certificate")
 		}
-		l = tls.NewListener(l, &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12})
+		cfg.TLS = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
 	}
-	s := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+	s, err := sillserver.Listen(cfg)
+	if err != nil {
+		return nil, err
 	}
-	return &server{http: s, listener: l}, nil
+	return &server{Server: s}, nil
 }
 
 // start serves until stop.
 func (s *server) start(ctx context.Context) {
 	s.group = sillgroup.New(ctx)
-	s.group.Go(func(context.Context) { _ = s.http.Serve(s.listener) })
+	s.group.Go(func(context.Context) { s.Serve() })
 }
 
 // stop waits for the running requests until ctx ends, then cuts them.
 func (s *server) stop(ctx context.Context) error {
-	err := s.http.Shutdown(ctx)
-	if err != nil {
-		_ = s.http.Close()
-	}
+	summary := s.Shutdown(ctx)
 	s.group.Stop()
-	return eris.Wrap(err, "sillapp.stop: running requests were cut; allow a longer drain time")
-}
-
-// address returns the address that the listener got.
-func (s *server) address() string {
-	return s.listener.Addr().String()
+	if summary.Cut > 0 {
+		return eris.Errorf("sillapp.stop: %d running requests were cut; allow a longer drain time", summary.Cut)
+	}
+	return nil
 }
 
 // newRegistry returns the registry of the process's metrics.
