--- a/internal/sillapp/listen_test.go
+++ b/internal/sillapp/listen_test.go
@@ -87,7 +87,7 @@
 		// does not say that it is the last one.
 		soon = 100 * time.Millisecond
 	)
-	defer c.conn.Close()
+	defer func() { _ = c.conn.Close() }()
 	reader := bufio.NewReader(c.conn)
 	for {
 		last := time.Now()
