Survive SIGHUP in gateways and agents

Callers of a gateway with agents lost their connections, and agents their runs, when the process got a SIGHUP: nothing received the signal, and the default of the Go runtime ends the process at once. "wasabisill platform" received it, but registered the handler in a goroutine beside the start and took it back at the SIGTERM, so that a SIGHUP within the grace ended the process under the requests that it drained.

The three commands now receive SIGHUP before they read their settings and until the process ends. A SIGHUP checks the settings file and logs its faults; what it holds stays fixed for the life of the process, as the page on settings says.

--- a/cmd/wasabisill/agent.go
+++ b/cmd/wasabisill/agent.go
@@ -6,13 +6,14 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/wasabisill/wasabisill/internal/sillapp"
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
 )
 
 const agentHelp = `Run an agent: the process beside one target, through which every request to the target passes.
 
-The agent runs until SIGTERM. It then takes no new work, waits for the running requests up to control.drain-limit-seconds, writes its last usage figures, and ends. Once it listens, it prints one JSON line with its addresses on stdout.`
+The agent runs until SIGTERM. It then takes no new work, waits for the running requests up to control.drain-limit-seconds, writes its last usage figures, and ends. SIGHUP checks the settings again and cuts nothing. Once it listens, it prints one JSON line with its addresses on stdout.`
 
 func newAgentCommand() *command {
 	var file string
@@ -23,14 +24,28 @@
 }
 
 func runAgent(ctx context.Context, file string) error {
-	settings := sillsettings.DefaultAgent()
-	if err := loadSettings(file, settings, settings.Validate); err != nil {
+	received := receiveHangups()
+	settings, err := loadAgent(file)
+	if err != nil {
 		return err
 	}
 	log, err := silllog.New(settings.Log.Level)
 	if err != nil {
 		return err
 	}
+	group := sillgroup.New(ctx)
+	defer group.Stop()
+	group.Go(func(ctx context.Context) {
+		received.follow(ctx, log, func() error {
+			_, err := loadAgent(file)
+			return err
+		})
+	})
 	a := sillapp.NewAgent(settings, log)
 	return a.Run(ctx, func() error { return printReady(a.Addresses) })
 }
+
+func loadAgent(file string) (*sillsettings.Agent, error) {
+	settings := sillsettings.DefaultAgent()
+	return settings, loadSettings(file, settings, settings.Validate)
+}
--- a/cmd/wasabisill/platform.go
+++ b/cmd/wasabisill/platform.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/integrii/flaggy"
-	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllog"
@@ -31,6 +28,7 @@
 }
 
 func runPlatform(ctx context.Context) error {
+	received := receiveHangups()
 	settings, err := sillplatform.LoadSettings()
 	if err != nil {
 		return &exitError{code: exitUsage, err: err}
@@ -48,25 +46,13 @@
 	}
 	group := sillgroup.New(ctx)
 	defer group.Stop()
-	group.Go(func(ctx context.Context) { reloadOnHangup(ctx, log) })
+	group.Go(func(ctx context.Context) {
+		received.follow(ctx, log, func() error {
+			_, err := sillplatform.LoadSettings()
+			return err
+		})
+	})
 	service := sillplatform.New(settings, log)
 	service.Register(queue.Collector())
 	return service.Run(ctx, func() {})
 }
-
-// reloadOnHangup checks the settings at each SIGHUP. What they hold is fixed for
-// the life of a process; a file with faults is told, and the old one stays.
-func reloadOnHangup(ctx context.Context, log *zap.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-			_, err := sillplatform.LoadSettings()
-			log.Info("Read the settings again.", silllog.Err(err))
-		}
-	}
-}
