Refuse no request because its target drains

Callers got 503 draining, not run, although another target served, when an operator drained a target under load. The gateway learns of a drain with the next heartbeat, up to a second later. Until then it sent half of its requests to the target, the agent refused them, and each retry elsewhere took a token of the organisation's retry budget: after 32 refusals the budget was empty and the rest went back to the callers.

A refusal by a draining target now makes the gateway ask the agent for its state at once, so that only requests that were on their way are refused, and these take no token: the refusal says nothing of other targets and ends with that heartbeat. The number of attempts and the deadline bound them as before.

TestDrainUsesUpNoBudget and TestDoAsksADrainingTargetForItsStateAtOnce can't pass without the change.

--- a/internal/silldispatch/dispatch.go
+++ b/internal/silldispatch/dispatch.go
@@ -263,6 +263,9 @@
 	if !a.firstAt.IsZero() {
 		latency = a.firstAt.Sub(a.began)
 	}
+	if res.problem != nil && res.problem.Kind == sillproblem.Draining {
+		route.Link.HeartbeatNow()
+	}
 	if res.load != nil {
 		route.Choice.ObserveLoad(res.load.Running, res.load.Waiting)
 	}
--- a/internal/silldispatch/dispatch_test.go
+++ b/internal/silldispatch/dispatch_test.go
@@ -36,6 +36,8 @@
 	dispatcher *Dispatcher
 	runs       []*sillwire.Run
 	used       []*sillwire.UsageRecord
+	// heartbeats counts those that were asked for at once.
+	heartbeats int
 }
 
 // newBench returns a dispatcher whose nth attempt meets the nth script.
@@ -85,7 +87,8 @@
 			}
 			return play(s.attached), nil
 		},
-		Agent: func() sillid.AgentID { return "agent" },
+		Agent:        func() sillid.AgentID { return "agent" },
+		HeartbeatNow: func() { b.heartbeats++ },
 	}
 }
 
@@ -177,6 +180,20 @@
 	}
 }
 
+func TestDoAsksADrainingTargetForItsStateAtOnce(t *testing.T) {
+	b := newBench(t,
+		script{frames: []sillwire.Message{refused(sillproblem.Draining, sillproblem.NotRun)}},
+		script{frames: []sillwire.Message{&sillwire.Head{Status: 200}, whole(0, 0)}},
+	)
+	var text string
+	_, p := b.dispatcher.Do(context.Background(), plain(false), collect(&text))
+	checkAnswer(t, p, text, "")
+	b.checkRuns(t, 2)
+	if b.heartbeats != 1 {
+		t.Errorf("%d heartbeats asked for, want 1", b.heartbeats)
+	}
+}
+
 func TestDoRefusesAnAnswerThatIsNotWholeOrNotItsOwn(t *testing.T) {
 	chunk := &sillwire.Chunk{Data: []byte("ab")}
 	other := whole(2, 0)
--- a/internal/silldispatch/link.go
+++ b/internal/silldispatch/link.go
@@ -18,6 +18,9 @@
 	Attach func(ctx context.Context, attach *sillwire.Attach) (Exchange, error)
 	// Agent returns the run of the agent in its last heartbeat; empty before the first.
 	Agent func() sillid.AgentID
+	// HeartbeatNow asks the agent for its state without waiting for the next
+	// heartbeat. It does not block.
+	HeartbeatNow func()
 }
 
 // Exchange is the stream of a response.
@@ -47,6 +50,7 @@
 			}
 			return ""
 		},
+		HeartbeatNow: l.SendHeartbeatNow,
 	}
 }
 
--- /dev/null
+++ b/internal/sillprocess/agentstop_test.go
@@ -0,0 +1,79 @@
+package sillprocess
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
+)
+
+// steadyBookings sends bookings with a body each of their own until stop, which
+// returns their answers by body.
+func (c *cluster) steadyBookings(g *gateway, callers int) (stop func() map[string]answer) {
+	var mu sync.Mutex
+	answers := make(map[string]answer)
+	group := sillgroup.New(context.Background())
+	for i := range callers {
+		group.Go(func(ctx context.Context) {
+			for n := 0; ctx.Err() == nil; n++ {
+				body := fmt.Sprintf(`{"caller":%d,"number":%d}`, i, n)
+				a := c.send(g, booking(body))
+				mu.Lock()
+				answers[body] = a
+				mu.Unlock()
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	return func() map[string]answer {
+		group.Stop()
+		return answers
+	}
+}
+
+// checkBookings fails unless each booking was confirmed and ran once.
+func (c *cluster) checkBookings(t *testing.T, answers map[string]answer) {
+	t.Helper()
+	runs := make(map[string]int)
+	for _, tg := range c.targets {
+		for _, r := range c.record(tg, "") {
+			call, _ := r["seen"].(map[string]any)
+			body, _ := call["body"].(string)
+			runs[body]++
+		}
+	}
+	for body, a := range answers {
+		if a.err != nil || a.status != http.StatusCreated || runs[body] != 1 {
+			t.Errorf("booking %s: status %d (%v), ran %d times; body %s", body, a.status, a.err, runs[body], a.body)
+		}
+	}
+}
+
+// drain drains a target as an operator does.
+func (c *cluster) drain(g *gateway, tg *target) {
+	c.t.Helper()
+	req, err := http.NewRequest(http.MethodPost, g.admin+"/admin/v1/targets/"+string(tg.id)+"/drain", http.NoBody)
+	check(c.t, err)
+	req.Header.Set("Authorization", "Bearer "+c.admin)
+	resp, err := http.DefaultClient.Do(req)
+	check(c.t, err)
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		c.t.Fatalf("drain of %s: status %d", tg.id, resp.StatusCode)
+	}
+}
+
+func TestDrainRefusesNoBooking(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, size{services: 2, gateways: 1})
+	c.awaitServing()
+	stop := c.steadyBookings(c.gateways[0], 64)
+	time.Sleep(time.Second)
+	c.drain(c.gateways[0], c.targets[0])
+	time.Sleep(2 * time.Second)
+	c.checkBookings(t, stop())
+}
--- a/internal/sillretry/policy.go
+++ b/internal/sillretry/policy.go
@@ -105,7 +105,7 @@
 }
 
 // Decide returns the action to take after a failure. Each retry takes a token
-// from the budget.
+// from the budget, but for those that a draining target refused.
 func (p Policy) Decide(now time.Time, f Failure, budget *Budget) Decision {
 	outcome := f.outcome()
 	switch {
@@ -124,7 +124,10 @@
 	if !f.Deadline.IsZero() && f.Deadline.Sub(now) < wait+p.MinRemaining {
 		return f.fail(ReasonDeadline, outcome)
 	}
-	if !budget.take(now) {
+	// Every request on its way to a target that drains is refused. That says nothing of
+	// the others, and ends with the next heartbeat.
+	drained := f.Problem.Kind == sillproblem.Draining && outcome == sillproblem.NotRun
+	if !drained && !budget.take(now) {
 		return f.fail(ReasonBudget, outcome)
 	}
 	reason := ReasonIdempotent
--- a/internal/sillretry/retry_test.go
+++ b/internal/sillretry/retry_test.go
@@ -92,3 +92,16 @@
 		t.Errorf("%d retries for 1000 successes, want at most %.0f", retries, want)
 	}
 }
+
+func TestDrainUsesUpNoBudget(t *testing.T) {
+	b := NewBudgets().Of("o", "p")
+	for range 1000 {
+		d := DefaultPolicy().Decide(epoch, failure(sillproblem.Draining, sillproblem.NotRun), b)
+		if d.Action != RetryElsewhere {
+			t.Fatalf("Decide() = %s, %s; want %s", d.Action, d.Reason, RetryElsewhere)
+		}
+	}
+	if d := DefaultPolicy().Decide(epoch, failure(sillproblem.Overload, sillproblem.NotRun), b); d.Action != RetryElsewhere {
+		t.Errorf("Decide() = %s, %s after refusals of a draining target; want %s", d.Action, d.Reason, RetryElsewhere)
+	}
+}
