Close an agent's connections once its gateways know of the stop

At each planned stop of an agent, requests that gateways sent to it were lost: bookings ended after up to 9 s as connection-silent, outcome unknown, although they had not run, and idempotent requests hung for up to 3.5 s. An agent without open runs closed its QUIC transport at once. That ends connections without telling the peers, so that for up to 3 s, the silence limit, gateways went on writing into connections that nobody read. They also learn of a drain only with their next heartbeat. Refusals that had not left the agent were lost in the same way, and so were the ends of runs that the stop cut.

A drain now ends when every connected gateway has read a heartbeat that tells of it and has sent its next one, no run is open and every refusal was received. The stop then ends what still runs, waits up to 3 s until its gateways have received that, refuses new connections and closes each open one, before it closes the transport. A gateway whose choice of a target is older than the news sends nothing to it: the attempt counts as not run, and another target gets it.

--- a/internal/sillagent/agent.go
+++ b/internal/sillagent/agent.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -73,13 +74,22 @@
 
 // Agent serves gateways and runs their requests on its target.
 type Agent struct {
-	cfg      Config
-	group    *sillgroup.Group
+	cfg   Config
+	group *sillgroup.Group
+	// runs is the context of the runs. It ends before the connections that carry
+	// their responses.
+	runs     context.Context
+	endRuns  context.CancelFunc
 	registry *registry
-	control  *control
+	gateways *gateways
+	// receiving counts the streams of requests that are being received or rejected.
+	receiving atomic.Int64
+	control   *control
 	// generations are the open generations of a model agent.
 	generations *generations
 	service     *serviceClient
+	// accepted is closed once no connection is accepted any more.
+	accepted chan struct{}
 }
 
 const (
@@ -88,11 +98,21 @@
 	detachLimit = 10 * time.Second
 	// sweepInterval is the time between two checks for such runs.
 	sweepInterval = time.Second
+	// drainPoll is the time between two checks of a drain.
+	drainPoll = 20 * time.Millisecond
+	// lastAnswerLimit bounds the wait for the responses of cut runs to be received.
+	lastAnswerLimit = 3 * time.Second
 )
 
 // New returns an agent that serves after Start.
 func New(cfg Config) *Agent {
-	a := &Agent{cfg: cfg, registry: newRegistry(cfg.Now), generations: newGenerations()}
+	a := &Agent{
+		cfg:         cfg,
+		registry:    newRegistry(cfg.Now),
+		gateways:    newGateways(cfg.Now),
+		generations: newGenerations(),
+		accepted:    make(chan struct{}),
+	}
 	a.control = newControl(a)
 	if cfg.Kind == sillbundle.ServiceRoute {
 		a.service = newServiceClient(cfg.TargetURL)
@@ -103,37 +123,74 @@
 // Start serves until Stop.
 func (a *Agent) Start(ctx context.Context) {
 	a.group = sillgroup.New(ctx)
+	a.runs, a.endRuns = context.WithCancel(a.group.Context())
 	a.group.Go(a.accept)
 	a.group.Go(a.control.run)
 	a.group.Go(a.sweep)
 }
 
-// Drain rejects new requests and waits until all runs have ended or ctx ends.
+// Drain rejects new requests and waits until every gateway knows that and all runs
+// have ended, or ctx ends.
 func (a *Agent) Drain(ctx context.Context, reason string) error {
+	a.rejectRuns(reason)
+	return a.awaitIdle(ctx)
+}
+
+// Stop ends the agent and cuts open runs, whose gateways are told. Call Drain first to
+// finish them.
+func (a *Agent) Stop() {
+	a.rejectRuns("the agent stops")
+	a.endRuns()
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswerLimit)
+	defer cancel()
+	if err := a.awaitAnswers(ctx); err != nil {
+		a.cfg.Log.Warn("closing connections with open runs", zap.Error(err))
+	}
+	_ = a.cfg.Listener.Refuse()
+	<-a.accepted
+	// Each connection is closed before the listener, which would not tell its peer.
+	a.group.Stop()
+	_ = a.cfg.Listener.Close()
+}
+
+// rejectRuns makes the agent reject new requests.
+func (a *Agent) rejectRuns(reason string) {
 	done := make(chan struct{})
 	a.control.await(drainAsked{reason: reason, done: done}, done)
+}
+
+// awaitIdle waits until every gateway has learned of the drain and awaitAnswers returns.
+// A gateway that has not learned of it still sends requests, which a closed connection
+// would lose.
+func (a *Agent) awaitIdle(ctx context.Context) error {
+	told := func() bool { return a.gateways.uninformed() == 0 }
+	if !waitUntil(ctx, told) {
+		return eris.Errorf("sillagent.Drain: %d gateways do not know of the drain, %d runs are open", a.gateways.uninformed(), a.registry.open())
+	}
+	return a.awaitAnswers(ctx)
+}
+
+// awaitAnswers waits until no run is open and every rejection has been received.
+func (a *Agent) awaitAnswers(ctx context.Context) error {
+	idle := func() bool { return a.receiving.Load() == 0 && a.registry.open() == 0 }
+	if !waitUntil(ctx, idle) {
+		return eris.Errorf("sillagent.Drain: %d runs still open; allow a longer drain time", a.registry.open())
+	}
+	return nil
+}
+
+// waitUntil waits until done returns true. It returns false if ctx ended first.
+func waitUntil(ctx context.Context, done func() bool) bool {
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
-	for {
-		open := a.registry.open()
-		if open == 0 {
-			return nil
-		}
+	for !done() {
 		select {
 		case <-ctx.Done():
-			return eris.Errorf("sillagent.Drain: %d runs still open; allow a longer drain time", open)
+			return false
 		case <-tick.C:
 		}
 	}
-}
-
-// drainPoll is the time between two checks of the open runs.
-const drainPoll = 20 * time.Millisecond
-
-// Stop ends the agent at once and cuts open runs. Call Drain first to finish them.
-func (a *Agent) Stop() {
-	_ = a.cfg.Listener.Close()
-	a.group.Stop()
+	return true
 }
 
 // State returns the state that the agent's heartbeats carry.
@@ -147,6 +204,7 @@
 }
 
 func (a *Agent) accept(ctx context.Context) {
+	defer close(a.accepted)
 	for {
 		conn, err := a.cfg.Listener.Accept(ctx)
 		if err != nil {
--- a/internal/sillagent/stream.go
+++ b/internal/sillagent/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -124,7 +125,10 @@
 }
 
 func (a *Agent) heartbeats(stream *quic.Stream, ping *sillwire.Ping) error {
+	h := a.gateways.enter()
+	defer a.gateways.leave(h)
 	for {
+		a.gateways.pinged(h)
 		a.control.pinged()
 		if a.control.gatewaysAlive() {
 			a.registry.settleRead()
@@ -132,6 +136,7 @@
 		pong := a.control.status()
 		pong.Sequence = ping.Sequence
 		a.cfg.OnPing(ping, &pong)
+		a.gateways.sending(h, pong.State == sillwire.DrainingState)
 		if err := sillwire.Write(stream, &pong); err != nil {
 			return err
 		}
@@ -156,6 +161,8 @@
 
 // runStream receives a request, runs it and sends its response.
 func (a *Agent) runStream(ctx context.Context, stream *quic.Stream, m *sillwire.Run) error {
+	a.receiving.Add(1)
+	defer a.receiving.Add(-1)
 	received := a.cfg.Now()
 	body, err := readBody(stream, m.BodyBytes)
 	if err != nil {
@@ -172,7 +179,7 @@
 		a.cfg.Metrics.Refused.WithLabelValues(string(p.Kind)).Inc()
 		m := refusal(p)
 		m.Load = a.load()
-		return sillwire.Write(stream, m)
+		return sendRefusal(stream, m)
 	}
 	return a.sendAnswer(ctx, stream, n, 0)
 }
@@ -188,7 +195,7 @@
 	if p := a.cfg.Suspects.Check(n.req.Fingerprint); p != nil && !n.req.Class.Owed() {
 		return p
 	}
-	runCtx, cancel := context.WithCancelCause(a.group.Context())
+	runCtx, cancel := context.WithCancelCause(a.runs)
 	n.cancel = cancel
 	if p := a.registry.add(n, a.control.draining); p != nil {
 		cancel(nil)
@@ -221,9 +228,11 @@
 
 // attachStream sends the rest of a response, or reports that the request never ran.
 func (a *Agent) attachStream(ctx context.Context, stream *quic.Stream, m *sillwire.Attach) error {
+	a.receiving.Add(1)
+	defer a.receiving.Add(-1)
 	if m.Agent != a.cfg.ID {
 		p := sillproblem.New(sillproblem.ConnectionSilent, "the agent restarted").WithOutcome(sillproblem.OutcomeUnknown)
-		return sillwire.Write(stream, refusal(p))
+		return sendRefusal(stream, refusal(p))
 	}
 	n, ok := a.registry.attach(runKey{request: m.RequestID, attempt: m.Attempt})
 	if ok {
@@ -233,7 +242,19 @@
 	if a.registry.hasStarted(m.RequestID) {
 		p = p.WithOutcome(sillproblem.OutcomeUnknown)
 	}
-	return sillwire.Write(stream, refusal(p))
+	return sendRefusal(stream, refusal(p))
+}
+
+// sendRefusal sends a refusal and waits until the gateway has received it.
+func sendRefusal(stream *quic.Stream, m *sillwire.Refuse) error {
+	if err := sillwire.Write(stream, m); err != nil {
+		return err
+	}
+	_ = stream.Close()
+	// The gateway ends its side once it has read the refusal.
+	_ = stream.SetReadDeadline(time.Now().Add(sillwire.SilenceLimit))
+	_, _ = io.Copy(io.Discard, stream)
+	return nil
 }
 
 // sendAnswer writes the frames of a response from a position on as they are produced,
--- a/internal/silldispatch/attempt.go
+++ b/internal/silldispatch/attempt.go
@@ -73,6 +73,9 @@
 	if errors.Is(err, silllink.ErrNotConnected) {
 		return result{problem: sillproblem.New(sillproblem.NoTarget, "the agent is not connected")}
 	}
+	if errors.Is(err, silllink.ErrDraining) {
+		return result{problem: sillproblem.New(sillproblem.Draining, "the target is being drained")}
+	}
 	if err != nil {
 		return d.follow(ctx, r, a, failedExchange(err), out)
 	}
--- a/internal/silldispatch/link.go
+++ b/internal/silldispatch/link.go
@@ -11,8 +11,8 @@
 
 // Link sends requests to one agent.
 type Link struct {
-	// Run sends a request. The error silllink.ErrNotConnected means that the
-	// agent received no byte of it.
+	// Run sends a request. The errors silllink.ErrNotConnected and ErrDraining mean
+	// that the agent received no byte of it.
 	Run func(ctx context.Context, run *sillwire.Run, body []byte) (Exchange, error)
 	// Attach asks for the rest of a response. It waits for a connection.
 	Attach func(ctx context.Context, attach *sillwire.Attach) (Exchange, error)
--- a/internal/silllink/exchange.go
+++ b/internal/silllink/exchange.go
@@ -21,8 +21,8 @@
 }
 
 // Run sends a request and its body and returns the stream of its response. It does
-// not wait for a connection. If the error is ErrNotConnected, the agent received no
-// byte of the request.
+// not wait for a connection. If the error is ErrNotConnected or ErrDraining, the agent
+// received no byte of the request.
 func (l *Link) Run(ctx context.Context, run *sillwire.Run, body []byte) (*Exchange, error) {
 	conn := l.conn.Load()
 	if conn == nil {
@@ -32,6 +32,11 @@
 	if err != nil {
 		return nil, ErrNotConnected
 	}
+	if pong := l.Pong(); pong != nil && pong.State == sillwire.DrainingState {
+		// The choice of the target may be older than its drain.
+		l.closeStream(stream)
+		return nil, ErrDraining
+	}
 	run.BodyBytes = int64(len(body))
 	x := newExchange(ctx, stream)
 	buf, err := sillwire.Append(nil, run)
--- a/internal/silllink/link.go
+++ b/internal/silllink/link.go
@@ -73,6 +73,9 @@
 // ErrNotConnected is returned if the link has no open connection.
 var ErrNotConnected = eris.New("no connection to the agent: choose another target")
 
+// ErrDraining is returned if the agent rejects new requests.
+var ErrDraining = eris.New("the agent drains: choose another target")
+
 // New returns a link that dials at once and reconnects until Close or the end of ctx.
 func New(ctx context.Context, cfg Config) *Link {
 	l := &Link{cfg: cfg, group: sillgroup.New(ctx), opened: make(chan struct{}), heartbeatNow: make(chan struct{}, 1)}
--- a/internal/sillprocess/agentstop_test.go
+++ b/internal/sillprocess/agentstop_test.go
@@ -20,7 +20,7 @@
 	for i := range callers {
 		group.Go(func(ctx context.Context) {
 			for n := 0; ctx.Err() == nil; n++ {
-				body := fmt.Sprintf(`{"caller":%d,"number":%d}`, i, n)
+				body := fmt.Sprintf(`{"gateway":%q,"caller":%d,"number":%d}`, g.callers, i, n)
 				a := c.send(g, booking(body))
 				mu.Lock()
 				answers[body] = a
@@ -77,3 +77,33 @@
 	time.Sleep(2 * time.Second)
 	c.checkBookings(t, stop())
 }
+
+func TestAgentStopLosesNoBookingOnItsWay(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, size{services: 2, gateways: 1})
+	c.awaitServing()
+	stop := c.steadyBookings(c.gateways[0], 8)
+	time.Sleep(time.Second)
+	c.targets[0].agent.terminate(t)
+	time.Sleep(4 * time.Second)
+	c.checkBookings(t, stop())
+}
+
+func TestAgentRestartsInSeriesLoseNoBooking(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, size{services: 3, gateways: 2})
+	c.awaitServing()
+	stops := []func() map[string]answer{c.steadyBookings(c.gateways[0], 4), c.steadyBookings(c.gateways[1], 4)}
+	for _, tg := range c.targets {
+		tg.agent.terminate(t)
+		c.startAgent(tg)
+		for _, g := range c.gateways {
+			eventually(t, "the gateway uses every target", func() bool {
+				return c.metric(g.metric, "wasabisill_gateway_targets", `state="serving"`) == float64(len(c.targets))
+			})
+		}
+	}
+	for _, stop := range stops {
+		c.checkBookings(t, stop())
+	}
+}
--- a/internal/sillwire/conn.go
+++ b/internal/sillwire/conn.go
@@ -59,7 +59,14 @@
 	transport *quic.Transport
 }
 
-// Close ends the listener and its connections.
+// Refuse ends the acceptance of connections. Accept still returns those that were
+// established before, and they stay open.
+func (l *Listener) Refuse() error {
+	return l.Listener.Close()
+}
+
+// Close ends the listener. Connections must have been closed before: it ends them
+// without telling their peers.
 func (l *Listener) Close() error {
 	err := l.Listener.Close()
 	return errors.Join(err, l.transport.Close(), l.transport.Conn.Close())
