End the other parts of a process whose drain takes too long

When runs outlasted the drain limit, an agent was gone without a word: the drain waited beyond the limit, for the whole time of the stop, and fx calls no further hook after that. The agent neither ended its runs nor wrote its last usage, callers waited 9 s for an outcome that was unknown at once, and engines went on generating for nobody. A gateway in the same place left its row in the table for 90 s, and its leases until they ran out.

--- a/internal/sillapp/agent.go
+++ b/internal/sillapp/agent.go
@@ -245,13 +245,16 @@
 }
 
 // startAgent starts the traffic; a stop drains first.
-func startAgent(lc fx.Lifecycle, a *sillagent.Agent, log *zap.Logger) {
+func startAgent(lc fx.Lifecycle, s *sillsettings.Agent, a *sillagent.Agent, log *zap.Logger) {
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			a.Start(context.Background())
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
+			// The parts that stop after the traffic need the rest of the stop's time.
+			ctx, cancel := context.WithTimeout(ctx, s.Control.DrainLimit.Duration())
+			defer cancel()
 			err := a.Drain(ctx, "the process stops")
 			if err != nil {
 				log.Named("agent").Warn("stopped with open runs", zap.Error(err))
--- a/internal/sillapp/gateway.go
+++ b/internal/sillapp/gateway.go
@@ -149,6 +149,9 @@
 		},
 		OnStop: func(ctx context.Context) error {
 			g.giveNotice(ctx, s.Control.StopNotice.Duration())
+			// The parts that stop after the traffic need the rest of the stop's time.
+			ctx, cancel := context.WithTimeout(ctx, s.Control.DrainLimit.Duration())
+			defer cancel()
 			return srv.stop(ctx)
 		},
 	})
--- a/internal/sillprocess/agentstop_test.go
+++ b/internal/sillprocess/agentstop_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/sillsettings"
 )
 
 // steadyBookings sends bookings with a body each of their own until stop, which
@@ -107,3 +110,44 @@
 		c.checkBookings(t, stop())
 	}
 }
+
+func TestStopBeyondTheDrainLimitTellsItsCallers(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, size{services: 1, gateways: 1, tuneAgent: func(s *sillsettings.Agent) { s.Control.DrainLimit = 1 }})
+	c.awaitServing()
+	c.slowBookings(40 * time.Second)
+	done := c.later(c.gateways[0], booking(`{"room":1}`))
+	time.Sleep(300 * time.Millisecond)
+	agent := c.targets[0].agent
+	agent.signal(syscall.SIGTERM)
+	checkKind(t, await(t, done), http.StatusServiceUnavailable, "draining", "outcome-unknown")
+	agent.terminate(t)
+	if strings.Contains(agent.log.String(), "deadline exceeded") {
+		t.Errorf("the agent was cut off in its stop: %s", agent.log)
+	}
+}
+
+func TestGatewayThatCutsRequestsStillEndsItsTasks(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, size{services: 1, gateways: 1, tune: func(s *sillsettings.Gateway) {
+		s.Control.StopNotice = 0
+		s.Control.DrainLimit = 1
+	}})
+	c.awaitServing()
+	checkPresent(t, c, 1)
+	c.slowBookings(40 * time.Second)
+	c.later(c.gateways[0], booking(`{"room":1}`))
+	time.Sleep(300 * time.Millisecond)
+	c.gateways[0].process.terminate(t)
+	checkPresent(t, c, 0)
+}
+
+// checkPresent fails unless that many gateways have a row in the table.
+func checkPresent(t *testing.T, c *cluster, want int) {
+	t.Helper()
+	rows, err := c.table().ListAll(context.Background(), "gateway/")
+	check(t, err)
+	if len(rows) != want {
+		t.Errorf("%d gateways have a row, want %d", len(rows), want)
+	}
+}
