Keep the connection to a target that leaves the subset until its runs end

Bookings ended as connection-silent, outcome unknown, although their agent ran them to the end, and generations started again elsewhere, when a gateway changed the agents that it connects to: after agents or gateways were added or ended, after an agent was suspect or drained for a while, or when the scaler's lease moved. The fleet closed the link to a target that left the subset, or moved to another address, under the requests that ran on it.

Such a link now gets no new requests and reports nothing to the fleet, but stays open until its exchanges have ended, also those that attach again after a lost connection.

--- a/internal/sillfleet/reconcile.go
+++ b/internal/sillfleet/reconcile.go
@@ -18,7 +18,7 @@
 	f.view.SetGateways(f.cfg.Gateways())
 	f.view.SetSubset(max(minPoolSubset, f.cfg.Subset/max(1, len(f.choosers))))
 	wanted := f.view.Wanted(now, f.covers)
-	f.closeUnwanted(wanted)
+	f.retireUnwanted(wanted)
 	pools := make(map[sillid.PoolID]bool)
 	for _, p := range wanted {
 		pools[p.Pool] = true
@@ -40,8 +40,9 @@
 	f.count(wanted)
 }
 
-// closeUnwanted closes links to targets that left the subset or moved.
-func (f *Fleet) closeUnwanted(wanted []sillmembership.Peer) {
+// retireUnwanted takes links to targets that left the subset or moved out of use. They
+// close once their requests have ended.
+func (f *Fleet) retireUnwanted(wanted []sillmembership.Peer) {
 	address := make(map[sillid.TargetID]string, len(wanted))
 	for _, p := range wanted {
 		address[p.Target] = p.Address
@@ -52,7 +53,7 @@
 			continue
 		}
 		delete(f.links, target)
-		f.group.Go(func(context.Context) { l.Close() })
+		f.group.Go(l.Retire)
 	}
 }
 
--- a/internal/silllink/exchange.go
+++ b/internal/silllink/exchange.go
@@ -15,6 +15,7 @@
 
 // Exchange is the stream of response frames of one run.
 type Exchange struct {
+	link   *Link
 	stream *quic.Stream
 	stop   func() bool
 	once   sync.Once
@@ -38,7 +39,7 @@
 		return nil, ErrDraining
 	}
 	run.BodyBytes = int64(len(body))
-	x := newExchange(ctx, stream)
+	x := l.newExchange(ctx, stream)
 	buf, err := sillwire.Append(nil, run)
 	if err != nil {
 		x.Abandon()
@@ -64,15 +65,18 @@
 // Attach requests the remaining frames of a response. It waits for a connection
 // until ctx ends.
 func (l *Link) Attach(ctx context.Context, attach *sillwire.Attach) (*Exchange, error) {
+	l.exchanges.Add(1)
+	defer l.exchanges.Add(-1)
 	stream, err := l.open(ctx, attach)
 	if err != nil {
 		return nil, err
 	}
-	return newExchange(ctx, stream), nil
+	return l.newExchange(ctx, stream), nil
 }
 
-func newExchange(ctx context.Context, stream *quic.Stream) *Exchange {
-	x := &Exchange{stream: stream}
+func (l *Link) newExchange(ctx context.Context, stream *quic.Stream) *Exchange {
+	l.exchanges.Add(1)
+	x := &Exchange{link: l, stream: stream}
 	x.stop = context.AfterFunc(ctx, x.interrupt)
 	return x
 }
@@ -123,6 +127,7 @@
 
 func (x *Exchange) end(last func()) {
 	x.once.Do(func() {
+		defer x.link.exchanges.Add(-1)
 		if x.stop != nil {
 			x.stop()
 		}
--- a/internal/silllink/link.go
+++ b/internal/silllink/link.go
@@ -30,10 +30,11 @@
 	TLS *tls.Config
 	// Ping returns the content of the next heartbeat; the link sets its sequence number.
 	Ping func() *sillwire.Ping
-	// OnPong is called with the response to each heartbeat, in order. It must not block.
+	// OnPong is called with the response to each heartbeat, in order, until the link is
+	// retired. It must not block.
 	OnPong func(l *Link, pong *sillwire.Pong)
-	// OnLost is called when a dial fails or a connection is lost, but not on Close.
-	// It must not block.
+	// OnLost is called when a dial fails or a connection is lost, but not on Close or
+	// once the link is retired. It must not block.
 	OnLost func(l *Link, err error)
 	// Log is the logger of the component.
 	Log *zap.Logger
@@ -46,6 +47,11 @@
 	conn     atomic.Pointer[quic.Conn]
 	lastPong atomic.Pointer[receivedPong]
 
+	// exchanges counts the open exchanges and those that wait for a connection.
+	exchanges atomic.Int64
+	// retired is true once the link gets no new requests.
+	retired atomic.Bool
+
 	// heartbeatNow holds at most one request to send the next heartbeat at once.
 	heartbeatNow chan struct{}
 
@@ -120,6 +126,31 @@
 // Connected returns whether a connection is open.
 func (l *Link) Connected() bool { return l.conn.Load() != nil }
 
+// retiredPoll is the time between two checks of the exchanges of a retired link.
+const retiredPoll = 500 * time.Millisecond
+
+// Retire closes the link once its exchanges have ended, or ctx ends. It returns then;
+// the caller starts no new exchange.
+func (l *Link) Retire(ctx context.Context) {
+	l.retired.Store(true)
+	tick := time.NewTicker(retiredPoll)
+	defer tick.Stop()
+	// A run whose connection was lost has no exchange for a moment before it attaches
+	// again, hence the second check.
+	for idle := 0; idle < 2; {
+		select {
+		case <-ctx.Done():
+			idle = 2
+		case <-tick.C:
+			idle++
+			if l.exchanges.Load() > 0 {
+				idle = 0
+			}
+		}
+	}
+	l.Close()
+}
+
 // Close closes the connection and waits for the link's goroutines to end.
 func (l *Link) Close() {
 	l.group.Stop()
@@ -136,7 +167,9 @@
 		if ctx.Err() != nil {
 			return
 		}
-		l.cfg.OnLost(l, err)
+		if !l.retired.Load() {
+			l.cfg.OnLost(l, err)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(backoff):
@@ -188,7 +221,9 @@
 		}
 		lastPongAt = time.Now()
 		l.lastPong.Store(&receivedPong{pong: pong, at: lastPongAt})
-		l.cfg.OnPong(l, pong)
+		if !l.retired.Load() {
+			l.cfg.OnPong(l, pong)
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/internal/sillprocess/agentstop_test.go
+++ b/internal/sillprocess/agentstop_test.go
@@ -101,9 +101,7 @@
 		tg.agent.terminate(t)
 		c.startAgent(tg)
 		for _, g := range c.gateways {
-			eventually(t, "the gateway uses every target", func() bool {
-				return c.metric(g.metric, "wasabisill_gateway_targets", `state="serving"`) == float64(len(c.targets))
-			})
+			c.awaitTargets(g, len(c.targets))
 		}
 	}
 	for _, stop := range stops {
