--- a/internal/silldispatch/link.go
+++ b/internal/silldispatch/link.go
@@ -11,13 +11,16 @@
 
 // Link sends requests to one agent.
 type Link struct {
-	// Run sends a request. The error silllink.ErrNotConnected means that the
-	// agent received no byte of it.
+	// Run sends a request. The errors silllink.ErrNotConnected and ErrDraining mean
+	// that the agent received no byte of it.
 	Run func(ctx context.Context, run *sillwire.Run, body []byte) (Exchange, error)
 	// Attach asks for the rest of a response. It waits for a connection.
 	Attach func(ctx context.Context, attach *sillwire.Attach) (Exchange, error)
 	// Agent returns the run of the agent in its last heartbeat; empty before the first.
 	Agent func() sillid.AgentID
+	// HeartbeatNow asks the agent for its state without waiting for the next
+	// heartbeat. It does not block.
+	HeartbeatNow func()
 }
 
 // Exchange is the stream of a response.
@@ -47,6 +50,7 @@
 			}
 			return ""
 		},
+		HeartbeatNow: l.SendHeartbeatNow,
 	}
 }
 
--- a/internal/silllink/exchange.go
+++ b/internal/silllink/exchange.go
@@ -15,14 +15,15 @@
 
 // Exchange is the stream of response frames of one run.
 type Exchange struct {
+	link   *Link
 	stream *quic.Stream
 	stop   func() bool
 	once   sync.Once
 }
 
 // Run sends a request and its body and returns the stream of its response. It does
-// not wait for a connection. If the error is ErrNotConnected, the agent received no
-// byte of the request.
+// not wait for a connection. If the error is ErrNotConnected or ErrDraining, the agent
+// received no byte of the request.
 func (l *Link) Run(ctx context.Context, run *sillwire.Run, body []byte) (*Exchange, error) {
 	conn := l.conn.Load()
 	if conn == nil {
@@ -32,8 +33,13 @@
 	if err != nil {
 		return nil, ErrNotConnected
 	}
+	if pong := l.Pong(); pong != nil && pong.State == sillwire.DrainingState {
+		// The choice of the target may be older than its drain.
+		l.closeStream(stream)
+		return nil, ErrDraining
+	}
 	run.BodyBytes = int64(len(body))
-	x := newExchange(ctx, stream)
+	x := l.newExchange(ctx, stream)
 	buf, err := sillwire.Append(nil, run)
 	if err != nil {
 		x.Abandon()
@@ -59,15 +65,18 @@
 // Attach requests the remaining frames of a response. It waits for a connection
 // until ctx ends.
 func (l *Link) Attach(ctx context.Context, attach *sillwire.Attach) (*Exchange, error) {
+	l.exchanges.Add(1)
+	defer l.exchanges.Add(-1)
 	stream, err := l.open(ctx, attach)
 	if err != nil {
 		return nil, err
 	}
-	return newExchange(ctx, stream), nil
+	return l.newExchange(ctx, stream), nil
 }
 
-func newExchange(ctx context.Context, stream *quic.Stream) *Exchange {
-	x := &Exchange{stream: stream}
+func (l *Link) newExchange(ctx context.Context, stream *quic.Stream) *Exchange {
+	l.exchanges.Add(1)
+	x := &Exchange{link: l, stream: stream}
 	x.stop = context.AfterFunc(ctx, x.interrupt)
 	return x
 }
@@ -118,6 +127,7 @@
 
 func (x *Exchange) end(last func()) {
 	x.once.Do(func() {
+		defer x.link.exchanges.Add(-1)
 		if x.stop != nil {
 			x.stop()
 		}
