Free the slots of a target that starts again

What callers saw: after a target had started again under its id while requests of this gateway ran there, each of those requests kept a slot of the new run until the process ended. Items of jobs no longer went there once all slots were taken so, requests were refused as if the target were busy, and the scaler counted requests that were over.

Cause: Apply copied the number of running requests to the new run, but a grant keeps the old one and gives its slot back there.

Change: the new run starts without requests. A target that still works on requests of before, after a change of its address, says so with its next load.

Evidence: TestRestartFreesSlots (new run, new address) failed in 9 of 9 runs before (-cpu 1,2,8, three each), with two slots taken and no request running; passes in 9 of 9 with the change, with the race detector. The packages that use the directory pass (sillforwarder, silljob, silldirectgateway, with the race detector).

--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -65,8 +65,8 @@
 }
 
 // Apply adds or updates a target from its registry entry, and returns whether
-// anything changed. A new run under the same id starts without the failures of
-// the old one.
+// anything changed. A new run under the same id, or a new address, starts without the
+// failures and the requests of the old one.
 func (d *Directory) Apply(e Entry) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -76,11 +76,7 @@
 	}
 	t := d.targets[e.ID]
 	if t == nil || !t.entry.StartedAt.Equal(e.StartedAt) || t.entry.Address != e.Address {
-		fresh := &target{entry: e, registered: registered, tieBreak: d.tieBreak(e.ID)}
-		if t != nil {
-			fresh.running = t.running
-		}
-		d.targets[e.ID] = fresh
+		d.targets[e.ID] = &target{entry: e, registered: registered, tieBreak: d.tieBreak(e.ID)}
 		d.signalChange()
 		return true
 	}
--- a/internal/silltarget/directory_test.go
+++ b/internal/silltarget/directory_test.go
@@ -169,6 +169,33 @@
 	})
 }
 
+// TestRestartFreesSlots guards against slots that stay taken by requests of a target's
+// former run.
+func TestRestartFreesSlots(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		next func(e Entry) Entry
+	}{
+		{"new run", func(e Entry) Entry { e.StartedAt = start.Add(time.Second); return e }},
+		{"new address", func(e Entry) Entry { e.Address = "elsewhere"; return e }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := directory(entry("a", 2, 1))
+			before := []Grant{checkPick(t, d, start, Query{}, "a"), checkPick(t, d, start, Query{}, "a")}
+			d.Apply(tc.next(entry("a", 2, 1)))
+			for _, g := range before {
+				d.Release(start, g, Broken)
+			}
+			if running := d.RunningByZone("p"); len(running) != 0 {
+				t.Errorf("running by zone: %v, want none", running)
+			}
+			checkPick(t, d, start, Query{FreeOnly: true}, "a")
+			checkPick(t, d, start, Query{FreeOnly: true}, "a")
+			checkPick(t, d, start, Query{FreeOnly: true}, "")
+		})
+	}
+}
+
 func TestReleaseSignalsChange(t *testing.T) {
 	d := directory(entry("a", 1, 1))
 	changed := d.Changed()
