List complete results when a job is handed over

What callers saw: results that were complete at SIGTERM but not listed yet were dropped. The next owner generated and scored them again, which costs the trainer the whole time of an item and the engines its tokens. It needs one write under way or delayed: results wait 30 ms for each other, and longer while the table is slow.

Cause: the release of a job wrote the generations in progress alone. A complete one is no longer in progress, and the result was with the writer, which the release ends.

Change: the release lists the results that are not published, as far as they fit into its transaction, with the conditions of every other write of the owner. Store.Release takes an Update like Store.Write, and the model test releases with results.

TestModel passes with 2,000 checks; the package passes with the race detector on 1, 2 and 8 processors.

--- a/internal/silljob/model_test.go
+++ b/internal/silljob/model_test.go
@@ -144,13 +144,7 @@
 	if n.held == nil || n.held.Done() {
 		t.Skip()
 	}
-	n.writes++
-	var list []Result
-	for _, it := range submission(modelJob, modelItems).Items {
-		if !n.published[it.ID] && rapid.Bool().Draw(t, "done") {
-			list = append(list, Result{Item: it.ID, Completed: true, Text: fmt.Sprintf("%s %d", n.run, n.writes)})
-		}
-	}
+	list := n.newResults(t)
 	after, err := m.store.Write(m.ctx(), modelJob, *n.held, Update{Results: list})
 	switch {
 	case err == nil:
@@ -163,13 +157,25 @@
 	}
 }
 
+// newResults returns results of some of the items that the node has not published.
+func (n *modelOwner) newResults(t *rapid.T) []Result {
+	n.writes++
+	var list []Result
+	for _, it := range submission(modelJob, modelItems).Items {
+		if !n.published[it.ID] && rapid.Bool().Draw(t, "done") {
+			list = append(list, Result{Item: it.ID, Completed: true, Text: fmt.Sprintf("%s %d", n.run, n.writes)})
+		}
+	}
+	return list
+}
+
 func (m *model) release(t *rapid.T) {
 	n := m.node()
 	if n.held == nil {
 		t.Skip()
 	}
 	// The node stops running the job whether or not the release succeeds.
-	_ = m.store.Release(m.ctx(), modelJob, *n.held, nil)
+	_, _ = m.store.Release(m.ctx(), modelJob, *n.held, Update{Results: n.newResults(t)})
 	n.held = nil
 }
 
--- a/internal/silljob/owned.go
+++ b/internal/silljob/owned.go
@@ -172,6 +172,12 @@
 	return u, j.held
 }
 
+// lastUpdate returns the update to write when this process stops running the job. The
+// successor has to generate again what does not fit into its transaction.
+func (j *ownedJob) lastUpdate() Update {
+	return Update{Results: resultsFittingTxn(j.pending), Progress: j.inProgress(1), Waiting: j.countUnstarted()}
+}
+
 // resultsFittingTxn returns the first pending results whose texts fit into half a
 // transaction, but at least one.
 func resultsFittingTxn(pending []Result) []Result {
--- a/internal/silljob/runner_test.go
+++ b/internal/silljob/runner_test.go
@@ -317,6 +317,49 @@
 	}
 }
 
+// holdWrite makes the table hold the n-th transaction from now on until its caller gives
+// it up, and returns a channel that is closed when it holds it. Others pass.
+func (c *cluster) holdWrite(n int32) <-chan struct{} {
+	var writes atomic.Int32
+	held := make(chan struct{})
+	c.table.Fault = func(ctx context.Context, name string) error {
+		if name == "commit" && writes.Add(1) == n {
+			close(held)
+			<-ctx.Done()
+			return silltable.ErrUnavailable
+		}
+		return nil
+	}
+	return held
+}
+
+// TestStopListsCompleteResults guards against a stop that drops results which are complete
+// and not listed yet.
+func TestStopListsCompleteResults(t *testing.T) {
+	c := newCluster(t, 1, completeStream)
+	// The first transaction accepts the job, the second one lists results.
+	held := c.holdWrite(2)
+	a := c.start("a")
+	sub := submission("job", 4)
+	a.submit(t, sub)
+	<-held
+	eventually(t, "all items are complete", func() bool {
+		a.runner.mu.Lock()
+		defer a.runner.mu.Unlock()
+		j := a.runner.jobs["job"]
+		return j != nil && len(j.pending) == 4
+	})
+	a.group.Stop()
+	b := c.start("b")
+	checkComplete(t, sub, b.results(t, "job", 4), testEvents)
+	if n := len(c.engines[0].Calls()); n != 4 {
+		t.Errorf("the engine got %d requests for 4 items, want 4", n)
+	}
+	if n := len(c.scorer.Calls()); n != 4 {
+		t.Errorf("the scorer got %d requests for 4 items, want 4", n)
+	}
+}
+
 // TestLostOwnersProgressIsSaved declares the owner dead once it has saved progress. Its
 // successor must resume from there.
 func TestLostOwnersProgressIsSaved(t *testing.T) {
--- a/internal/silljob/store.go
+++ b/internal/silljob/store.go
@@ -168,6 +168,17 @@
 // state. After silltable.ErrConflict or silltable.ErrUnknown the caller must read the
 // state before the next write.
 func (s *Store) Write(ctx context.Context, job ID, held VersionedState, u Update) (VersionedState, error) {
+	return s.update(ctx, job, held, held.Owner, u)
+}
+
+// Release writes an update as Write does and removes the owner of the job, so that
+// another process can claim it.
+func (s *Store) Release(ctx context.Context, job ID, held VersionedState, u Update) (VersionedState, error) {
+	return s.update(ctx, job, held, "", u)
+}
+
+// update writes an update with the next owner of a job if its state is still held.
+func (s *Store) update(ctx context.Context, job ID, held VersionedState, owner GatewayRun, u Update) (VersionedState, error) {
 	var writes []silltable.Write
 	if len(u.Results) > 0 {
 		list, err := encodeList(ResultTable, job, held.Published, u.Results)
@@ -177,6 +188,7 @@
 		writes = list
 	}
 	next := held.State
+	next.Owner = owner
 	next.Published += len(u.Results)
 	next.Waiting = u.Waiting
 	return s.writeWithProgress(ctx, job, held, next, writes, u.Progress)
@@ -190,15 +202,6 @@
 	return s.compareAndSet(ctx, job, held, next, nil)
 }
 
-// Release removes the owner of a job, so that another process can claim it, and saves
-// the generations in progress.
-func (s *Store) Release(ctx context.Context, job ID, held VersionedState, progress []Progress) error {
-	next := held.State
-	next.Owner = ""
-	_, err := s.writeWithProgress(ctx, job, held, next, nil, progress)
-	return err
-}
-
 // writeWithProgress writes rows, the next state and as many of the generations in
 // progress as fit into the same transaction.
 func (s *Store) writeWithProgress(ctx context.Context, job ID, held VersionedState, next State, writes []silltable.Write, progress []Progress) (VersionedState, error) {
--- a/internal/silljob/store_test.go
+++ b/internal/silljob/store_test.go
@@ -113,7 +113,7 @@
 	if !errors.Is(err, silltable.ErrConflict) {
 		t.Errorf("the old owner's write: %v", err)
 	}
-	if err := s.Release(t.Context(), "job", old, nil); !errors.Is(err, silltable.ErrConflict) {
+	if _, err := s.Release(t.Context(), "job", old, Update{}); !errors.Is(err, silltable.ErrConflict) {
 		t.Errorf("the old owner's release: %v", err)
 	}
 	if results, err := s.Results(t.Context(), "job", 0); err != nil || len(results) != 0 {
--- a/internal/silljob/takeover.go
+++ b/internal/silljob/takeover.go
@@ -192,22 +192,25 @@
 // state row.
 const maxReleaseAttempts = 5
 
-// release releases a job and saves its generations in progress.
+// release releases a job. It writes the results that are not published yet, and saves the
+// generations in progress.
 func (r *Runner) release(ctx context.Context, j *ownedJob) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	for range maxReleaseAttempts {
 		r.mu.Lock()
-		progress, held := j.inProgress(1), j.held
+		u, held := j.lastUpdate(), j.held
 		owned := r.jobs[j.sub.Job] == j
 		r.mu.Unlock()
 		if !owned || held.Done() {
 			return
 		}
-		err := r.cfg.Store.Release(ctx, j.sub.Job, held, progress)
-		r.cfg.Log.Info("Handing a job back.", zap.String("job", string(j.sub.Job)), zap.Int("texts", len(progress)), silllog.Err(err))
+		after, err := r.cfg.Store.Release(ctx, j.sub.Job, held, u)
+		r.cfg.Log.Info("Handing a job back.", zap.String("job", string(j.sub.Job)), zap.Int("texts", len(u.Progress)),
+			zap.Int("results", len(u.Results)), silllog.Err(err))
 		if err == nil {
 			j.group.Cancel()
+			r.recordWrite(j, after, u.Results)
 			return
 		}
 		r.resolveWrite(ctx, j)
