Hand jobs over although the table refuses writes for a moment

What callers saw: if the table refused the writes of a stopping gateway, even for some milliseconds, its jobs kept their owner. The others took them over 1.7 s after its last renewal, from the generations that were saved up to a second before the stop.

Cause: the release was tried five times without a pause, and then given up, although the process goes on for seconds.

Change: it is tried every 100 ms for as long as a release may take, 2 s.

Evidence: TestStopOutlastsRefusedWrites refuses 8 writes from the stop on.

--- a/internal/silljob/runner_test.go
+++ b/internal/silljob/runner_test.go
@@ -360,6 +360,37 @@
 	}
 }
 
+// TestStopOutlastsRefusedWrites guards against a stop that keeps its jobs, and loses what
+// is generated, after the table has refused its writes for a moment.
+func TestStopOutlastsRefusedWrites(t *testing.T) {
+	const refusedWrites = 8
+	c := newCluster(t, 1, func(int, call, int) behaviour {
+		return behaviour{Events: 400, Delay: 15 * time.Millisecond, Version: 1}
+	})
+	var left atomic.Int32
+	c.table.Fault = func(_ context.Context, name string) error {
+		if name == "commit" && left.Add(-1) >= 0 {
+			return silltable.ErrUnavailable
+		}
+		return nil
+	}
+	a := c.start("a")
+	sub := submission("job", 2)
+	a.submit(t, sub)
+	eventually(t, "generations are in progress", func() bool {
+		a.runner.mu.Lock()
+		defer a.runner.mu.Unlock()
+		j := a.runner.jobs["job"]
+		return j != nil && countEvents(j.inProgress(5)) >= 10
+	})
+	left.Store(refusedWrites)
+	a.group.Stop()
+	held, err := c.store.State(t.Context(), "job")
+	if err != nil || held.Owner != "" || !held.HasProgress {
+		t.Errorf("after the stop the job has the state %+v, %v; want no owner and saved progress", held, err)
+	}
+}
+
 // TestLostOwnersProgressIsSaved declares the owner dead once it has saved progress. Its
 // successor must resume from there.
 func TestLostOwnersProgressIsSaved(t *testing.T) {
--- a/internal/silljob/takeover.go
+++ b/internal/silljob/takeover.go
@@ -188,16 +188,13 @@
 	group.Wait()
 }
 
-// maxReleaseAttempts bounds the attempts to release a job while its writer changes the
-// state row.
-const maxReleaseAttempts = 5
-
 // release releases a job. It writes the results that are not published yet, and saves the
-// generations in progress.
+// generations in progress. It tries again while the job's writer changes the state row or
+// the table refuses the write, for loadTimeout at most.
 func (r *Runner) release(ctx context.Context, j *ownedJob) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	for range maxReleaseAttempts {
+	for ctx.Err() == nil {
 		r.mu.Lock()
 		u, held := j.lastUpdate(), j.held
 		owned := r.jobs[j.sub.Job] == j
@@ -213,6 +210,8 @@
 			r.recordWrite(j, after, u.Results)
 			return
 		}
-		r.resolveWrite(ctx, j)
+		if !r.resolveWrite(ctx, j) {
+			sleep(ctx, writeRetryDelay)
+		}
 	}
 }
