Let no renewal take back that a gateway leaves

What callers saw: a gateway that stops could go on counting as live for the others, 1.7 s after its last renewal. It got new jobs of their callers meanwhile, which no process ran until then, and group commits and relayed calls until its listener was gone.

Cause: the row that says so is written directly, beside the periodic renewals. One that was under way, 200 ms with a leader that gathers writes, replaced it in the table; one that began meanwhile carried a higher number, so that the others ignored the row.

Change: the rows of a process are written one after another, and every row after the first one of the stop says that it leaves. The stop waits for a renewal under way.

How often it happened was not measured. Open: a leader that commits a renewal after its gateway has stopped waiting for it, 0.4 s, can still replace the row.

--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +44,12 @@
 	leaving   *leavingTargets
 	// restored is whether what the row of the process's last run tells is merged.
 	restored bool
+
+	// writing is held during each write of the process's row, so that none replaces a
+	// newer one.
+	writing sync.Mutex
+	// stopping is whether the process is stopping; from then on every row says so.
+	stopping bool
 }
 
 func newMembership(s *Settings, e *crashEvidence, l *leavingTargets, r *prometheus.Registry, log *zap.Logger) *membership {
@@ -209,11 +216,14 @@
 }
 
 // write writes the process's row and returns whether that succeeded. Leaving marks the
-// process as stopping.
+// process as stopping. It waits for another write for renewTimeout at most.
 func (m *membership) write(ctx context.Context, store *silltable.Store, leaving bool) bool {
+	m.writing.Lock()
+	defer m.writing.Unlock()
+	m.stopping = m.stopping || leaving
 	write, err := sillcluster.Encode(sillcluster.Member{
 		Instance: m.settings.Instance, Run: m.run, Address: m.address, Zone: m.settings.Zone,
-		Leaving: leaving, GroupCommit: true, Capacity: m.settings.Capacity, PoolLoads: m.poolLoads(), Renewal: m.renewals.Add(1), CrashEvidence: m.evidence.encode(),
+		Leaving: m.stopping, GroupCommit: true, Capacity: m.settings.Capacity, PoolLoads: m.poolLoads(), Renewal: m.renewals.Add(1), CrashEvidence: m.evidence.encode(),
 		LeavingTargets: m.leaving.runs(),
 	})
 	if err != nil {
