Write directly once the committer has stopped

What users saw: if a stopping gateway still counted as the leader of its group, its last write of usage counts waited for a group commit that nobody ran, and was lost after 1.5 s. It does so if the table was away at SIGTERM, so that it could not say that it leaves, and came back before the end: all rows then count as live again. A peer whose write was gathered waited out its 0.4 s.

Cause: the committer and the last write of counts end together, and gathered writes wait for a result that comes from the committer alone.

Change: after the end of Run, writes of the process go to the table directly and those of peers are refused at once, so that the peers write directly.

Evidence: TestWritesAfterTheCommitterStops failed in 9 of 9 runs before (-cpu 1,2,8, three each: no transaction, 1 s until the context ended), passes in 9 of 9 with the change and the race detector. The case of the table that comes back was read in the code, not run.

--- a/internal/sillgroupcommit/committer.go
+++ b/internal/sillgroupcommit/committer.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -72,6 +73,8 @@
 	commits *prometheus.CounterVec
 	// opened signals that gathering has begun; it buffers one signal.
 	opened chan struct{}
+	// stopped is closed once Run has returned: no gathered writes are committed.
+	stopped chan struct{}
 
 	mu sync.Mutex
 	// gathered holds the writes for the next transactions, in order of arrival.
@@ -89,11 +92,12 @@
 	result chan error
 }
 
-// New returns a committer. Run must run while it is used.
+// New returns a committer. Run must be called once. Before that gathered writes wait;
+// after its end the committer writes its own rows directly and refuses those of others.
 func New(cfg Config) *Committer {
 	cfg.Log = cfg.Log.Named("group-commit")
 	c := &Committer{
-		cfg: cfg, opened: make(chan struct{}, 1), failedUntil: make(map[string]time.Time),
+		cfg: cfg, opened: make(chan struct{}, 1), stopped: make(chan struct{}), failedUntil: make(map[string]time.Time),
 		writes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "wasabisill_own_row_writes_total",
 			Help: "Writes of rows that the gateway keeps about itself, by way (leader, self, direct) and outcome (done, failed).",
@@ -114,12 +118,14 @@
 // ErrUnavailable, ErrUnknown of package silltable, and the error of ctx.
 func (c *Committer) Commit(ctx context.Context, partition string, writes []silltable.Write) error {
 	leader := c.cfg.Leader()
-	if leader.Self {
+	switch {
+	case leader.Self:
 		err := c.gather(ctx, partition, writes)
 		c.count("self", err)
-		return err
-	}
-	if leader.Address != "" && c.throughLeader(ctx, leader.Address, partition, writes) {
+		if !errors.Is(err, errStopped) {
+			return err
+		}
+	case leader.Address != "" && c.throughLeader(ctx, leader.Address, partition, writes):
 		return nil
 	}
 	_, err := c.cfg.Table.Commit(ctx, silltable.Txn{Writes: writes})
@@ -179,6 +185,9 @@
 	c.cfg.Log.Info("Leader did not confirm a write; writing directly.", zap.String("leader", address))
 }
 
+// errStopped is returned for writes that are not committed because Run has returned.
+var errStopped = eris.Wrap(silltable.ErrUnavailable, "sillgroupcommit: the committer has stopped")
+
 // gather adds writes to the next transaction and waits for its outcome.
 func (c *Committer) gather(ctx context.Context, partition string, writes []silltable.Write) error {
 	p := &pendingWrites{partition: partition, writes: writes, receivedAt: c.cfg.Now(), result: make(chan error, 1)}
@@ -192,6 +201,8 @@
 	select {
 	case err := <-p.result:
 		return err
+	case <-c.stopped:
+		return errStopped
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -199,6 +210,7 @@
 
 // Run commits gathered writes until ctx ends.
 func (c *Committer) Run(ctx context.Context) {
+	defer close(c.stopped)
 	group := sillgroup.New(ctx)
 	defer group.Stop()
 	for {
--- a/internal/sillgroupcommit/committer_test.go
+++ b/internal/sillgroupcommit/committer_test.go
@@ -358,6 +358,38 @@
 	})
 }
 
+// TestWritesAfterTheCommitterStops guards against writes that wait for a committer which
+// has stopped: the last counts of usage of a process that stops are such a write.
+func TestWritesAfterTheCommitterStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var txns []silltable.Txn
+		c := newTestCommitter(time.Now, &txns)
+		group := sillgroup.New(t.Context())
+		group.Go(c.Run)
+		own, peers := make(chan error, 1), make(chan error, 1)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		waiting := sillgroup.New(ctx)
+		waiting.Go(func(ctx context.Context) { own <- c.Commit(ctx, "", []silltable.Write{{Key: "own"}}) })
+		waiting.Go(func(ctx context.Context) { peers <- c.gather(ctx, "", []silltable.Write{{Key: "peer's"}}) })
+		synctest.Wait()
+		stopped := time.Now()
+		group.Stop()
+		if err := <-own; err != nil {
+			t.Errorf("write of the process under way: %v, want it written", err)
+		}
+		if err := <-peers; !errors.Is(err, silltable.ErrUnavailable) {
+			t.Errorf("write of a peer under way: %v, want %v", err, silltable.ErrUnavailable)
+		}
+		if err := c.Commit(ctx, "", []silltable.Write{{Key: "last"}}); err != nil {
+			t.Errorf("write after the stop: %v, want it written", err)
+		}
+		if waited := time.Since(stopped); waited != 0 || len(txns) != 2 {
+			t.Errorf("%d transactions after %v, want 2 at once", len(txns), waited)
+		}
+	})
+}
+
 func TestTransactionsAreBounded(t *testing.T) {
 	var calls []*pendingWrites
 	for i := range 200 {
