Retry the last write of counts of a process that stops

What users saw: a single refusal of the table (429, 503) at the end of a stop lost the counts of usage since the last write, up to a second of the gateway.

Cause: the last write was tried once; a periodic one is repeated a second later.

Change: it is tried again every 100 ms within the time that it had before, 1.5 s.

--- a/internal/sillmeter/meter.go
+++ b/internal/sillmeter/meter.go
@@ -38,6 +38,8 @@
 	retainedWindows = 8
 	// callTimeout is the time limit of the table calls of one write or report.
 	callTimeout = 1500 * time.Millisecond
+	// lastRetryDelay is the time until the last write of a process is retried.
+	lastRetryDelay = 100 * time.Millisecond
 )
 
 // Window is the number of a window since the Unix epoch.
@@ -106,31 +108,47 @@
 	m.dirty[w] = true
 }
 
-// Run writes changed counts periodically until ctx ends, and then once more.
+// Run writes changed counts periodically until ctx ends, and then once more, for which it
+// takes callTimeout at most.
 func (m *Meter) Run(ctx context.Context) {
 	sillgroup.Every(ctx, writeInterval, func(now time.Time) {
 		m.write(ctx)
 		m.evictWindows(now)
 	})
-	m.write(context.WithoutCancel(ctx))
+	m.writeLast(context.WithoutCancel(ctx))
 }
 
-// write stores the changed counts.
-func (m *Meter) write(ctx context.Context) {
+// writeLast stores the changed counts. It tries again if the table refuses them.
+func (m *Meter) writeLast(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	for !m.write(ctx) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(lastRetryDelay):
+		}
+	}
+}
+
+// write stores the changed counts. It returns false if that must be tried again.
+func (m *Meter) write(ctx context.Context) bool {
 	writes, windows, err := m.takeDirty()
 	if err != nil {
 		m.cfg.Log.Error("Counts can't be encoded.", silllog.Err(err))
-		return
+		return true
 	}
 	if len(windows) == 0 {
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := m.cfg.Commit(ctx, writes); err != nil {
 		m.cfg.Log.Warn("Counts not written.", zap.Int("windows", len(windows)), silllog.Err(err))
 		m.markDirty(windows)
+		return false
 	}
+	return true
 }
 
 // takeDirty returns the rows with the counts of the dirty windows, with these windows,
--- a/internal/sillmeter/meter_test.go
+++ b/internal/sillmeter/meter_test.go
@@ -166,3 +166,44 @@
 		t.Errorf("report %s, want %s", s.sent[0], want)
 	}
 }
+
+// TestStopOutlastsRefusedWrites guards against the loss of a process's last counts when the
+// table refuses a write at its stop.
+func TestStopOutlastsRefusedWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refusals := 3
+		table := &sillmemtable.Table{Fault: func(_ context.Context, call string) error {
+			if call == "commit" && refusals > 0 {
+				refusals--
+				return silltable.ErrUnavailable
+			}
+			return nil
+		}}
+		m := newTestMeter(table, "a")
+		group := sillgroup.New(t.Context())
+		group.Go(m.Run)
+		w := windowOf(time.Now(), length)
+		m.RecordStarted("org", endOf(w, length).Add(-time.Second))
+		group.Stop()
+		rows, err := table.Store().ListAll(t.Context(), countKey(w))
+		if err != nil || len(rows) != 1 {
+			t.Errorf("%d rows with counts, %v, want 1", len(rows), err)
+		}
+	})
+}
+
+// TestStopGivesWritesUp guards against a stop that waits for a table which stays away.
+func TestStopGivesWritesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &sillmemtable.Table{Fault: func(context.Context, string) error { return silltable.ErrUnavailable }}
+		m := newTestMeter(table, "a")
+		group := sillgroup.New(t.Context())
+		group.Go(m.Run)
+		m.RecordStarted("org", time.Now())
+		stopped := time.Now()
+		group.Stop()
+		if waited := time.Since(stopped); waited > callTimeout {
+			t.Errorf("the stop waited for %v, want %v at most", waited, callTimeout)
+		}
+	})
+}
