--- a/internal/silltransport/transport_test.go
+++ b/internal/silltransport/transport_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -447,3 +448,61 @@
 		}
 	}
 }
+
+// TestClosingIdleConnectionsCutsNoRequest guards against a pool that closes a connection
+// while a request uses it.
+func TestClosingIdleConnectionsCutsNoRequest(t *testing.T) {
+	const (
+		senders     = 8
+		requests    = 300
+		idleTimeout = 2 * time.Millisecond
+	)
+	for _, tc := range []struct {
+		name string
+		end  func(p *Pool, address string)
+	}{
+		{"expired", func(p *Pool, _ string) { p.CloseExpired(time.Now()) }},
+		{"all idle", func(p *Pool, address string) { p.CloseIdle(address) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			server := newPeer(t, func(conn net.Conn, _ string) bool {
+				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				return err == nil
+			})
+			pool := NewPool(Config{ConnectTimeout: time.Second, TCPUserTimeout: time.Second, IdleTimeout: idleTimeout})
+			closer := sillgroup.New(t.Context())
+			closer.Go(func(ctx context.Context) {
+				for ctx.Err() == nil {
+					tc.end(pool, server.address())
+					time.Sleep(100 * time.Microsecond)
+				}
+			})
+			group := sillgroup.New(t.Context())
+			for sender := range uint64(senders) {
+				random := rand.New(rand.NewPCG(1, sender))
+				group.Go(func(ctx context.Context) {
+					for range requests {
+						if err := sendOnce(ctx, pool, server.address()); err != nil {
+							t.Error(err)
+						}
+						time.Sleep(time.Duration(random.Int64N(int64(2 * idleTimeout))))
+					}
+				})
+			}
+			group.Wait()
+			closer.Stop()
+		})
+	}
+}
+
+// sendOnce sends a request and reads its response.
+func sendOnce(ctx context.Context, pool *Pool, address string) error {
+	resp, err := pool.Send(ctx, address, &Request{Method: http.MethodGet, RequestURI: "/", Host: "h"})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
