--- a/cmd/wasabisill/platform.go
+++ b/cmd/wasabisill/platform.go
@@ -44,7 +44,7 @@
 	if m := settings.Direct.MemoryBytes; m > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(m)))
 	}
-	group := sillgroup.New(ctx)
+	group := sillgroup.New(context.WithoutCancel(ctx))
 	defer group.Stop()
 	group.Go(func(ctx context.Context) {
 		received.follow(ctx, log, func() error {
--- a/internal/silljob/runner_test.go
+++ b/internal/silljob/runner_test.go
@@ -317,6 +317,80 @@
 	}
 }
 
+// holdWrite makes the table hold the n-th transaction from now on until its caller gives
+// it up, and returns a channel that is closed when it holds it. Others pass.
+func (c *cluster) holdWrite(n int32) <-chan struct{} {
+	var writes atomic.Int32
+	held := make(chan struct{})
+	c.table.Fault = func(ctx context.Context, name string) error {
+		if name == "commit" && writes.Add(1) == n {
+			close(held)
+			<-ctx.Done()
+			return silltable.ErrUnavailable
+		}
+		return nil
+	}
+	return held
+}
+
+// TestStopListsCompleteResults guards against a stop that drops results which are complete
+// and not listed yet.
+func TestStopListsCompleteResults(t *testing.T) {
+	c := newCluster(t, 1, completeStream)
+	// The first transaction accepts the job, the second one lists results.
+	held := c.holdWrite(2)
+	a := c.start("a")
+	sub := submission("job", 4)
+	a.submit(t, sub)
+	<-held
+	eventually(t, "all items are complete", func() bool {
+		a.runner.mu.Lock()
+		defer a.runner.mu.Unlock()
+		j := a.runner.jobs["job"]
+		return j != nil && len(j.pending) == 4
+	})
+	a.group.Stop()
+	b := c.start("b")
+	checkComplete(t, sub, b.results(t, "job", 4), testEvents)
+	if n := len(c.engines[0].Calls()); n != 4 {
+		t.Errorf("the engine got %d requests for 4 items, want 4", n)
+	}
+	if n := len(c.scorer.Calls()); n != 4 {
+		t.Errorf("the scorer got %d requests for 4 items, want 4", n)
+	}
+}
+
+// TestStopOutlastsRefusedWrites guards against a stop that keeps its jobs, and loses what
+// is generated, after the table has refused its writes for a moment.
+func TestStopOutlastsRefusedWrites(t *testing.T) {
+	const refusedWrites = 8
+	c := newCluster(t, 1, func(int, call, int) behaviour {
+		return behaviour{Events: 400, Delay: 15 * time.Millisecond, Version: 1}
+	})
+	var left atomic.Int32
+	c.table.Fault = func(_ context.Context, name string) error {
+		if name == "commit" && left.Add(-1) >= 0 {
+			return silltable.ErrUnavailable
+		}
+		return nil
+	}
+	a := c.start("a")
+	sub := submission("job", 2)
+	a.submit(t, sub)
+	eventually(t, "generations are in progress", func() bool {
+		a.runner.mu.Lock()
+		defer a.runner.mu.Unlock()
+		j := a.runner.jobs["job"]
+		return j != nil && countEvents(j.inProgress(5)) >= 10
+	})
+	left.Store(refusedWrites)
+	a.group.Stop()
+	held, err := c.store.State(t.Context(), "job")
+	if err != nil || held.Owner != "" || !held.HasProgress {
+		t.Errorf("after the stop the job has the state %+v, %v; want no owner and saved progress", held, err)
+	}
+}
+
 // TestLostOwnersProgressIsSaved declares the owner dead once it has saved progress. Its
 // successor must resume from there.
 func TestLostOwnersProgressIsSaved(t *testing.T) {
