Keep SIGHUP from ending a gateway that stops

What callers saw: their running answers broke off and their connections closed, if the gateway got SIGHUP after SIGTERM.

Cause: the goroutine that reads the settings again ended with the context that SIGTERM ends, and its signal.Stop gave SIGHUP back its default action, which ends the process at once.

Change: SIGHUP is handled from the start of the program until its end; the reading of the settings goes on until the service has stopped.

--- a/cmd/wasabisill/platform.go
+++ b/cmd/wasabisill/platform.go
@@ -31,6 +31,7 @@
 }
 
 func runPlatform(ctx context.Context) error {
+	hangups := notifyHangups()
 	settings, err := sillplatform.LoadSettings()
 	if err != nil {
 		return &exitError{code: exitUsage, err: err}
@@ -46,20 +47,25 @@
 	if m := settings.Direct.MemoryBytes; m > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(m)))
 	}
-	group := sillgroup.New(ctx)
+	// Hangups are handled until the end of the stop, which begins when ctx ends.
+	group := sillgroup.New(context.WithoutCancel(ctx))
 	defer group.Stop()
-	group.Go(func(ctx context.Context) { reloadOnHangup(ctx, log) })
+	group.Go(func(ctx context.Context) { reloadOnHangup(ctx, hangups, log) })
 	service := sillplatform.New(settings, log)
 	service.Register(queue.Collector())
 	return service.Run(ctx, func() {})
 }
 
-// reloadOnHangup checks the settings at each SIGHUP. What they hold is fixed for
-// the life of a process; a file with faults is told, and the old one stays.
-func reloadOnHangup(ctx context.Context, log *zap.Logger) {
+// notifyHangups returns a channel of SIGHUPs. They never end the process from here on.
+func notifyHangups() <-chan os.Signal {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	return hangups
+}
+
+// reloadOnHangup checks the settings at each SIGHUP. What they hold is fixed for
+// the life of a process; a file with faults is told, and the old one stays.
+func reloadOnHangup(ctx context.Context, hangups <-chan os.Signal, log *zap.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
