--- a/internal/sillsoak/audit.go
+++ b/internal/sillsoak/audit.go
@@ -1,8 +1,10 @@
 package sillsoak
 
 import (
+	"errors"
 	"fmt"
 	"maps"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -18,6 +20,7 @@
 	lostAnswer    faultKind = "a target got the request and the caller no answer"
 	lostHandled   faultKind = "the gateway handled the request and the caller got no answer"
 	lostRead      faultKind = "the gateway read the request and did not answer"
+	lateAnswer    faultKind = "no answer within the timeout"
 	cutAnswer     faultKind = "the answer ended early"
 	wrongAnswer   faultKind = "wrong answer"
 	refusedAndRan faultKind = "refused as not run, and ran"
@@ -128,6 +131,8 @@
 func (a *Audit) judgePending(e *Exchange, runs int) {
 	log := a.cfg.Log(e)
 	switch {
+	case errors.Is(e.err, os.ErrDeadlineExceeded):
+		a.fault(lateAnswer, "%v%s", e, log)
 	case runs > 0:
 		a.fault(lostAnswer, "%v%s", e, log)
 	case log != "":
--- a/internal/sillsoak/driver.go
+++ b/internal/sillsoak/driver.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"os"
 	"slices"
 	"syscall"
 	"time"
@@ -12,26 +11,6 @@
 // stopSlack allows for the time in which a busy machine ends a process.
 const stopSlack = time.Second
 
-// Process is a started process.
-type Process struct {
-	Signal func(s syscall.Signal)
-	// Done is closed when the process has ended; State returns how.
-	Done  <-chan struct{}
-	State func() *os.ProcessState
-}
-
-// suspend suspends the process for a while.
-func (p *Process) suspend(d time.Duration) {
-	p.Signal(syscall.SIGSTOP)
-	time.Sleep(d)
-	p.Signal(syscall.SIGCONT)
-}
-
-func (p *Process) kill() {
-	p.Signal(syscall.SIGKILL)
-	<-p.Done
-}
-
 // Driver carries out the plan of one process.
 type Driver struct {
 	Name string
@@ -126,7 +105,7 @@
 		return true
 	case <-time.After(limit):
 		d.Audit.fault(badStop, "%s had not stopped %v after SIGTERM", d.Name, limit)
-		d.Process.kill()
+		d.Process.Kill()
 		return false
 	}
 }
