Send soak requests in parts and check readiness in stops

Every eighth request arrives in two halves up to 30 ms apart, a gateway must not be ready half a second after SIGTERM, and a large fleet gets fewer callers a gateway.

--- a/internal/sillsoak/audit.go
+++ b/internal/sillsoak/audit.go
@@ -26,6 +26,7 @@
 	refusedAndRan faultKind = "refused as not run, and ran"
 	ranTwice      faultKind = "ran more than once"
 	strayBytes    faultKind = "bytes that belong to no request"
+	readyInStop   faultKind = "ready while it stops"
 	badStop       faultKind = "bad stop"
 	endedByItself faultKind = "process ended by itself"
 	notStarted    faultKind = "process did not start"
--- a/internal/sillsoak/caller.go
+++ b/internal/sillsoak/caller.go
@@ -19,6 +19,9 @@
 	answerSlack = 2 * time.Second
 	// redialDelay is the time until a caller tries again after a refused connection.
 	redialDelay = 50 * time.Millisecond
+	// Every eighth request arrives in two parts, maxGap apart at most.
+	splitEvery = 8
+	maxGap     = 30 * time.Millisecond
 )
 
 // Protocol is how callers and gateways speak.
@@ -53,14 +56,21 @@
 	Keeps bool
 }
 
-// Uses returns the usual mix of callers.
-func Uses() []Use {
-	return []Use{
+// largeFleet is the number of gateways above which fewer callers use each of them.
+const largeFleet = 8
+
+// Uses returns the usual mix of callers of a number of gateways.
+func Uses(gateways int) []Use {
+	uses := []Use{
 		{Name: "busy", Callers: 8, MaxPause: 10 * time.Millisecond, Keeps: true},
 		{Name: "usual", Callers: 12, MaxPause: 200 * time.Millisecond, Keeps: true},
 		{Name: "rare", Callers: 12, MinPause: 100 * time.Millisecond, MaxPause: 3 * time.Second, Keeps: true},
 		{Name: "fresh", Callers: 2, MaxPause: 50 * time.Millisecond},
 	}
+	if gateways > largeFleet {
+		uses[0].Callers, uses[1].Callers, uses[3].Callers = 0, 4, 1
+	}
+	return uses
 }
 
 // CallersConfig holds what callers need.
@@ -111,6 +121,9 @@
 		c.sent++
 		kind := c.protocol.Kinds[c.random.IntN(len(c.protocol.Kinds))]
 		e := &Exchange{ID: newRequestID(kind, c.name, c.sent), Gateway: g, number: number, pause: pause, sent: time.Now()}
+		if c.random.IntN(splitEvery) == 0 {
+			e.gap = between(c.random, time.Millisecond, maxGap)
+		}
 		a, err := e.do(conn, reader, c.protocol.Request(e.ID), c.protocol.Timeout+answerSlack)
 		c.audit.record(e, a)
 		if err != nil || a.last || !c.use.Keeps {
--- a/internal/sillsoak/driver.go
+++ b/internal/sillsoak/driver.go
@@ -25,7 +25,9 @@
 	Start func(processors int) (*Process, error)
 	// AwaitServing returns when the process serves or has ended.
 	AwaitServing func(p *Process)
-	Audit        *Audit
+	// IsReady, if not nil, returns whether the process accepts new callers.
+	IsReady func() bool
+	Audit   *Audit
 }
 
 // Run carries out the stops and returns once the last process has ended. It leaves out
@@ -114,7 +116,7 @@
 func (d *Driver) stop(s Stop) {
 	began := time.Now()
 	d.Process.Signal(syscall.SIGTERM)
-	for _, a := range s.actions() {
+	for _, a := range d.actions(s) {
 		select {
 		case <-d.Process.Done:
 		case <-time.After(time.Until(began.Add(a.after))):
@@ -139,9 +141,19 @@
 	do    func(p *Process)
 }
 
+// readyCheckDelay is the time after SIGTERM from which a process must not be ready.
+const readyCheckDelay = 500 * time.Millisecond
+
 // actions returns what happens during a stop, in order.
-func (s *Stop) actions() []action {
+func (d *Driver) actions(s Stop) []action {
 	var list []action
+	if d.IsReady != nil {
+		list = append(list, action{readyCheckDelay, func(*Process) {
+			if d.IsReady() {
+				d.Audit.fault(readyInStop, "%s", d.Name)
+			}
+		}})
+	}
 	for _, after := range s.Terms {
 		list = append(list, action{after, func(p *Process) { p.Signal(syscall.SIGTERM) }})
 	}
--- a/internal/sillsoak/exchange.go
+++ b/internal/sillsoak/exchange.go
@@ -46,6 +46,8 @@
 	sent, ended time.Time
 	// pause is how long the connection was idle before.
 	pause time.Duration
+	// gap, if not 0, is the time between the two halves of the request.
+	gap time.Duration
 	// unread is whether the gateway surely closed the connection before it had read the
 	// request.
 	unread bool
@@ -55,9 +57,9 @@
 }
 
 func (e *Exchange) String() string {
-	return fmt.Sprintf("request %s, number %d of its connection to %s, after a pause of %v, sent at %s, ended %v later: %v",
+	return fmt.Sprintf("request %s, number %d of its connection to %s, after a pause of %v, sent at %s in a time of %v, ended %v later: %v",
 		e.ID, e.number, e.Gateway.Name, e.pause.Round(time.Microsecond),
-		e.sent.UTC().Format(time.RFC3339Nano), e.ended.Sub(e.sent).Round(time.Microsecond), e.err)
+		e.sent.UTC().Format(time.RFC3339Nano), e.gap.Round(time.Microsecond), e.ended.Sub(e.sent).Round(time.Microsecond), e.err)
 }
 
 // do sends the request and reads the answer until the deadline.
@@ -71,7 +73,7 @@
 }
 
 func (e *Exchange) send(conn *net.TCPConn, reader *bufio.Reader, request string, timeout time.Duration) (*Answer, error) {
-	if _, err := io.WriteString(conn, request); err != nil {
+	if err := e.write(conn, request); err != nil {
 		e.unread = true
 		return nil, err
 	}
@@ -89,6 +91,19 @@
 	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: string(body), last: resp.Close}, err
 }
 
+func (e *Exchange) write(conn *net.TCPConn, request string) error {
+	if e.gap > 0 {
+		half := len(request) / 2
+		if _, err := io.WriteString(conn, request[:half]); err != nil {
+			return err
+		}
+		time.Sleep(e.gap)
+		request = request[half:]
+	}
+	_, err := io.WriteString(conn, request)
+	return err
+}
+
 // resetDelay is the time within which a reset follows the close of a connection whose last
 // request was not read.
 const resetDelay = 100 * time.Millisecond
