--- a/cmd/wasabisill/platform.go
+++ b/cmd/wasabisill/platform.go
@@ -44,6 +44,7 @@
 	if m := settings.Direct.MemoryBytes; m > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(m)))
 	}
+	// Hangups are handled until the end of the stop, which begins when ctx ends.
 	group := sillgroup.New(context.WithoutCancel(ctx))
 	defer group.Stop()
 	group.Go(func(ctx context.Context) {
