Reword the inner protocol's messages in the field's terms

Ping.Gone is Ping.EndedTargets; comments say what a field holds, with every reason kept. The encoded keys are numbers and did not change.

No change of behaviour; build, vet, linter and the package's tests pass.

--- a/internal/sillapp/agentweight.go
+++ b/internal/sillapp/agentweight.go
@@ -119,7 +119,7 @@
 
 // heartbeat takes a gateway's word on other agents and tells the adopted version.
 func (w *weights) heartbeat(ping *sillwire.Ping, pong *sillwire.Pong) {
-	w.runner.HandlePeersEnded(ping.Gone)
+	w.runner.HandlePeersEnded(ping.EndedTargets)
 	if adopted, ok := w.runner.Adopted(); ok {
 		pong.Adopted = []sillwire.ModelVersion{adopted}
 	}
--- a/internal/sillapp/gatewayfleet.go
+++ b/internal/sillapp/gatewayfleet.go
@@ -56,7 +56,7 @@
 		InstancePoll: s.Control.InstancePoll.Duration(),
 		Gateways:     func() []sillmembership.Gateway { return members(p.Presence.Gateways()) },
 		Ping: func() *sillwire.Ping {
-			return &sillwire.Ping{Gateway: p.ID, Config: p.Peer.Digest(), Suspicions: p.Suspects.Export(maxEvidence), Gone: p.Plans.goneNow()}
+			return &sillwire.Ping{Gateway: p.ID, Config: p.Peer.Digest(), Suspicions: p.Suspects.Export(maxEvidence), EndedTargets: p.Plans.goneNow()}
 		},
 		OnPong: func(l *silllink.Link, pong *sillwire.Pong) {
 			p.Peer.HandlePong(p.Background.Group, l, pong)
--- a/internal/sillwire/bundle.go
+++ b/internal/sillwire/bundle.go
@@ -7,7 +7,7 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// WriteBundle sends a configuration in as many frames as it needs.
+// WriteBundle sends a configuration, split into frames.
 func WriteBundle(w io.Writer, version sillid.BundleVersion, data []byte) error {
 	for {
 		n := min(len(data), MaxChunkBytes)
@@ -31,7 +31,7 @@
 	return ReadBundleRest(r, first, limit)
 }
 
-// ReadBundleRest receives what follows the first frame of a configuration.
+// ReadBundleRest receives the remaining frames of a configuration after the first.
 func ReadBundleRest(r io.Reader, first *Bundle, limit int) (*Bundle, error) {
 	whole := *first
 	for last := first.Last; !last; {
--- a/internal/sillwire/conn.go
+++ b/internal/sillwire/conn.go
@@ -12,28 +12,29 @@
 	"github.com/rotisserie/eris"
 )
 
-// Protocol names the inner protocol in the TLS handshake.
+// Protocol is the name of the inner protocol in the TLS handshake.
 const Protocol = "wasabisill/1"
 
 const (
 	// HeartbeatInterval is the time between two pings.
 	HeartbeatInterval = time.Second
-	// SilenceLimit is the time without an answer after which a connection is given up.
+	// SilenceLimit is the time without a response after which a connection counts as
+	// lost.
 	SilenceLimit = 3 * HeartbeatInterval
-	// handshakeLimit bounds the opening of a connection.
-	handshakeLimit = 2 * time.Second
-	// maxStreams bounds the exchanges that run at once on a connection.
+	// handshakeTimeout bounds the time to open a connection.
+	handshakeTimeout = 2 * time.Second
+	// maxStreams bounds the concurrent exchanges on a connection.
 	maxStreams = 4096
-	// The receive windows bound the memory that a peer can fill.
+	// The receive windows bound the memory that a peer can use.
 	streamWindowBytes     = 256 << 10
 	connectionWindowBytes = 2 << 20
 )
 
-// quicConfig leaves the keep-alive packets of QUIC off: the heartbeats keep a
-// connection open.
+// quicConfig does not enable the keep-alive packets of QUIC, since the heartbeats
+// keep a connection open.
 func quicConfig() *quic.Config {
 	return &quic.Config{
-		HandshakeIdleTimeout:           handshakeLimit,
+		HandshakeIdleTimeout:           handshakeTimeout,
 		MaxIdleTimeout:                 SilenceLimit,
 		MaxIncomingStreams:             maxStreams,
 		MaxIncomingUniStreams:          -1,
@@ -47,28 +48,28 @@
 // Dial opens a connection to an agent. The configuration holds the gateway's
 // certificate and verifies the agent's.
 func Dial(ctx context.Context, address string, cfg *tls.Config) (*quic.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, handshakeLimit)
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	conn, err := quic.DialAddr(ctx, address, cfg, quicConfig())
 	return conn, eris.Wrapf(err, "sillwire.Dial: agent %s; check its address, its certificate and that it runs", address)
 }
 
-// Listener accepts connections of gateways.
+// Listener accepts connections from gateways and other agents.
 type Listener struct {
 	*quic.Listener
 	transport *quic.Transport
 }
 
-// Close ends the listener and its connections.
+// Close closes the listener and its connections.
 func (l *Listener) Close() error {
 	err := l.Listener.Close()
 	return errors.Join(err, l.transport.Close(), l.transport.Conn.Close())
 }
 
 // Listen accepts connections on an IP address and port. The configuration holds
-// the agent's certificate and verifies its peers'. The secret is the same at
-// each start of the agent: it lets a restarted agent tell peers at once that
-// their connections are gone.
+// the agent's certificate and verifies its peers'. The secret must be the same at
+// each start of the agent: the stateless reset key is derived from it, with which
+// a restarted agent tells its peers at once that their connections no longer exist.
 func Listen(address string, cfg *tls.Config, secret []byte) (*Listener, error) {
 	udp, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
--- a/internal/sillwire/control.go
+++ b/internal/sillwire/control.go
@@ -4,21 +4,21 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// RunState tells what an agent knows of a request.
+// RunState is the state of a request at an agent.
 type RunState string
 
 const (
-	// RunUnknown means that this agent run never got the request.
+	// RunUnknown means that this run of the agent never received the request.
 	RunUnknown RunState = "unknown"
-	// RunQueued means that the target has got no byte of the request.
+	// RunQueued means that the target has received no byte of the request.
 	RunQueued RunState = "queued"
-	// RunStarted means that the target has got the request.
+	// RunStarted means that the target has received the request.
 	RunStarted RunState = "started"
-	// RunEnded means that the request has ended and its answer is kept for Attach.
+	// RunEnded means that the request has ended and its response is kept for Attach.
 	RunEnded RunState = "ended"
 )
 
-// Lookup asks what became of a request.
+// Lookup asks for the state of a request.
 type Lookup struct {
 	RequestID sillid.RequestID `cbor:"1,keyasint"`
 }
@@ -44,31 +44,32 @@
 // Drain tells an agent to take no new work.
 type Drain struct {
 	Reason string `cbor:"1,keyasint"`
-	// Undo takes an earlier Drain back.
+	// Undo cancels an earlier Drain.
 	Undo bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Drained answers a Drain.
 type Drained struct {
-	// Open counts the runs that have not ended, or whose answer is still under way.
+	// Open is the number of runs that have not ended or whose response is still
+	// being sent.
 	Open int `cbor:"1,keyasint"`
 }
 
-// FetchWeights asks an agent for weights, as Chunk frames with a Finish behind
-// them. Empty chunks tell that the agent does not have them yet. The answer is
-// a Refuse if it does not get them at all.
+// FetchWeights asks an agent for weights. The response is Chunk frames followed by
+// a Finish. While the agent does not have the weights yet, it sends empty chunks;
+// if it is not going to have them, it sends a Refuse.
 type FetchWeights struct {
 	Model   sillid.ModelID       `cbor:"1,keyasint"`
 	Version sillid.WeightVersion `cbor:"2,keyasint"`
 }
 
-// WeightPlan pushes a newer plan to an agent, in JSON.
+// WeightPlan pushes a newer plan to an agent, encoded as JSON.
 type WeightPlan struct {
 	Data []byte `cbor:"1,keyasint"`
 }
 
-// WeightStatus tells another agent how far the sender is with a version. It is
-// answered with the receiver's own.
+// WeightStatus reports the sender's progress with a version to another agent. The
+// response is the receiver's own status.
 type WeightStatus struct {
 	Target  sillid.TargetID      `cbor:"1,keyasint"`
 	Model   sillid.ModelID       `cbor:"2,keyasint"`
--- a/internal/sillwire/frame.go
+++ b/internal/sillwire/frame.go
@@ -1,9 +1,8 @@
 // Package sillwire is the inner protocol between gateways and agents.
 //
-// A gateway holds one QUIC connection to each agent of its subset. Every
-// exchange is a stream of its own that starts with a frame of the gateway. A
-// frame is one byte of type, four bytes of length in network order and a body
-// in CBOR.
+// A gateway keeps one QUIC connection to each agent of its subset. Each exchange
+// uses a stream of its own, which the gateway opens with a frame. A frame is a
+// one-byte type, a four-byte length in network byte order and a CBOR body.
 package sillwire
 
 import (
@@ -24,18 +23,18 @@
 // headerBytes is the length of a frame's type and length fields.
 const headerBytes = 5
 
-// FrameError tells what is wrong with a frame that a peer sent.
+// FrameError reports that a frame from a peer breaks the protocol.
 type FrameError struct {
-	// Reason says what was found and what was expected.
+	// Reason is what was received and what was expected.
 	Reason string
 }
 
-// Error returns the reason with its remedy.
+// Error returns the reason and the remedy.
 func (e *FrameError) Error() string {
 	return "malformed frame: " + e.Reason + "; check that both processes run the same release"
 }
 
-// ErrFrameTooLarge is returned to a sender whose message exceeds MaxFrameBytes.
+// ErrFrameTooLarge is the error for a message to be sent that exceeds MaxFrameBytes.
 var ErrFrameTooLarge = errors.New("message larger than a frame: split it into chunks")
 
 var (
@@ -45,7 +44,7 @@
 
 func mustEncMode() cbor.EncMode {
 	options := cbor.CoreDetEncOptions()
-	// The default drops the parts of a second.
+	// The default truncates times to whole seconds.
 	options.Time = cbor.TimeRFC3339NanoUTC
 	m, err := options.EncMode()
 	if err != nil {
@@ -54,7 +53,7 @@
 	return m
 }
 
-// The limits of the decoder bound the memory that one frame can claim.
+// The decoder's limits bound the memory that one frame can use.
 const (
 	maxArrayElements = 1 << 18
 	maxMapPairs      = 1 << 12
@@ -75,8 +74,8 @@
 	return m
 }
 
-// Append encodes a message as a frame behind b. Errors: ErrFrameTooLarge, or
-// an error of the encoder.
+// Append appends a message to b as one frame. It returns ErrFrameTooLarge or an
+// error of the encoder.
 func Append(b []byte, m Message) ([]byte, error) {
 	body, err := encMode.Marshal(m)
 	if err != nil {
@@ -100,7 +99,7 @@
 	return err
 }
 
-// Read receives one message. It returns io.EOF if the peer ended the stream
+// Read receives one message. It returns io.EOF if the peer closed the stream
 // between frames, and a *FrameError for a frame that breaks the protocol.
 func Read(r io.Reader) (Message, error) {
 	var h [headerBytes]byte
@@ -134,14 +133,14 @@
 // Expect receives one message of type T. Errors are those of Read, and a
 // *FrameError for a message of another type.
 func Expect[T Message](r io.Reader) (T, error) {
-	var none T
+	var zero T
 	m, err := Read(r)
 	if err != nil {
-		return none, err
+		return zero, err
 	}
 	t, ok := m.(T)
 	if !ok {
-		return none, &FrameError{Reason: fmt.Sprintf("got %T where %T was expected", m, none)}
+		return zero, &FrameError{Reason: fmt.Sprintf("got %T where %T was expected", m, zero)}
 	}
 	return t, nil
 }
