Reword the gateway's view of its targets in the field's terms

Readers stumbled over Hurry, HeardAt, Room, Cover and places, pongs that 'came' and states that were 'asked'. They are SendHeartbeatsNow, LastPongAt, PoolLoad, ConnectAll and pool zones now; comments say what the code does, with every reason kept. Log messages, metric names and the JSON of a status did not change.

No change of behaviour; build, vet, linter and the tests of silldev, silldispatch and silllink pass.

--- a/internal/sillapp/gatewaycallers.go
+++ b/internal/sillapp/gatewaycallers.go
@@ -28,7 +28,7 @@
 		TargetWait: targetWait,
 		Policy:     sillretry.DefaultPolicy(),
 		Suspects:   c,
-		OnDeath:    f.Hurry,
+		OnDeath:    f.SendHeartbeatsNow,
 		Metrics:    m,
 		Now:        time.Now,
 	})
--- a/internal/sillapp/gatewayweight.go
+++ b/internal/sillapp/gatewayweight.go
@@ -219,7 +219,7 @@
 func goneTargets(now, started time.Time, fleet []sillfleet.Status) []sillid.TargetID {
 	var gone []sillid.TargetID
 	for _, s := range fleet {
-		heard := s.HeardAt
+		heard := s.LastPongAt
 		if heard.IsZero() {
 			heard = started
 		}
--- a/internal/sillapp/rollout.go
+++ b/internal/sillapp/rollout.go
@@ -184,12 +184,12 @@
 	}
 }
 
-// loadOf returns the room for rollouts on the model's targets of the subset.
+// loadOf returns the slots, and the free ones, of the model's targets in the subset.
 func loadOf(p ownerParts, model sillid.ModelID) sillrollout.Load {
 	index := p.Config.Snapshot().Index
 	if index == nil || index.Model(model) == nil {
 		return sillrollout.Load{}
 	}
-	room := p.Fleet.Room(index.Model(model).Pool)
-	return sillrollout.Load{Slots: room.Slots, Free: max(0, room.Slots-room.Running)}
+	load := p.Fleet.PoolLoad(index.Model(model).Pool)
+	return sillrollout.Load{Slots: load.Slots, Free: max(0, load.Slots-load.Running)}
 }
--- a/internal/sillapp/scale.go
+++ b/internal/sillapp/scale.go
@@ -120,8 +120,8 @@
 	p := s.parts
 	timeout := p.Settings.Platform.Timeout.Duration()
 	return func(ctx context.Context, guard silllease.Guard) {
-		uncover := p.Fleet.Cover(sh.pool, sh.zone)
-		defer uncover()
+		release := p.Fleet.ConnectAll(sh.pool, sh.zone)
+		defer release()
 		t := sillscaler.NewTask(sillscaler.TaskConfig{
 			Shard:      sh.String(),
 			Policy:     policy(p.Settings.Control.ScaleDownHold.Duration()),
@@ -178,7 +178,7 @@
 		if s.Pool != sh.pool || s.Zone != sh.zone || s.Pong == nil {
 			continue
 		}
-		loads[s.Target] = sillscaler.Load{Running: s.Pong.Running, Queued: s.Pong.Queued, AsOf: s.HeardAt}
+		loads[s.Target] = sillscaler.Load{Running: s.Pong.Running, Queued: s.Pong.Queued, AsOf: s.LastPongAt}
 	}
 	return loads
 }
--- a/internal/sillfleet/fleet.go
+++ b/internal/sillfleet/fleet.go
@@ -1,9 +1,9 @@
-// Package sillfleet is a gateway's knowledge of its targets at work: it reads
-// the instance list, keeps a link to each agent of its subset and hands the
-// choosers what the agents report.
+// Package sillfleet keeps a gateway's view of its targets: it reads the instance
+// list, keeps a link to each agent of the gateway's subset and updates the choosers
+// with what the agents report.
 //
-// One goroutine owns all of it. Traffic reads a published copy and the
-// choosers, which are safe for concurrent use.
+// One goroutine owns the state. Requests read a published copy and the choosers,
+// which are safe for concurrent use.
 package sillfleet
 
 import (
@@ -23,7 +23,7 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// Config holds what a fleet needs.
+// Config configures a fleet.
 type Config struct {
 	Gateway sillid.GatewayID
 	Zone    sillid.ZoneID
@@ -34,50 +34,50 @@
 	TLS *tls.Config
 	// Instances reads the platform's instance list.
 	Instances func(ctx context.Context) ([]sillmembership.Instance, error)
-	// InstancePoll is the time between two reads.
+	// InstancePoll is the time between two reads of the instance list.
 	InstancePoll time.Duration
-	// Gateways returns the other gateways as far as they are known.
+	// Gateways returns the other gateways that are known.
 	Gateways func() []sillmembership.Gateway
 	// Ping returns the content of the next heartbeat.
 	Ping func() *sillwire.Ping
-	// OnPong is told of every heartbeat of an agent. It must not block.
+	// OnPong is called with every heartbeat of an agent. It must not block.
 	OnPong  func(l *silllink.Link, pong *sillwire.Pong)
 	Metrics *Metrics
 	Log     *zap.Logger
 	Now     func() time.Time
 }
 
-// tickInterval is the time between two looks at the links and choosers. A new
-// list and a target whose state changes are looked at once.
-const tickInterval = time.Second
+// reconcileInterval is the time between two updates of the links and choosers. A new
+// instance list or a change of a target's state updates them at once.
+const reconcileInterval = time.Second
 
 // minPoolSubset is the number of agents of a pool below which its load would be
 // spread too unevenly.
 const minPoolSubset = 6
 
-// eventBacklog is the number of events that wait for the fleet's goroutine.
-const eventBacklog = 4096
+// eventQueueLength is the number of events that can wait for the fleet's goroutine.
+const eventQueueLength = 4096
 
 type (
-	listRead    struct{ instances []sillmembership.Instance }
-	pongCame    struct{ pong *sillwire.Pong }
-	pathFailed  struct{ target sillid.TargetID }
-	pathWorked  struct{ target sillid.TargetID }
-	targetHint  struct{ instance sillmembership.Instance }
-	statusAsked struct{ answer chan []Status }
-	stateAsked  struct {
-		target sillid.TargetID
-		answer chan sillmembership.State
+	listRead        struct{ instances []sillmembership.Instance }
+	pongReceived    struct{ pong *sillwire.Pong }
+	pathFailed      struct{ target sillid.TargetID }
+	pathSucceeded   struct{ target sillid.TargetID }
+	targetHint      struct{ instance sillmembership.Instance }
+	statusRequested struct{ response chan []Status }
+	stateRequested  struct {
+		target   sillid.TargetID
+		response chan sillmembership.State
 	}
 )
 
-// place is a pool in an availability zone.
-type place struct {
+// poolZone is a pool in an availability zone.
+type poolZone struct {
 	pool sillid.PoolID
 	zone sillid.ZoneID
 }
 
-// Fleet holds the gateway's links.
+// Fleet holds the gateway's links to agents and the choosers of its pools.
 type Fleet struct {
 	cfg       Config
 	group     *sillgroup.Group
@@ -85,39 +85,40 @@
 	published atomic.Pointer[published]
 
 	mu sync.Mutex
-	// covered are the places whose agents are connected beyond the subset.
-	covered map[place]bool
+	// fullZones are the pools and zones of which all agents are connected, also
+	// those outside the subset.
+	fullZones map[poolZone]bool
 
 	// The fields below belong to the fleet's goroutine.
 	view     *sillmembership.View
 	links    map[sillid.TargetID]*silllink.Link
 	choosers map[sillid.PoolID]*sillroute.Chooser
 	serving  map[sillid.PoolID]int
-	rooms    map[sillid.PoolID]Room
+	loads    map[sillid.PoolID]PoolLoad
 	sequence uint64
 }
 
-// New returns a fleet that works after Start.
+// New returns a fleet that does nothing before Start.
 func New(cfg Config) *Fleet {
 	f := &Fleet{
-		cfg:      cfg,
-		events:   make(chan any, eventBacklog),
-		covered:  make(map[place]bool),
-		view:     sillmembership.NewView(sillmembership.Config{Gateway: cfg.Gateway, Zone: cfg.Zone, Subset: cfg.Subset}),
-		links:    make(map[sillid.TargetID]*silllink.Link),
-		choosers: make(map[sillid.PoolID]*sillroute.Chooser),
-		serving:  make(map[sillid.PoolID]int),
-		rooms:    make(map[sillid.PoolID]Room),
+		cfg:       cfg,
+		events:    make(chan any, eventQueueLength),
+		fullZones: make(map[poolZone]bool),
+		view:      sillmembership.NewView(sillmembership.Config{Gateway: cfg.Gateway, Zone: cfg.Zone, Subset: cfg.Subset}),
+		links:     make(map[sillid.TargetID]*silllink.Link),
+		choosers:  make(map[sillid.PoolID]*sillroute.Chooser),
+		serving:   make(map[sillid.PoolID]int),
+		loads:     make(map[sillid.PoolID]PoolLoad),
 	}
 	f.publish()
 	return f
 }
 
-// Start connects and stays connected until Stop.
+// Start connects to the agents and keeps the links until Stop.
 func (f *Fleet) Start(ctx context.Context) {
 	f.group = sillgroup.New(ctx)
 	f.group.Go(f.run)
-	f.group.Go(f.pollList)
+	f.group.Go(f.pollInstances)
 }
 
 // Stop closes every link.
@@ -126,35 +127,35 @@
 }
 
 func (f *Fleet) run(ctx context.Context) {
-	tick := time.NewTicker(tickInterval)
+	tick := time.NewTicker(reconcileInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case e := <-f.events:
-			f.apply(e)
+			f.handleEvent(e)
 		case <-tick.C:
 			f.reconcile(ctx)
 		}
 	}
 }
 
-func (f *Fleet) send(e any) {
+func (f *Fleet) enqueue(e any) {
 	select {
 	case f.events <- e:
 	case <-f.group.Context().Done():
 	}
 }
 
-func (f *Fleet) pollList(ctx context.Context) {
+func (f *Fleet) pollInstances(ctx context.Context) {
 	for ctx.Err() == nil {
 		instances, err := f.cfg.Instances(ctx)
 		if err != nil {
-			f.cfg.Metrics.ListFailed.Inc()
+			f.cfg.Metrics.ListFailures.Inc()
 			f.cfg.Log.Debug("could not read the instance list", zap.Error(err))
 		} else {
-			f.send(listRead{instances: instances})
+			f.enqueue(listRead{instances: instances})
 		}
 		wait := f.cfg.InstancePoll
 		if err != nil {
@@ -167,32 +168,32 @@
 	}
 }
 
-func (f *Fleet) apply(e any) {
+func (f *Fleet) handleEvent(e any) {
 	now := f.cfg.Now()
 	switch e := e.(type) {
 	case listRead:
 		f.view.ApplyList(now, e.instances)
 		f.reconcile(f.group.Context())
-	case pongCame:
+	case pongReceived:
 		before := f.view.State(now, e.pong.Target)
-		f.pong(now, e.pong)
+		f.handlePong(now, e.pong)
 		if f.view.State(now, e.pong.Target) != before {
 			f.reconcile(f.group.Context())
 		}
 	case pathFailed:
 		f.view.PathFailed(e.target)
-	case pathWorked:
+	case pathSucceeded:
 		f.view.PathSucceeded(e.target)
 	case targetHint:
 		f.view.Hint(now, e.instance)
-	case stateAsked:
-		e.answer <- f.view.State(now, e.target)
-	case statusAsked:
-		e.answer <- f.status(now)
+	case stateRequested:
+		e.response <- f.view.State(now, e.target)
+	case statusRequested:
+		e.response <- f.status(now)
 	}
 }
 
-// phases maps what an agent says of itself to what the view holds of it.
+// phases maps an agent's reported state to the phase that the view keeps.
 var phases = map[sillwire.AgentState]sillmembership.Phase{
 	sillwire.Serving:       sillmembership.PhaseServing,
 	sillwire.DrainingState: sillmembership.PhaseDraining,
@@ -201,8 +202,8 @@
 	sillwire.Swapping:      sillmembership.PhaseDraining,
 }
 
-func (f *Fleet) pong(now time.Time, p *sillwire.Pong) {
-	// The connection keeps heartbeats in order, so the gateway numbers them.
+func (f *Fleet) handlePong(now time.Time, p *sillwire.Pong) {
+	// A connection delivers heartbeats in order, so the gateway can number them itself.
 	f.sequence++
 	h := sillmembership.Heartbeat{
 		Instance: sillmembership.Instance{ID: p.Instance, Target: p.Target, Pool: p.Pool, Zone: p.Zone},
@@ -226,22 +227,22 @@
 	f.view.Heartbeat(now, h)
 }
 
-// Cover connects to every agent of a pool in an availability zone until the
-// returned function is called.
-func (f *Fleet) Cover(pool sillid.PoolID, zone sillid.ZoneID) func() {
+// ConnectAll connects to all agents of a pool in an availability zone, also those
+// outside the subset, until the returned function is called.
+func (f *Fleet) ConnectAll(pool sillid.PoolID, zone sillid.ZoneID) func() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := place{pool: pool, zone: zone}
-	f.covered[p] = true
+	p := poolZone{pool: pool, zone: zone}
+	f.fullZones[p] = true
 	return func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		delete(f.covered, p)
+		delete(f.fullZones, p)
 	}
 }
 
-func (f *Fleet) covers(pool sillid.PoolID, zone sillid.ZoneID) bool {
+func (f *Fleet) connectsAll(pool sillid.PoolID, zone sillid.ZoneID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.covered[place{pool: pool, zone: zone}]
+	return f.fullZones[poolZone{pool: pool, zone: zone}]
 }
--- a/internal/sillfleet/metrics.go
+++ b/internal/sillfleet/metrics.go
@@ -4,38 +4,38 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// Metrics are the fleet's gauges and counters.
+// Metrics are the fleet's metrics.
 type Metrics struct {
 	// Targets counts the targets of the subset by state.
 	Targets *prometheus.GaugeVec
-	// Lost counts connections that were given up.
-	Lost prometheus.Counter
-	// ListFailed counts failed reads of the instance list.
-	ListFailed prometheus.Counter
-	// Ejected counts ejections by reason.
-	Ejected *prometheus.CounterVec
+	// ConnectionsLost counts connections that were lost or could not be opened.
+	ConnectionsLost prometheus.Counter
+	// ListFailures counts failed reads of the instance list.
+	ListFailures prometheus.Counter
+	// Ejections counts ejections of targets by reason.
+	Ejections *prometheus.CounterVec
 }
 
-// NewMetrics registers the gauges and counters.
+// NewMetrics registers the metrics.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
 		Targets: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "wasabisill_gateway_targets",
 			Help: "Targets of the gateway's subset, by pool and state.",
 		}, []string{"pool", "state"}),
-		Lost: prometheus.NewCounter(prometheus.CounterOpts{
+		ConnectionsLost: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "wasabisill_gateway_connections_lost_total",
 			Help: "Connections to agents that were given up or could not be opened.",
 		}),
-		ListFailed: prometheus.NewCounter(prometheus.CounterOpts{
+		ListFailures: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "wasabisill_gateway_instance_list_failures_total",
 			Help: "Failed reads of the platform's instance list.",
 		}),
-		Ejected: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Ejections: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "wasabisill_gateway_ejections_total",
 			Help: "Targets that were taken out of the choice for a while, by reason.",
 		}, []string{"reason"}),
 	}
-	r.MustRegister(m.Targets, m.Lost, m.ListFailed, m.Ejected)
+	r.MustRegister(m.Targets, m.ConnectionsLost, m.ListFailures, m.Ejections)
 	return m
 }
--- a/internal/sillfleet/published.go
+++ b/internal/sillfleet/published.go
@@ -12,25 +12,25 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// published is what traffic reads. It is never changed once published.
+// published is the copy of the state that requests read. It is immutable.
 type published struct {
 	choosers map[sillid.PoolID]*sillroute.Chooser
 	links    map[sillid.TargetID]*silllink.Link
-	// serving counts the targets that take work.
+	// serving is the number of targets that take work.
 	serving map[sillid.PoolID]int
-	rooms   map[sillid.PoolID]Room
+	loads   map[sillid.PoolID]PoolLoad
 }
 
-// Room is the load of the pool's targets that take work.
-type Room struct {
-	// Slots is the number of requests that they run at once.
+// PoolLoad is the load of the targets of a pool that take work.
+type PoolLoad struct {
+	// Slots is the number of requests that they can run at once.
 	Slots int
 	// Running is the number of requests that they run.
 	Running int
 }
 
-func roomOf(targets []sillroute.Target) Room {
-	var r Room
+func loadOf(targets []sillroute.Target) PoolLoad {
+	var r PoolLoad
 	for _, t := range targets {
 		r.Slots += t.Load.Limit
 		r.Running += t.Load.Running
@@ -43,7 +43,7 @@
 		choosers: maps.Clone(f.choosers),
 		links:    maps.Clone(f.links),
 		serving:  maps.Clone(f.serving),
-		rooms:    maps.Clone(f.rooms),
+		loads:    maps.Clone(f.loads),
 	})
 }
 
@@ -52,13 +52,14 @@
 	return f.published.Load().serving[pool]
 }
 
-// Room returns the load of the pool's targets of the subset.
-func (f *Fleet) Room(pool sillid.PoolID) Room {
-	return f.published.Load().rooms[pool]
+// PoolLoad returns the load of the pool's targets in the subset.
+func (f *Fleet) PoolLoad(pool sillid.PoolID) PoolLoad {
+	return f.published.Load().loads[pool]
 }
 
-// Hurry sends every agent a heartbeat now.
-func (f *Fleet) Hurry() {
+// SendHeartbeatsNow sends a heartbeat to every agent without waiting for the
+// interval.
+func (f *Fleet) SendHeartbeatsNow() {
 	for _, l := range f.published.Load().links {
 		l.SendHeartbeatNow()
 	}
@@ -74,7 +75,7 @@
 	return f.published.Load().links[target]
 }
 
-// Choose returns a way to a target for a request.
+// Choose chooses a target for a request. It returns false if there is none.
 func (f *Fleet) Choose(now time.Time, r *silldispatch.Request, exclude []sillid.TargetID) (silldispatch.Route, bool) {
 	p := f.published.Load()
 	chooser := p.choosers[r.Pool]
--- a/internal/sillfleet/reconcile.go
+++ b/internal/sillfleet/reconcile.go
@@ -12,12 +12,13 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// reconcile opens and closes links as the view wants and updates the choosers.
+// reconcile opens missing links, closes those that are no longer wanted and updates
+// the choosers.
 func (f *Fleet) reconcile(ctx context.Context) {
 	now := f.cfg.Now()
 	f.view.SetGateways(f.cfg.Gateways())
 	f.view.SetSubset(max(minPoolSubset, f.cfg.Subset/max(1, len(f.choosers))))
-	wanted := f.view.Wanted(now, f.covers)
+	wanted := f.view.Wanted(now, f.connectsAll)
 	f.closeUnwanted(wanted)
 	pools := make(map[sillid.PoolID]bool)
 	for _, p := range wanted {
@@ -25,7 +26,7 @@
 		if p.Address == "" || f.links[p.Target] != nil {
 			continue
 		}
-		f.links[p.Target] = f.open(ctx, p)
+		f.links[p.Target] = f.openLink(ctx, p)
 	}
 	for pool := range pools {
 		f.ensureChooser(pool)
@@ -34,13 +35,13 @@
 		targets := f.view.Routable(now, pool)
 		c.Update(now, targets)
 		f.serving[pool] = len(targets)
-		f.rooms[pool] = roomOf(targets)
+		f.loads[pool] = loadOf(targets)
 	}
 	f.publish()
-	f.count(wanted)
+	f.countTargets(wanted)
 }
 
-// closeUnwanted closes links to targets that left the subset or moved.
+// closeUnwanted closes links to targets that left the subset or changed their address.
 func (f *Fleet) closeUnwanted(wanted []sillmembership.Peer) {
 	address := make(map[sillid.TargetID]string, len(wanted))
 	for _, p := range wanted {
@@ -56,7 +57,7 @@
 	}
 }
 
-func (f *Fleet) open(ctx context.Context, p sillmembership.Peer) *silllink.Link {
+func (f *Fleet) openLink(ctx context.Context, p sillmembership.Peer) *silllink.Link {
 	target := p.Target
 	return silllink.New(ctx, silllink.Config{
 		Address: p.Address,
@@ -64,17 +65,18 @@
 		Ping:    f.cfg.Ping,
 		OnPong: func(l *silllink.Link, pong *sillwire.Pong) {
 			if pong.Target != target {
-				// The address was used again; the list will tell the new one.
-				f.send(pathFailed{target: target})
+				// Another agent has reused the address; the instance list will have the
+				// target's new one.
+				f.enqueue(pathFailed{target: target})
 				return
 			}
-			f.send(pongCame{pong: pong})
+			f.enqueue(pongReceived{pong: pong})
 			f.cfg.OnPong(l, pong)
 		},
 		OnLost: func(_ *silllink.Link, err error) {
-			f.cfg.Metrics.Lost.Inc()
+			f.cfg.Metrics.ConnectionsLost.Inc()
 			f.cfg.Log.Debug("lost an agent", zap.String("target", string(target)), zap.Error(err))
-			f.send(pathFailed{target: target})
+			f.enqueue(pathFailed{target: target})
 		},
 		Log: f.cfg.Log,
 	})
@@ -87,7 +89,7 @@
 	f.choosers[pool] = sillroute.NewChooser(sillroute.Config{
 		Zone: f.cfg.Zone,
 		Ejected: func(target sillid.TargetID, reason sillroute.EjectReason) {
-			f.cfg.Metrics.Ejected.WithLabelValues(string(reason)).Inc()
+			f.cfg.Metrics.Ejections.WithLabelValues(string(reason)).Inc()
 			f.cfg.Log.Warn("ejected a target", zap.String("target", string(target)), zap.String("reason", string(reason)))
 		},
 	})
