Reword the wiring of gateway and agent in the field's terms

Readers stumbled over a witness that 'heard' meters, plans that 'learn' what is 'gone', shares that are divisors, limits that are timeouts, and the fate of a refusal. They are recordBackup, update, endedTargets, divisors, timeouts and stateOfRefusal now; comments say what the code does, with every reason kept. repeat.go is idempotency.go, as the package that it wires is sillidempotency. listen.go, gateway.go and agent.go are not part of this change. Log messages, the names of loggers, metrics and labels did not change.

--- a/internal/sillapp/admin.go
+++ b/internal/sillapp/admin.go
@@ -18,10 +18,10 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// statusLimit bounds a look at the fleet.
-const statusLimit = time.Second
+// statusTimeout bounds a read of the fleet's status or of the list of gateways.
+const statusTimeout = time.Second
 
-// adminParts is what the administration API needs.
+// adminParts holds the dependencies of the administration API.
 type adminParts struct {
 	fx.In
 
@@ -67,23 +67,24 @@
 	return nil
 }
 
-// freshGateways reads the list of gateways; in an outage it returns the last one.
+// freshGateways reads the list of gateways; during an outage of the store it returns
+// the last known list.
 func freshGateways(p *sillpresence.Presence) []sillpresence.Gateway {
-	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
-	// The age of each line tells of an old list.
+	// The age of each entry shows whether the list is old.
 	_ = p.Refresh(ctx)
 	return p.Gateways()
 }
 
 func fleetStatus(f *sillfleet.Fleet) []sillfleet.Status {
-	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
 	return f.Status(ctx)
 }
 
-// processes returns what is known of the gateways and of the agents of this
-// gateway's subset.
+// processes returns the status of the gateways and of the agents in this gateway's
+// subset.
 func processes(gateways []sillpresence.Gateway, fleet []sillfleet.Status) []silladmin.ProcessStatus {
 	var list []silladmin.ProcessStatus
 	for _, g := range gateways {
@@ -115,7 +116,7 @@
 	return list
 }
 
-// targetStates maps membership to the words of the administration API.
+// targetStates maps states of the membership view to those of the administration API.
 var targetStates = map[sillmembership.State]string{
 	sillmembership.Serving:    "live",
 	sillmembership.Draining:   "draining",
--- a/internal/sillapp/agentusage.go
+++ b/internal/sillapp/agentusage.go
@@ -20,8 +20,8 @@
 const (
 	// pruneEvery is the number of flushes between two reads of the closed windows.
 	pruneEvery = 8
-	// lastFlushLimit bounds the last write of the usage row.
-	lastFlushLimit = 5 * time.Second
+	// lastFlushTimeout bounds the last write of the usage row.
+	lastFlushTimeout = 5 * time.Second
 )
 
 func newMeter(s *sillsettings.Agent, id sillid.AgentID) *sillusage.Meter {
@@ -50,8 +50,8 @@
 	})
 }
 
-// startFlusher carries the meter's sums to the table. Its last flush comes
-// after the last request has ended, as the traffic stops first.
+// startFlusher writes the meter's sums to the table. The last flush happens after
+// the last request has ended, since the traffic stops first.
 func startFlusher(lc fx.Lifecycle, f *sillusage.Flusher, log *zap.Logger) {
 	g := sillgroup.New(context.Background())
 	lc.Append(fx.Hook{
@@ -64,7 +64,7 @@
 		},
 		OnStop: func(ctx context.Context) error {
 			g.Stop()
-			ctx, cancel := context.WithTimeout(ctx, lastFlushLimit)
+			ctx, cancel := context.WithTimeout(ctx, lastFlushTimeout)
 			defer cancel()
 			if err := f.Flush(ctx, true); err != nil {
 				log.Named("usage").Warn("could not write the last usage figures; the gateways hold them", zap.Error(err))
@@ -74,7 +74,8 @@
 	})
 }
 
-// meterUse counts a run and returns its record as the inner protocol carries it.
+// meterUse returns a function that counts a run and returns its record as a message
+// of the inner protocol.
 func meterUse(m *sillusage.Meter) func(use sillagent.Use) *sillwire.UsageRecord {
 	return func(use sillagent.Use) *sillwire.UsageRecord {
 		r := m.Add(use.EndedAt, use.Organisation, use.Route, sillusage.Figures{
--- a/internal/sillapp/agentweight.go
+++ b/internal/sillapp/agentweight.go
@@ -26,19 +26,21 @@
 )
 
 const (
-	// swapRetries is the number of further loads after a failed one.
+	// swapRetries is the number of retries after a failed load.
 	swapRetries = 2
-	// swapRetryWait is the time before a fetch or load is tried again.
-	swapRetryWait = 500 * time.Millisecond
-	// swapAskEvery is the time between two questions to the group.
-	swapAskEvery = 500 * time.Millisecond
-	// weightHold is the time for which weights are kept for other agents.
-	weightHold = 2 * time.Minute
-	// settleLimit bounds the wait for the engine's report after a failed order.
-	settleLimit = 5 * time.Second
+	// swapRetryDelay is the delay before a fetch or load is retried.
+	swapRetryDelay = 500 * time.Millisecond
+	// statusPollInterval is the time between two requests for the status of the group's
+	// members.
+	statusPollInterval = 500 * time.Millisecond
+	// weightHoldTime is the time for which weights are kept for other agents.
+	weightHoldTime = 2 * time.Minute
+	// settleTimeout bounds the wait for the engine's report after a failed order.
+	settleTimeout = 5 * time.Second
 )
 
-// weights is the agent's part in the rollout of weight versions.
+// weights fetches weight versions, loads them into the agent's engine and serves
+// them to other agents.
 type weights struct {
 	runner *sillweightswap.Runner
 	peers  *sillweightswap.Peers
@@ -49,7 +51,7 @@
 	url   string
 }
 
-// weightsParts is what the agent's rollout of weights needs.
+// weightsParts holds the dependencies of the agent's weights.
 type weightsParts struct {
 	fx.In
 
@@ -72,8 +74,8 @@
 		Weight: sillweight.Config{
 			Target:             s.Target.ID,
 			Retries:            swapRetries,
-			RetryDelay:         swapRetryWait,
-			StatusPollInterval: swapAskEvery,
+			RetryDelay:         swapRetryDelay,
+			StatusPollInterval: statusPollInterval,
 		},
 		Engine:     w.loaded,
 		FetchStore: store.Fetch,
@@ -83,7 +85,7 @@
 			return w.load(ctx, p.Metrics, model, version)
 		},
 		SetOutOfService: func(out bool) { w.agent.SetOutOfService(out) },
-		HoldTime:        weightHold,
+		HoldTime:        weightHoldTime,
 		Metrics:         p.Metrics,
 		Log:             p.Log.Named("weights"),
 		Now:             time.Now,
@@ -91,7 +93,7 @@
 	return w, nil
 }
 
-// startWeights serves weights to the engine and follows the plans.
+// startWeights serves weights to the engine and executes the weight plans.
 func startWeights(lc fx.Lifecycle, s *sillsettings.Agent, w *weights, a *sillagent.Agent) error {
 	if s.Target.Kind == sillbundle.ModelRoute {
 		srv, err := listen(s.Listen.Weights, sillsettings.ServerTLS{}, w.runner.Handler())
@@ -117,7 +119,8 @@
 	return sillweightswap.Engine{ID: e.ID, Version: e.Version}, ok
 }
 
-// heartbeat takes a gateway's word on other agents and tells the adopted version.
+// heartbeat records the ended targets that a gateway reports, and reports the adopted
+// version to it.
 func (w *weights) heartbeat(ping *sillwire.Ping, pong *sillwire.Pong) {
 	w.runner.HandlePeersEnded(ping.EndedTargets)
 	if adopted, ok := w.runner.Adopted(); ok {
@@ -134,9 +137,9 @@
 	return nil
 }
 
-// load orders the engine to load a version. The version is the fencing number:
-// only this agent orders its engine, versions only grow, and an order of an
-// earlier run of the agent for the same version does the same.
+// load orders the engine to load a version. The version serves as the fencing number:
+// only this agent gives orders to its engine, versions only increase, and an order of
+// an earlier run of the agent for the same version has the same effect.
 func (w *weights) load(ctx context.Context, m *sillweightswap.Metrics, model sillid.ModelID, version sillid.WeightVersion) error {
 	order := sillengine.Order{
 		ID:      fmt.Sprintf("%s/%d/%s", w.target, version, sillid.Fresh("load")),
@@ -151,8 +154,8 @@
 	if err == nil && result.Version != version {
 		err = eris.Wrapf(sillengine.ErrOrderFailed, "sillapp.load: the engine names version %d", result.Version)
 	}
-	m.Swaps.WithLabelValues(orderReason(err)).Inc()
-	outcome := orderOutcome(err)
+	m.Swaps.WithLabelValues(orderResult(err)).Inc()
+	outcome := loadOutcome(err)
 	w.agent.SwapEnded(version, outcome)
 	if outcome == sillattribution.LoadOK {
 		return nil
@@ -160,9 +163,9 @@
 	return w.settle(ctx, version, err)
 }
 
-// settle returns nil if the engine has loaded the version all the same.
+// settle returns nil if the engine has loaded the version despite the failed order.
 func (w *weights) settle(ctx context.Context, version sillid.WeightVersion, orderErr error) error {
-	ctx, cancel := context.WithTimeout(ctx, settleLimit)
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	engine, err := w.agent.AwaitSettled(ctx)
 	if err != nil {
@@ -174,7 +177,7 @@
 	return orderErr
 }
 
-func orderOutcome(err error) sillattribution.LoadOutcome {
+func loadOutcome(err error) sillattribution.LoadOutcome {
 	switch {
 	case err == nil:
 		return sillattribution.LoadOK
@@ -184,8 +187,8 @@
 	return sillattribution.LoadFailed
 }
 
-// orderReason names the outcome of an order in the metrics.
-func orderReason(err error) string {
+// orderResult returns the result of an order as the label "outcome" has it.
+func orderResult(err error) string {
 	switch {
 	case err == nil:
 		return "ok"
--- a/internal/sillapp/gatewaycallers.go
+++ b/internal/sillapp/gatewaycallers.go
@@ -20,10 +20,10 @@
 // moment in which a pool has no target that takes work.
 const targetWait = 2 * time.Second
 
-func newDispatcher(b background, f *sillfleet.Fleet, w *witness, c *sillcrash.SharedTracker, m *silldispatch.Metrics) *silldispatch.Dispatcher {
+func newDispatcher(b background, f *sillfleet.Fleet, r *recordBackup, c *sillcrash.SharedTracker, m *silldispatch.Metrics) *silldispatch.Dispatcher {
 	return silldispatch.New(silldispatch.Config{
 		Choose:     f.Choose,
-		OnUsage:    w.add,
+		OnUsage:    r.add,
 		Group:      b.Group,
 		TargetWait: targetWait,
 		Policy:     sillretry.DefaultPolicy(),
@@ -34,7 +34,7 @@
 	})
 }
 
-// callersParts is what the callers' side needs.
+// callersParts holds the dependencies of the callers' API.
 type callersParts struct {
 	fx.In
 
--- a/internal/sillapp/gatewayconfig.go
+++ b/internal/sillapp/gatewayconfig.go
@@ -19,7 +19,7 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// configParts is what the service of the configuration needs.
+// configParts holds the dependencies of the configuration service.
 type configParts struct {
 	fx.In
 
@@ -31,7 +31,7 @@
 	Log       *zap.Logger
 }
 
-// configChanges tells the parts of the process that the configuration changed.
+// configChanges signals changes of the configuration.
 type configChanges struct {
 	changed chan struct{}
 }
@@ -59,7 +59,7 @@
 	return service, changes
 }
 
-// notify wakes the reader of changed; several changes may come as one.
+// notify wakes the reader of changed; several changes may be merged into one signal.
 func (c *configChanges) notify() {
 	select {
 	case c.changed <- struct{}{}:
@@ -82,7 +82,7 @@
 	})
 }
 
-// access returns what the callers' side needs of the configuration.
+// access returns the part of the configuration that the callers' API uses.
 func access(s *sillbundlestore.Snapshot) sillgateway.Access {
 	a := sillgateway.Access{
 		Withdrawn: func(hash sillbundle.KeyHash) bool {
--- a/internal/sillapp/gatewayfleet.go
+++ b/internal/sillapp/gatewayfleet.go
@@ -20,7 +20,7 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// fleetParts is what the fleet needs.
+// fleetParts holds the dependencies of the fleet.
 type fleetParts struct {
 	fx.In
 
@@ -30,7 +30,7 @@
 	Instances  *sillinstance.Client
 	Presence   *sillpresence.Presence
 	Peer       *sillgossip.Peer
-	Witness    *witness
+	Backup     *recordBackup
 	Plans      *plans
 	Suspects   *sillcrash.SharedTracker
 	Metrics    *sillfleet.Metrics
@@ -56,12 +56,12 @@
 		InstancePoll: s.Control.InstancePoll.Duration(),
 		Gateways:     func() []sillmembership.Gateway { return members(p.Presence.Gateways()) },
 		Ping: func() *sillwire.Ping {
-			return &sillwire.Ping{Gateway: p.ID, Config: p.Peer.Digest(), Suspicions: p.Suspects.Export(maxEvidence), EndedTargets: p.Plans.goneNow()}
+			return &sillwire.Ping{Gateway: p.ID, Config: p.Peer.Digest(), Suspicions: p.Suspects.Export(maxEvidence), EndedTargets: p.Plans.endedTargets()}
 		},
 		OnPong: func(l *silllink.Link, pong *sillwire.Pong) {
 			p.Peer.HandlePong(p.Background.Group, l, pong)
-			p.Plans.sync(p.Background.Group, l, pong)
-			p.Witness.heard(time.Now(), pong)
+			p.Plans.pushMissing(p.Background.Group, l, pong)
+			p.Backup.handlePong(time.Now(), pong)
 			p.Suspects.Merge(pong.Suspicions)
 		},
 		Metrics: p.Metrics,
--- a/internal/sillapp/gatewaystore.go
+++ b/internal/sillapp/gatewaystore.go
@@ -37,7 +37,8 @@
 	return sillinstance.Dial(sillcall.Config{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Duration()})
 }
 
-// listInstances reads the instance list in the form that membership takes.
+// listInstances returns a function that reads the instance list and converts it for
+// the membership view.
 func listInstances(c *sillinstance.Client) func(ctx context.Context) ([]sillmembership.Instance, error) {
 	return func(ctx context.Context) ([]sillmembership.Instance, error) {
 		list, err := c.List(ctx)
--- a/internal/sillapp/gatewayweight.go
+++ b/internal/sillapp/gatewayweight.go
@@ -25,40 +25,40 @@
 )
 
 const (
-	// planPoll is the mean time between two reads of the models' plans.
-	planPoll = 2 * time.Second
-	// goneInterval is the time between two looks for ended targets.
-	goneInterval = time.Second
-	// goneSilence is the silence after which a target counts as ended.
-	goneSilence = sillwire.SilenceLimit
-	// pushLimit bounds the transfer of a plan.
-	pushLimit = 5 * time.Second
+	// planPollInterval is the mean time between two reads of the models' plans.
+	planPollInterval = 2 * time.Second
+	// endedCheckInterval is the time between two checks for ended targets.
+	endedCheckInterval = time.Second
+	// endedSilence is the time without a heartbeat after which a target counts as ended.
+	endedSilence = sillwire.SilenceLimit
+	// pushTimeout bounds the transfer of a plan.
+	pushTimeout = 5 * time.Second
 )
 
-// plans spreads the models' weight plans to the agents of the subset.
+// plans sends the models' weight plans to the agents of the subset.
 type plans struct {
 	table   *silltable.Store
 	config  *sillbundlestore.Service
 	metrics *planMetrics
 	log     *zap.Logger
-	gone    atomic.Pointer[[]sillid.TargetID]
-	// published wakes the spread of a plan that this gateway published.
+	ended   atomic.Pointer[[]sillid.TargetID]
+	// published signals that this gateway published a plan.
 	published chan struct{}
 
 	mu    sync.Mutex
 	known map[sillid.ModelID]knownPlan
-	// busy are the links on which a plan is under way.
-	busy map[*silllink.Link]bool
+	// pushing holds the links on which a plan is being sent.
+	pushing map[*silllink.Link]bool
 }
 
-// knownPlan is a plan as it is sent.
+// knownPlan is a plan, encoded for the agents.
 type knownPlan struct {
 	version sillid.WeightVersion
 	pool    sillid.PoolID
 	message *sillwire.WeightPlan
 }
 
-// planMetrics are the counters of the spread of plans.
+// planMetrics are the counters of plans sent and read.
 type planMetrics struct {
 	pushed, pushFailed, readFailed prometheus.Counter
 }
@@ -84,19 +84,19 @@
 		log:       log.Named("weights"),
 		published: make(chan struct{}, 1),
 		known:     make(map[sillid.ModelID]knownPlan),
-		busy:      make(map[*silllink.Link]bool),
+		pushing:   make(map[*silllink.Link]bool),
 	}
 }
 
 func startPlans(lc fx.Lifecycle, b background, p *plans, f *sillfleet.Fleet) {
 	lc.Append(fx.StartHook(func() {
-		b.Go(func(ctx context.Context) { p.follow(ctx, b.Group, f) })
-		b.Go(func(ctx context.Context) { p.watchGone(ctx, f) })
+		b.Go(func(ctx context.Context) { p.poll(ctx, b.Group, f) })
+		b.Go(func(ctx context.Context) { p.watchEnded(ctx, f) })
 	}))
 }
 
-// follow reads the plans of the bundle's models again and again.
-func (p *plans) follow(ctx context.Context, g *sillgroup.Group, f *sillfleet.Fleet) {
+// poll reads the plans of the bundle's models until ctx ends and sends newer ones.
+func (p *plans) poll(ctx context.Context, g *sillgroup.Group, f *sillfleet.Fleet) {
 	for ctx.Err() == nil {
 		for _, m := range p.models() {
 			if p.read(ctx, m) {
@@ -107,13 +107,13 @@
 		case <-ctx.Done():
 		case <-p.published:
 			p.pushAll(g, f)
-		case <-time.After(planPoll/2 + rand.N(planPoll)):
+		case <-time.After(planPollInterval/2 + rand.N(planPollInterval)):
 		}
 	}
 }
 
-// read looks at the model's version, and reads the plan of a newer one. It
-// returns whether there is one.
+// read reads the model's current version and, if it is newer than the known one, its
+// plan. It returns whether there was a newer plan.
 func (p *plans) read(ctx context.Context, m sillbundle.Model) bool {
 	version, err := sillweight.ReadVersion(ctx, p.table, m.ID)
 	if err == nil && version <= p.version(m.ID) {
@@ -127,19 +127,19 @@
 		p.metrics.readFailed.Inc()
 		return false
 	}
-	return p.learn(m.Pool, plan)
+	return p.update(m.Pool, plan)
 }
 
-// version returns the version of the known plan of a model; 0 for none.
+// version returns the version of the known plan of a model; 0 if there is none.
 func (p *plans) version(model sillid.ModelID) sillid.WeightVersion {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.known[model].version
 }
 
-// publish spreads a plan that this gateway published without a further read.
+// publish sends a plan that this gateway published, without reading it back.
 func (p *plans) publish(pool sillid.PoolID, plan sillweight.Plan) {
-	p.learn(pool, plan)
+	p.update(pool, plan)
 	select {
 	case p.published <- struct{}{}:
 	default:
@@ -153,8 +153,9 @@
 	return nil
 }
 
-// learn takes a plan and returns whether it is newer than the known one.
-func (p *plans) learn(pool sillid.PoolID, plan sillweight.Plan) bool {
+// update replaces the known plan of a model by a newer one. It returns whether the
+// plan is newer.
+func (p *plans) update(pool sillid.PoolID, plan sillweight.Plan) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if plan.Version <= p.known[plan.Model].version {
@@ -169,13 +170,13 @@
 func (p *plans) pushAll(g *sillgroup.Group, f *sillfleet.Fleet) {
 	for _, l := range f.Links() {
 		if pong := l.Pong(); pong != nil && l.Connected() {
-			p.sync(g, l, pong)
+			p.pushMissing(g, l, pong)
 		}
 	}
 }
 
-// sync sends the agent of a heartbeat the plans that it lacks.
-func (p *plans) sync(g *sillgroup.Group, l *silllink.Link, pong *sillwire.Pong) {
+// pushMissing sends the agent of a heartbeat the plans that it lacks.
+func (p *plans) pushMissing(g *sillgroup.Group, l *silllink.Link, pong *sillwire.Pong) {
 	adopted := make(map[sillid.ModelID]sillid.WeightVersion, len(pong.Adopted))
 	for _, a := range pong.Adopted {
 		adopted[a.Model] = a.Version
@@ -183,21 +184,21 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for model, k := range p.known {
-		if k.pool != pong.Pool || adopted[model] >= k.version || p.busy[l] {
+		if k.pool != pong.Pool || adopted[model] >= k.version || p.pushing[l] {
 			continue
 		}
-		p.busy[l] = true
+		p.pushing[l] = true
 		g.Go(func(ctx context.Context) { p.push(ctx, l, k.message) })
 	}
 }
 
 func (p *plans) push(ctx context.Context, l *silllink.Link, m *sillwire.WeightPlan) {
-	ctx, cancel := context.WithTimeout(ctx, pushLimit)
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
 	err := l.PushPlan(ctx, m)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.busy, l)
+	delete(p.pushing, l)
 	if err != nil {
 		p.metrics.pushFailed.Inc()
 		p.log.Debug("could not send a weight plan", zap.String("agent", l.Address()), zap.Error(err))
@@ -206,34 +207,35 @@
 	p.metrics.pushed.Inc()
 }
 
-// watchGone looks for targets that have ended, so that no group waits for them.
-func (p *plans) watchGone(ctx context.Context, f *sillfleet.Fleet) {
+// watchEnded checks for targets that have ended, so that no group waits for them.
+func (p *plans) watchEnded(ctx context.Context, f *sillfleet.Fleet) {
 	started := time.Now()
-	sillgroup.Every(ctx, goneInterval, func(now time.Time) {
-		gone := goneTargets(now, started, f.Status(ctx))
-		p.gone.Store(&gone)
+	sillgroup.Every(ctx, endedCheckInterval, func(now time.Time) {
+		ended := findEnded(now, started, f.Status(ctx))
+		p.ended.Store(&ended)
 	})
 }
 
-// goneTargets returns the targets of the subset that have been silent for long.
-func goneTargets(now, started time.Time, fleet []sillfleet.Status) []sillid.TargetID {
-	var gone []sillid.TargetID
+// findEnded returns the targets of the subset that have sent no heartbeat for
+// endedSilence.
+func findEnded(now, started time.Time, fleet []sillfleet.Status) []sillid.TargetID {
+	var ended []sillid.TargetID
 	for _, s := range fleet {
-		heard := s.LastPongAt
-		if heard.IsZero() {
-			heard = started
+		lastPong := s.LastPongAt
+		if lastPong.IsZero() {
+			lastPong = started
 		}
-		if s.State == sillmembership.Suspect && !s.Connected && now.Sub(heard) > goneSilence {
-			gone = append(gone, s.Target)
+		if s.State == sillmembership.Suspect && !s.Connected && now.Sub(lastPong) > endedSilence {
+			ended = append(ended, s.Target)
 		}
 	}
-	return gone
+	return ended
 }
 
-// goneNow returns the ended targets, as heartbeats tell them.
-func (p *plans) goneNow() []sillid.TargetID {
-	if gone := p.gone.Load(); gone != nil {
-		return *gone
+// endedTargets returns the ended targets, for the heartbeats to agents.
+func (p *plans) endedTargets() []sillid.TargetID {
+	if ended := p.ended.Load(); ended != nil {
+		return *ended
 	}
 	return nil
 }
--- a/internal/sillapp/repeat.go
+++ b/internal/sillapp/idempotency.go
@@ -21,16 +21,16 @@
 )
 
 const (
-	// lookUpLimit bounds the question to an agent about an earlier attempt.
-	lookUpLimit = 2 * time.Second
-	// settleInterval is the time between two tries to settle claims.
+	// lookUpTimeout bounds the lookup of an earlier attempt at its agent.
+	lookUpTimeout = 2 * time.Second
+	// settleInterval is the time between two attempts to settle claims.
 	settleInterval = time.Second
-	// expireInterval is the time between two pages of the sweep for expired rows.
-	expireInterval = 5 * time.Minute
+	// sweepInterval is the time between two pages of the sweep for expired rows.
+	sweepInterval = 5 * time.Minute
 )
 
-// repeatParts is what the keeper of idempotency keys needs.
-type repeatParts struct {
+// keeperParts holds the dependencies of the keeper of idempotency keys.
+type keeperParts struct {
 	fx.In
 
 	ID       sillid.GatewayID
@@ -40,7 +40,7 @@
 	Fleet    *sillfleet.Fleet
 }
 
-func newKeeper(p repeatParts) *sillidempotency.Keeper {
+func newKeeper(p keeperParts) *sillidempotency.Keeper {
 	return sillidempotency.NewKeeper(sillidempotency.Config{
 		Gateway: p.ID,
 		Store:   p.Table,
@@ -50,7 +50,7 @@
 		LookUp: func(ctx context.Context, place sillidempotency.Place) (sillidempotency.AttemptState, sillidempotency.Response) {
 			return lookUp(ctx, p.Fleet, place)
 		},
-		PutObject: putSame(p.Objects),
+		PutObject: putIdempotent(p.Objects),
 		GetObject: p.Objects.Get,
 	})
 }
@@ -64,9 +64,10 @@
 	return false
 }
 
-// lookUp asks the agent of an attempt what became of it.
+// lookUp asks the agent of an attempt for its state, and for its response if it has
+// ended.
 func lookUp(ctx context.Context, f *sillfleet.Fleet, place sillidempotency.Place) (sillidempotency.AttemptState, sillidempotency.Response) {
-	ctx, cancel := context.WithTimeout(ctx, lookUpLimit)
+	ctx, cancel := context.WithTimeout(ctx, lookUpTimeout)
 	defer cancel()
 	link := f.Link(place.Target)
 	if link == nil {
@@ -79,41 +80,41 @@
 	if state.State == sillwire.RunQueued || state.State == sillwire.RunStarted {
 		return sillidempotency.Running, sillidempotency.Response{}
 	}
-	return collectAnswer(ctx, link, place)
+	return collectResponse(ctx, link, place)
 }
 
-// collectAnswer asks for the complete response of an attempt. An agent that never
-// got the attempt refuses it from then on.
-func collectAnswer(ctx context.Context, link *silllink.Link, place sillidempotency.Place) (sillidempotency.AttemptState, sillidempotency.Response) {
-	var answer sillidempotency.Response
+// collectResponse asks for the complete response of an attempt. An agent that never
+// received the attempt refuses it from then on.
+func collectResponse(ctx context.Context, link *silllink.Link, place sillidempotency.Place) (sillidempotency.AttemptState, sillidempotency.Response) {
+	var response sillidempotency.Response
 	x, err := link.Attach(ctx, &sillwire.Attach{RequestID: place.Attempt.Request(), Attempt: place.Attempt, Agent: place.Agent})
 	if err != nil {
-		return sillidempotency.Lost, answer
+		return sillidempotency.Lost, response
 	}
 	defer x.Finish()
 	for {
 		m, err := x.Next()
 		if err != nil {
-			return sillidempotency.Lost, answer
+			return sillidempotency.Lost, response
 		}
 		switch m := m.(type) {
 		case *sillwire.Refuse:
-			return fateOfRefusal(m), answer
+			return stateOfRefusal(m), response
 		case *sillwire.Head:
-			answer.Status = m.Status
-			answer.ContentType = contentType(m)
+			response.Status = m.Status
+			response.ContentType = contentType(m)
 		case *sillwire.Chunk:
-			answer.Body = append(answer.Body, m.Data...)
+			response.Body = append(response.Body, m.Data...)
 		case *sillwire.Finish:
-			if m.Problem != nil || m.Bytes != int64(len(answer.Body)) {
-				return sillidempotency.Lost, answer
+			if m.Problem != nil || m.Bytes != int64(len(response.Body)) {
+				return sillidempotency.Lost, response
 			}
-			return sillidempotency.Finished, answer
+			return sillidempotency.Finished, response
 		}
 	}
 }
 
-func fateOfRefusal(m *sillwire.Refuse) sillidempotency.AttemptState {
+func stateOfRefusal(m *sillwire.Refuse) sillidempotency.AttemptState {
 	if m.Outcome == sillproblem.NotRun {
 		return sillidempotency.NotReceived
 	}
@@ -129,7 +130,8 @@
 	return ""
 }
 
-// startKeeper settles claims that could not be settled and sweeps expired ones.
+// startKeeper settles claims that could not be settled before, and sweeps expired
+// ones.
 func startKeeper(lc fx.Lifecycle, b background, k *sillidempotency.Keeper, log *zap.Logger) {
 	lc.Append(fx.StartHook(func() {
 		b.Go(func(ctx context.Context) { settleClaims(ctx, k) })
@@ -143,7 +145,7 @@
 
 func sweepClaims(ctx context.Context, k *sillidempotency.Keeper, log *zap.Logger) {
 	after := ""
-	sillgroup.Every(ctx, expireInterval, func(time.Time) {
+	sillgroup.Every(ctx, sweepInterval, func(time.Time) {
 		next, err := k.Sweep(ctx, after)
 		if err != nil && !errors.Is(err, context.Canceled) {
 			log.Debug("could not sweep expired claims", zap.Error(err))
--- a/internal/sillapp/leases.go
+++ b/internal/sillapp/leases.go
@@ -20,7 +20,7 @@
 	parts leaseParts
 }
 
-// leaseParts is what the leases need.
+// leaseParts holds the dependencies of the leases.
 type leaseParts struct {
 	fx.In
 
@@ -42,19 +42,19 @@
 	run  func(ctx context.Context, guard silllease.Guard)
 }
 
-// The times of a lease are shares of its duration.
+// The renewal interval and the margin of a lease are fractions of its duration.
 const (
-	renewShare  = 3
-	marginShare = 6
+	renewDivisor  = 3
+	marginDivisor = 6
 )
 
-// keep competes for the lease of a task until the process stops, and runs the
-// task while it is held.
-func (l *leases) keep(b background, t leaseTask) {
+// start competes for the lease of a task until the process stops, and runs the task
+// while the lease is held.
+func (l *leases) start(b background, t leaseTask) {
 	b.Go(l.runner(t).Run)
 }
 
-// runner returns what competes for the lease of a task.
+// runner returns the runner that competes for the lease of a task.
 func (l *leases) runner(t leaseTask) *silllease.Runner {
 	p := l.parts
 	duration := p.Settings.Control.Lease.Duration()
@@ -63,9 +63,9 @@
 			Name:       t.name,
 			Owner:      silllease.Owner(p.ID),
 			Duration:   duration,
-			Margin:     duration / marginShare,
-			RenewEvery: duration / renewShare,
-			PollEvery:  duration / renewShare,
+			Margin:     duration / marginDivisor,
+			RenewEvery: duration / renewDivisor,
+			PollEvery:  duration / renewDivisor,
 			Random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}.WithDefaults(),
 		Store:       p.Table,
--- a/internal/sillapp/rollout.go
+++ b/internal/sillapp/rollout.go
@@ -28,7 +28,7 @@
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
 
-// rolloutModule holds the trainers' calls and the owners of batches.
+// rolloutModule provides the trainers' API and the owners of batches.
 func rolloutModule() fx.Option {
 	return fx.Options(
 		fx.Provide(newLedger, newGenerator, newTrainers, sillrollout.NewMetrics),
@@ -39,14 +39,14 @@
 func newLedger(t *silltable.Store, o *sillobject.Store) *sillrollout.Ledger {
 	return &sillrollout.Ledger{
 		Store:   t,
-		Objects: sillrollout.Objects{PutNew: putSame(o), Get: o.Get},
+		Objects: sillrollout.Objects{PutNew: putIdempotent(o), Get: o.Get},
 		Now:     time.Now,
 	}
 }
 
-// putSame writes an object whose name follows from its content: one of the name
-// that is there already is the same.
-func putSame(o *sillobject.Store) func(ctx context.Context, name string, content []byte) error {
+// putIdempotent writes an object whose name is derived from its content, so that an
+// existing object of the name has the same content.
+func putIdempotent(o *sillobject.Store) func(ctx context.Context, name string, content []byte) error {
 	return func(ctx context.Context, name string, content []byte) error {
 		err := o.PutNew(ctx, name, content)
 		if errors.Is(err, sillobject.ErrExists) {
@@ -64,10 +64,10 @@
 	})
 }
 
-// trainers adds the trainers' calls to the callers' router.
+// trainers adds the trainers' API to the callers' router.
 type trainers func(g *sillgateway.Gateway, r *mux.Router)
 
-// trainersParts is what the trainers' calls need.
+// trainersParts holds the dependencies of the trainers' API.
 type trainersParts struct {
 	fx.In
 
@@ -105,7 +105,7 @@
 	return s.Index.Bundle.Trainers
 }
 
-// publishWeights makes a version the current one of a model that the bundle has.
+// publishWeights makes a version the current one of a model of the bundle.
 func publishWeights(ctx context.Context, p trainersParts, model sillid.ModelID, version sillid.WeightVersion) error {
 	index := p.Config.Snapshot().Index
 	if index == nil || index.Model(model) == nil {
@@ -135,7 +135,7 @@
 	return err
 }
 
-// ownerParts is what the owners of batches need.
+// ownerParts holds the dependencies of the owners of batches.
 type ownerParts struct {
 	fx.In
 
@@ -150,8 +150,8 @@
 	Log        *zap.Logger
 }
 
-// startOwners competes for the shards of batches. A gateway without a scorer
-// owns none.
+// startOwners competes for the leases of the shards of batches. A gateway without a
+// scorer owns none.
 func startOwners(lc fx.Lifecycle, p ownerParts) {
 	if p.Settings.Scorer.URL == "" {
 		return
@@ -173,7 +173,7 @@
 	lc.Append(fx.StartHook(func() {
 		for shard := range sillrollout.Shards {
 			t := sillrollout.NewTask(cfg, shard)
-			p.Leases.keep(p.Background, leaseTask{name: sillrollout.LeaseName(shard), run: t.Run})
+			p.Leases.start(p.Background, leaseTask{name: sillrollout.LeaseName(shard), run: t.Run})
 		}
 	}))
 }
--- a/internal/sillapp/scale.go
+++ b/internal/sillapp/scale.go
@@ -25,16 +25,16 @@
 )
 
 const (
-	// shardInterval is the time between two looks for new pools and zones.
-	shardInterval = 2 * time.Second
+	// shardCheckInterval is the time between two checks for new pools and zones.
+	shardCheckInterval = 2 * time.Second
 	// listLag bounds how long an instance list may lag behind an order.
 	listLag = 5 * time.Minute
-	// orderInterface names the platform's orders among the interfaces with
-	// fencing numbers.
+	// orderInterface is the name under which the fencing numbers of the platform's
+	// orders are issued.
 	orderInterface = "orders"
 )
 
-// scaleParts is what the scaler needs.
+// scaleParts holds the dependencies of the scaler.
 type scaleParts struct {
 	fx.In
 
@@ -49,7 +49,7 @@
 	Log        *zap.Logger
 }
 
-// scaleModule holds the scaler, one task for each pool in each availability zone.
+// scaleModule provides the scaler, one task for each pool in each availability zone.
 func scaleModule() fx.Option {
 	return fx.Options(
 		fx.Provide(sillscaler.NewMetrics),
@@ -73,7 +73,7 @@
 
 func (s shard) String() string { return fmt.Sprintf("%s.%s", s.pool, s.zone) }
 
-// scaler competes for the shards that the bundle in force has.
+// scaler competes for the leases of the shards of the bundle in force.
 type scaler struct {
 	parts   scaleParts
 	started map[shard]context.CancelFunc
@@ -82,12 +82,12 @@
 func (s *scaler) run(ctx context.Context) {
 	g := sillgroup.New(ctx)
 	defer g.Stop()
-	s.follow(g)
-	sillgroup.Every(ctx, shardInterval, func(time.Time) { s.follow(g) })
+	s.updateTasks(g)
+	sillgroup.Every(ctx, shardCheckInterval, func(time.Time) { s.updateTasks(g) })
 }
 
-// follow starts the tasks of new shards and stops those of shards that are gone.
-func (s *scaler) follow(g *sillgroup.Group) {
+// updateTasks starts the tasks of new shards and stops those of removed shards.
+func (s *scaler) updateTasks(g *sillgroup.Group) {
 	index := s.parts.Config.Snapshot().Index
 	if index == nil {
 		return
@@ -115,7 +115,7 @@
 	}
 }
 
-// task returns the work of one shard's lease holder.
+// task returns the task that the lease holder of a shard runs.
 func (s *scaler) task(sh shard) func(ctx context.Context, guard silllease.Guard) {
 	p := s.parts
 	timeout := p.Settings.Platform.Timeout.Duration()
@@ -129,8 +129,8 @@
 			Orders:     sillorder.Dial(sillcall.Config{BaseURL: p.Settings.Platform.URL, Timeout: timeout}),
 			Instances:  p.Instances.List,
 			Zones:      func() []sillscaler.ZoneConfig { return zoneConfigs(p.Config.Snapshot().Index, sh) },
-			Loads:      func(sillid.PoolID, sillid.ZoneID) map[sillid.TargetID]sillscaler.Load { return demand(p.Fleet, sh) },
-			Drain:      func(ctx context.Context, target sillid.TargetID) (bool, error) { return drained(ctx, p.Fleet, target) },
+			Loads:      func(sillid.PoolID, sillid.ZoneID) map[sillid.TargetID]sillscaler.Load { return loadsOf(p.Fleet, sh) },
+			Drain:      func(ctx context.Context, target sillid.TargetID) (bool, error) { return drain(ctx, p.Fleet, target) },
 			Fencing:    silllease.FencingNumbers{Store: p.Table, Name: orderInterface}.Next,
 			NewID:      func() sillorder.ID { return sillorder.ID(sillid.Fresh("order")) },
 			Now:        time.Now,
@@ -144,18 +144,19 @@
 	}
 }
 
-// coolDownShare is the part of the hold for which nothing stops after a change.
-const coolDownShare = 3
+// cooldownDivisor divides the hold into the time for which no target stops after a
+// change.
+const cooldownDivisor = 3
 
-// policy returns the default policy with a hold of the operator's choice.
+// policy returns the default policy with the hold time from the settings.
 func policy(downHold time.Duration) sillscaler.Policy {
 	p := sillscaler.DefaultPolicy()
 	p.ScaleDownStabilisation = downHold
-	p.Cooldown = downHold / coolDownShare
+	p.Cooldown = downHold / cooldownDivisor
 	return p
 }
 
-// zoneConfigs returns what the bundle says of the shard.
+// zoneConfigs returns the bundle's configuration of the shard; nil if it has none.
 func zoneConfigs(index *sillbundle.Index, sh shard) []sillscaler.ZoneConfig {
 	if index == nil || index.Pool(sh.pool) == nil {
 		return nil
@@ -171,8 +172,8 @@
 	}}
 }
 
-// demand returns the last load reports of the shard's targets.
-func demand(f *sillfleet.Fleet, sh shard) map[sillid.TargetID]sillscaler.Load {
+// loadsOf returns the last reported loads of the shard's targets.
+func loadsOf(f *sillfleet.Fleet, sh shard) map[sillid.TargetID]sillscaler.Load {
 	loads := make(map[sillid.TargetID]sillscaler.Load)
 	for _, s := range fleetStatus(f) {
 		if s.Pool != sh.pool || s.Zone != sh.zone || s.Pong == nil {
@@ -183,16 +184,16 @@
 	return loads
 }
 
-// drained tells a target's agent to take no new work and returns whether every
-// run has ended. A target that is gone counts as drained.
-func drained(ctx context.Context, f *sillfleet.Fleet, target sillid.TargetID) (bool, error) {
+// drain tells a target's agent to take no new work and returns whether every run has
+// ended. A removed target counts as drained.
+func drain(ctx context.Context, f *sillfleet.Fleet, target sillid.TargetID) (bool, error) {
 	l := f.Link(target)
 	if l == nil {
 		return f.State(ctx, target) == sillmembership.Removed, nil
 	}
-	answer, err := l.Drain(ctx, &sillwire.Drain{Reason: "the scaler stops the target"})
+	response, err := l.Drain(ctx, &sillwire.Drain{Reason: "the scaler stops the target"})
 	if err != nil {
 		return false, err
 	}
-	return answer.Open == 0, nil
+	return response.Open == 0, nil
 }
--- a/internal/sillapp/store.go
+++ b/internal/sillapp/store.go
@@ -9,7 +9,7 @@
 	"github.com/wasabisill/wasabisill/internal/silltable"
 )
 
-// storeCounter counts the calls of one part of the platform's store.
+// storeCounter counts the calls to one part of the platform's store.
 type storeCounter struct {
 	calls *prometheus.CounterVec
 }
@@ -28,7 +28,7 @@
 	c.calls.WithLabelValues(call, storeResult(err)).Inc()
 }
 
-// storeResult names the result of a call of the store.
+// storeResult returns the result of a call to the store as the label "result" has it.
 func storeResult(err error) string {
 	switch {
 	case err == nil:
--- a/internal/sillapp/usage.go
+++ b/internal/sillapp/usage.go
@@ -20,52 +20,52 @@
 )
 
 const (
-	// witnessInterval is the time between two writes of dead agents' records.
-	witnessInterval = time.Second
-	// meterSilence is the time without a heartbeat after which a meter's
-	// records are written by the gateway.
+	// backupFlushInterval is the time between two writes of the records of dead agents.
+	backupFlushInterval = time.Second
+	// meterSilence is the time without a heartbeat after which the gateway writes the
+	// records of a meter.
 	meterSilence = 15 * time.Second
-	// usageInterval is the time between two steps of the usage task.
-	usageInterval = 5 * time.Second
-	// collectEvery is the number of steps between two collections.
-	collectEvery = 60
+	// usageStepInterval is the time between two steps of the usage task.
+	usageStepInterval = 5 * time.Second
+	// stepsPerCollection is the number of steps between two deletions of old rows.
+	stepsPerCollection = 60
 	// usageRetention is the age at which rows that no step needs are deleted.
 	usageRetention = 48 * time.Hour
-	// usageLease names the lease of the usage task.
+	// usageLease is the name of the lease of the usage task.
 	usageLease = "usage"
 )
 
-// witness keeps the usage records that passed this gateway.
-type witness struct {
+// recordBackup keeps the usage records of the responses that passed this gateway.
+type recordBackup struct {
 	*sillusage.RecordBackup
 
 	mu     sync.Mutex
-	meters map[sillid.TargetID]*heardMeter
+	meters map[sillid.TargetID]*targetMeter
 }
 
-// heardMeter is the meter that a target's agent last named.
-type heardMeter struct {
+// targetMeter is the meter that the last heartbeat of a target's agent named.
+type targetMeter struct {
 	name sillid.AgentID
 	at   time.Time
-	// dead is true once the witness was told.
+	// dead is true once MarkAgentDead was called for the meter.
 	dead bool
 }
 
-func newWitness(id sillid.GatewayID, t *silltable.Store, m *sillusage.Metrics) *witness {
-	return &witness{
+func newRecordBackup(id sillid.GatewayID, t *silltable.Store, m *sillusage.Metrics) *recordBackup {
+	return &recordBackup{
 		RecordBackup: sillusage.NewRecordBackup(sillusage.RecordBackupConfig{
 			Gateway: id,
 			Limit:   sillusage.DefaultRecordBackupLimit,
 			Store:   t,
 			Metrics: m,
 		}),
-		meters: make(map[sillid.TargetID]*heardMeter),
+		meters: make(map[sillid.TargetID]*targetMeter),
 	}
 }
 
-// add keeps the record that came with the end of an answer.
-func (w *witness) add(r *sillwire.UsageRecord) {
-	w.Add(sillusage.Record{
+// add keeps the record that came with the end of a response.
+func (b *recordBackup) add(r *sillwire.UsageRecord) {
+	b.Add(sillusage.Record{
 		Agent:        r.Agent,
 		Sequence:     r.Sequence,
 		Organisation: r.Organisation,
@@ -80,40 +80,40 @@
 	})
 }
 
-// heard takes an agent's heartbeat in.
-func (w *witness) heard(now time.Time, p *sillwire.Pong) {
-	w.Trim(sillusage.DurableSequence{Agent: p.Meter, Sequence: p.DurableSequence})
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	m := w.meters[p.Target]
+// handlePong records an agent's heartbeat.
+func (b *recordBackup) handlePong(now time.Time, p *sillwire.Pong) {
+	b.Trim(sillusage.DurableSequence{Agent: p.Meter, Sequence: p.DurableSequence})
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := b.meters[p.Target]
 	if m != nil && m.name != p.Meter {
-		w.MarkAgentDead(m.name)
+		b.MarkAgentDead(m.name)
 	}
 	if m == nil || m.name != p.Meter {
-		m = &heardMeter{name: p.Meter}
-		w.meters[p.Target] = m
+		m = &targetMeter{name: p.Meter}
+		b.meters[p.Target] = m
 	}
 	m.at = now
 	m.dead = false
 }
 
-// sweep gives up meters that were silent for too long.
-func (w *witness) sweep(now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, m := range w.meters {
+// markSilentMeters marks as dead the meters that were silent for too long.
+func (b *recordBackup) markSilentMeters(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, m := range b.meters {
 		if !m.dead && now.Sub(m.at) > meterSilence {
 			m.dead = true
-			w.MarkAgentDead(m.name)
+			b.MarkAgentDead(m.name)
 		}
 	}
 }
 
 // run writes the records of dead agents until ctx ends.
-func (w *witness) run(ctx context.Context, log *zap.Logger) {
-	sillgroup.Every(ctx, witnessInterval, func(now time.Time) {
-		w.sweep(now)
-		if err := w.Flush(ctx); err != nil && ctx.Err() == nil {
+func (b *recordBackup) run(ctx context.Context, log *zap.Logger) {
+	sillgroup.Every(ctx, backupFlushInterval, func(now time.Time) {
+		b.markSilentMeters(now)
+		if err := b.Flush(ctx); err != nil && ctx.Err() == nil {
 			log.Debug("could not write the records of dead agents", zap.Error(err))
 		}
 	})
@@ -122,7 +122,7 @@
 // usageModule holds the gateway's part in metering and the usage task.
 func usageModule() fx.Option {
 	return fx.Options(
-		fx.Provide(newWitness, sillusage.NewMetrics, newBilling, newUsageTask),
+		fx.Provide(newRecordBackup, sillusage.NewMetrics, newBilling, newUsageTask),
 		fx.Invoke(startUsage),
 	)
 }
@@ -131,7 +131,7 @@
 	return sillbilling.Dial(sillcall.Config{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Duration()})
 }
 
-// usageParts is what the usage task needs.
+// usageParts holds the dependencies of the usage task.
 type usageParts struct {
 	fx.In
 
@@ -150,9 +150,9 @@
 			Store:        p.Table,
 			Now:          time.Now,
 			WindowLength: c.UsageWindow.Duration(),
-			CloseDelay:   c.UsageGrace.Duration() / closeDelayShare,
+			CloseDelay:   c.UsageGrace.Duration() / closeDelayDivisor,
 			DeadAfter:    c.UsageGrace.Duration(),
-			OrphanGrace:  c.UsageGrace.Duration() / orphanGraceShare,
+			OrphanGrace:  c.UsageGrace.Duration() / orphanGraceDivisor,
 			Logger:       log,
 			Metrics:      p.Metrics,
 		}),
@@ -164,23 +164,23 @@
 			Metrics: p.Metrics,
 		}),
 		Collector:    sillusage.NewCollector(sillusage.CollectorConfig{Store: p.Table, Now: time.Now, Retention: usageRetention}),
-		Interval:     min(usageInterval, c.UsageWindow.Duration()/2),
-		CollectEvery: collectEvery,
+		Interval:     min(usageStepInterval, c.UsageWindow.Duration()/2),
+		CollectEvery: stepsPerCollection,
 		SettleTime:   2 * p.Settings.Platform.Timeout.Duration(),
 		Logger:       log,
 	})
 }
 
-// The grace for dead agents is split: a window waits a third of it for late
-// flushes, and half of it for the records of an agent that gateways gave up.
+// The grace period for dead agents is divided: a window waits a third of it for late
+// flushes, and half of it for the records of an agent that the gateways count as dead.
 const (
-	closeDelayShare  = 3
-	orphanGraceShare = 2
+	closeDelayDivisor  = 3
+	orphanGraceDivisor = 2
 )
 
-func startUsage(lc fx.Lifecycle, b background, w *witness, l *leases, t *sillusage.Task, log *zap.Logger) {
+func startUsage(lc fx.Lifecycle, b background, r *recordBackup, l *leases, t *sillusage.Task, log *zap.Logger) {
 	lc.Append(fx.StartHook(func() {
-		b.Go(func(ctx context.Context) { w.run(ctx, log.Named("usage")) })
-		l.keep(b, leaseTask{name: usageLease, run: func(ctx context.Context, g silllease.Guard) { t.Run(ctx, g) }})
+		b.Go(func(ctx context.Context) { r.run(ctx, log.Named("usage")) })
+		l.start(b, leaseTask{name: usageLease, run: func(ctx context.Context, g silllease.Guard) { t.Run(ctx, g) }})
 	}))
 }
