Reword the programs' help texts and comments in the field's terms

Readers stumbled over faults that are 'brought about', a bundle that is 'handed in', lines that 'stand in order of time', a program 'beside' another, addresses that are 'held' and a file mode named 'searchable'. Help texts, comments and unexported names say it in the usual words, with every reason kept.

No change of behaviour; build, vet, linter and the tests of cmd/wasabisill pass.

--- a/cmd/sillbench/bundle.go
+++ b/cmd/sillbench/bundle.go
@@ -13,16 +13,16 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// Values of the bundle under load.
+// Values of the bundle of a run.
 const (
-	organisationRunning              = 1024
-	routeTimeoutSeconds              = 30
-	maxBodyBytes        sillid.Bytes = 1 << 20
-	maxPerZone                       = 8
-	utilisation                      = 0.7
-	rolloutFloor                     = 0.2
-	servingFloor                     = 0.5
-	publishTimeout                   = 5 * time.Second
+	organisationMaxConcurrent              = 1024
+	routeTimeoutSeconds                    = 30
+	maxBodyBytes              sillid.Bytes = 1 << 20
+	maxPerZone                             = 8
+	utilisation                            = 0.7
+	rolloutFloor                           = 0.2
+	servingFloor                           = 0.5
+	publishTimeout                         = 5 * time.Second
 )
 
 // Names of the routes.
@@ -31,7 +31,7 @@
 	serviceRoute sillid.RouteID = "service"
 )
 
-// bundle returns the scenario's bundle and makes a key for each organisation.
+// bundle returns the scenario's bundle, with a new key for each organisation.
 func (p *product) bundle() *sillbundle.Bundle {
 	s := p.scenario
 	b := &sillbundle.Bundle{
@@ -68,7 +68,7 @@
 		key := sillid.Fresh("key")
 		p.deployed.deployment.Keys[o.ID] = key
 		b.Organisations = append(b.Organisations, sillbundle.Organisation{
-			ID: o.ID, Weight: max(1, int(o.Share/smallest)), MaxConcurrent: organisationRunning,
+			ID: o.ID, Weight: max(1, int(o.Share/smallest)), MaxConcurrent: organisationMaxConcurrent,
 			Routes: []sillid.RouteID{modelRoute, serviceRoute},
 			Keys:   []sillbundle.Key{{Label: operatorName, Hash: sillbundle.HashKey(key)}},
 		})
@@ -81,7 +81,7 @@
 	return b
 }
 
-// publish has the bundle accepted in the platform's store.
+// publish publishes the bundle in the platform's store.
 func (p *product) publish(ctx context.Context) error {
 	url := p.deployed.deployment.Platform
 	publisher := sillbundlestore.NewPublisher(sillbundlestore.PublisherConfig{
--- a/cmd/sillbench/deploy.go
+++ b/cmd/sillbench/deploy.go
@@ -26,31 +26,34 @@
 	deployment sillload.Deployment
 	processes  *sillloadprocess.Set
 	scorer     string
-	// private holds settings and keys; it is removed at the end.
-	private string
-	// ready is the URL that tells whether each process is ready.
-	ready map[string]string
+	// privateDir holds settings and keys; it is removed at the end.
+	privateDir string
+	// readyURLs are the readiness endpoints by process.
+	readyURLs map[string]string
 }
 
-// standinLife bounds the life of a stand-in beyond that of a run.
-const standinLife = 2 * time.Hour
+// standinLifetime is the time after which a stand-in ends by itself, if this program
+// has not stopped it.
+const standinLifetime = 2 * time.Hour
 
-// deploy starts the stand-ins and the product's processes of a scenario. It
-// returns what it started also with an error, so that it can be stopped.
+// directoryMode lets other users read the results of a run.
+const directoryMode = 0o755
+
+// deploy starts the stand-ins and the product's processes of a scenario. After an
+// error it returns the processes that it has started, so that they can be stopped.
 func deploy(ctx context.Context, f *runFlags, s *sillload.Scenario) (*deployed, error) {
 	logs := filepath.Join(f.out, "logs")
-	const searchable = 0o755
-	if err := os.MkdirAll(logs, searchable); err != nil {
+	if err := os.MkdirAll(logs, directoryMode); err != nil {
 		return nil, eris.Wrap(err, "deploy: logs")
 	}
-	private, err := os.MkdirTemp("", "sillbench-")
+	privateDir, err := os.MkdirTemp("", "sillbench-")
 	if err != nil {
 		return nil, eris.Wrap(err, "deploy: settings")
 	}
 	d := &deployed{
-		processes: sillloadprocess.New(sillloadprocess.Config{LogDir: logs}),
-		private:   private,
-		ready:     map[string]string{},
+		processes:  sillloadprocess.New(sillloadprocess.Config{LogDir: logs}),
+		privateDir: privateDir,
+		readyURLs:  map[string]string{},
 	}
 	d.deployment = sillload.Deployment{
 		Keys:     map[sillid.OrganisationID]string{},
@@ -70,13 +73,13 @@
 // stop ends every process and removes the private files.
 func (d *deployed) stop() {
 	d.processes.Stop()
-	// What cannot be removed lies in the system's directory for such files.
-	_ = os.RemoveAll(d.private)
+	// Files that cannot be removed stay in the system's directory for temporary files.
+	_ = os.RemoveAll(d.privateDir)
 }
 
 func (d *deployed) startStandins(ctx context.Context, program string, s *sillload.Scenario) error {
 	start := func(name string, args ...string) (string, error) {
-		args = append(args, "--listen", "127.0.0.1:0", "--exit-after", standinLife.String())
+		args = append(args, "--listen", "127.0.0.1:0", "--exit-after", standinLifetime.String())
 		line, err := d.processes.Start(ctx, sillloadprocess.Command{Name: name, Path: program, Args: args, Ready: true})
 		return line.URL, err
 	}
@@ -125,7 +128,7 @@
 	return (time.Duration(n) * time.Millisecond).String()
 }
 
-// setInstances makes the platform list the instances at once.
+// setInstances sets the instances that the platform lists, without its delay.
 func (d *deployed) setInstances(ctx context.Context, instances []sillstandplatform.Instance) error {
 	body, err := json.Marshal(map[string]any{"instances": instances, "at-once": true})
 	if err != nil {
@@ -148,20 +151,20 @@
 
 // Bounds of the wait for the product's processes.
 const (
-	readyTime  = 30 * time.Second
-	readyPause = 100 * time.Millisecond
+	readyTimeout      = 30 * time.Second
+	readyPollInterval = 100 * time.Millisecond
 )
 
-// awaitReady waits until every process says that it is ready.
+// awaitReady waits until every process reports that it is ready.
 func (d *deployed) awaitReady(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for name, url := range d.ready {
+	for name, url := range d.readyURLs {
 		for !isReady(ctx, url) {
 			select {
 			case <-ctx.Done():
-				return eris.Errorf("awaitReady: %s was not ready in %s: read its log", name, readyTime)
-			case <-time.After(readyPause):
+				return eris.Errorf("awaitReady: %s was not ready in %s: read its log", name, readyTimeout)
+			case <-time.After(readyPollInterval):
 			}
 		}
 	}
@@ -181,7 +184,7 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// signal carries a fault step out on a process.
+// signal executes a step of the fault schedule on a process.
 func (d *deployed) signal(ctx context.Context, action, name string) error {
 	switch action {
 	case sillload.ActionKill:
@@ -196,7 +199,7 @@
 	return eris.Errorf("signal: unknown action %q", action)
 }
 
-// uses tells what the processes used so far.
+// uses returns the resources that the processes have used so far.
 func (d *deployed) uses() []sillreport.ProcessUse {
 	var all []sillreport.ProcessUse
 	for _, u := range d.processes.Uses() {
--- a/cmd/sillbench/main.go
+++ b/cmd/sillbench/main.go
@@ -1,5 +1,5 @@
-// Command sillbench puts load on a deployment on loopback, brings faults about,
-// audits what happened and reports it.
+// Command sillbench runs a load against a deployment on loopback, injects faults,
+// audits the outcome and writes a report.
 package main
 
 import (
@@ -16,9 +16,9 @@
 const mainHelp = `Load and experiments on loopback: run, audit, compare, plot.
 
 A run starts stand-ins and the product's processes (or uses a running deployment),
-sends a planned load in an open loop, brings the faults of a schedule about, and
-then holds what callers and trainers got against what targets ran and what was
-reported as usage. Any loss, doubling or mismatch fails the run.
+sends a planned load in an open loop, injects the faults of a schedule, and then
+compares what callers and trainers received with what targets ran and with the
+reported usage. Any loss, duplicate or mismatch fails the run.
 
 Exit codes: 0 done and audit passed, 1 failed or audit failed, 2 wrong command line.`
 
@@ -29,7 +29,7 @@
 	exitUsage  = 2
 )
 
-// errAudit ends the program after a failed audit, which is printed already.
+// errAudit is the error of a failed audit, whose findings are already printed.
 var errAudit = errors.New("the audit failed: read the findings above")
 
 // command is one subcommand of the program.
--- a/cmd/sillbench/product.go
+++ b/cmd/sillbench/product.go
@@ -25,19 +25,19 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// Settings of the product under load, shorter than in operation, so that a run
-// of half a minute sees several windows and leases.
+// Settings of the product in a run. The times are shorter than in operation, so that
+// a run of half a minute spans several usage windows and leases.
 const (
-	usageWindow     sillsettings.Seconds = 5
-	usageGrace      sillsettings.Seconds = 9
-	usageFlush      sillsettings.Seconds = 1
-	leaseTerm       sillsettings.Seconds = 3
-	bundlePoll      sillsettings.Seconds = 1
-	instancePoll    sillsettings.Seconds = 1
-	drainLimit      sillsettings.Seconds = 5
-	usageSettleTime                      = 35
-	certificateLife                      = 24 * time.Hour
-	operatorName                         = "bench"
+	usageWindow         sillsettings.Seconds = 5
+	usageGrace          sillsettings.Seconds = 9
+	usageFlush          sillsettings.Seconds = 1
+	leaseDuration       sillsettings.Seconds = 3
+	bundlePoll          sillsettings.Seconds = 1
+	instancePoll        sillsettings.Seconds = 1
+	drainLimit          sillsettings.Seconds = 5
+	usageSettleSeconds                       = 35
+	certificateLifetime                      = 24 * time.Hour
+	operatorName                             = "bench"
 )
 
 // product holds the settings of the product's processes.
@@ -50,14 +50,15 @@
 	commands []sillloadprocess.Command
 	// instances are the agents as the platform lists them.
 	instances []sillstandplatform.Instance
-	// held keeps the processes' addresses taken until they start.
-	held []io.Closer
+	// reserved are the sockets that reserve the processes' addresses until the
+	// processes start.
+	reserved []io.Closer
 }
 
-// newProduct writes the settings of a gateway for each of the scenario's and of
-// an agent for each target.
+// newProduct writes the settings of the scenario's gateways and of an agent for each
+// target.
 func newProduct(d *deployed, program string, s *sillload.Scenario) (*product, error) {
-	authority, err := silltls.NewAuthority(time.Now(), certificateLife)
+	authority, err := silltls.NewAuthority(time.Now(), certificateLifetime)
 	if err != nil {
 		return nil, err
 	}
@@ -86,7 +87,8 @@
 	return p, nil
 }
 
-// start publishes the bundle, lists the instances and starts the processes.
+// start publishes the bundle, sets the platform's list of instances and starts the
+// processes.
 func (p *product) start(ctx context.Context) error {
 	d := p.deployed
 	if err := p.publish(ctx); err != nil {
@@ -95,13 +97,13 @@
 	if err := d.setInstances(ctx, p.instances); err != nil {
 		return err
 	}
-	p.release()
+	p.releaseAddresses()
 	for _, c := range p.commands {
 		if _, err := d.processes.Start(ctx, c); err != nil {
 			return err
 		}
 	}
-	d.deployment.UsageSettleSeconds = usageSettleTime
+	d.deployment.UsageSettleSeconds = usageSettleSeconds
 	return d.awaitReady(ctx)
 }
 
@@ -168,11 +170,11 @@
 	s.Scorer.URL = p.deployed.scorer
 	s.Control.BundlePoll = bundlePoll
 	s.Control.InstancePoll = instancePoll
-	s.Control.Lease = leaseTerm
+	s.Control.Lease = leaseDuration
 	s.Control.UsageWindow = usageWindow
 	s.Control.UsageGrace = usageGrace
 	s.Control.DrainLimit = drainLimit
-	// The number of targets is the scenario's.
+	// The scenario fixes the number of targets.
 	s.Control.ScaleInterval = 0
 	if s.Inner, err = p.issue(name, silltls.GatewayRole); err != nil {
 		return err
@@ -183,51 +185,51 @@
 }
 
 func (p *product) addCommand(name, subcommand string, settings any, metrics sillsettings.Address) error {
-	file := filepath.Join(p.deployed.private, name+".json")
+	file := filepath.Join(p.deployed.privateDir, name+".json")
 	b, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
 		return eris.Wrap(err, "addCommand")
 	}
-	if err := os.WriteFile(file, b, privateFile); err != nil {
+	if err := os.WriteFile(file, b, privateFileMode); err != nil {
 		return eris.Wrap(err, "addCommand")
 	}
-	p.deployed.ready[name] = "http://" + string(metrics) + "/readyz"
+	p.deployed.readyURLs[name] = "http://" + string(metrics) + "/readyz"
 	p.commands = append(p.commands, sillloadprocess.Command{
 		Name: name, Path: p.program, Args: []string{subcommand, "--settings", file}, Ready: true,
 	})
 	return nil
 }
 
-// privateFile lets nobody else read a file.
-const privateFile = 0o600
+// privateFileMode lets only the owner read a file.
+const privateFileMode = 0o600
 
-// issue writes the certificate of a process.
+// issue issues the certificate of a process and writes its files.
 func (p *product) issue(name string, role silltls.Role) (sillsettings.InnerTLS, error) {
-	m, err := p.tls.Issue(role, time.Now(), certificateLife)
+	m, err := p.tls.Issue(role, time.Now(), certificateLifetime)
 	if err != nil {
 		return sillsettings.InnerTLS{}, err
 	}
-	base := filepath.Join(p.deployed.private, name)
+	base := filepath.Join(p.deployed.privateDir, name)
 	files := sillsettings.InnerTLS{
 		AuthorityFile: base + ".authority.pem", CertificateFile: base + ".certificate.pem", KeyFile: base + ".key.pem",
 	}
 	for path, content := range map[string][]byte{
 		files.AuthorityFile: m.Authority, files.CertificateFile: m.Certificate, files.KeyFile: m.Key,
 	} {
-		if err := os.WriteFile(path, content, privateFile); err != nil {
+		if err := os.WriteFile(path, content, privateFileMode); err != nil {
 			return sillsettings.InnerTLS{}, eris.Wrap(err, "issue")
 		}
 	}
 	return files, nil
 }
 
-// processAddresses is the number of addresses of one process.
-const processAddresses = 3
+// addressesPerProcess is the number of addresses that a process listens on.
+const addressesPerProcess = 3
 
 // freeAddresses returns loopback addresses whose ports are free for TCP and UDP.
-// They stay taken until release, so that no other process gets the same.
-func (p *product) freeAddresses() ([processAddresses]sillsettings.Address, error) {
-	var found [processAddresses]sillsettings.Address
+// They stay reserved until releaseAddresses, so that no other process takes them.
+func (p *product) freeAddresses() ([addressesPerProcess]sillsettings.Address, error) {
+	var found [addressesPerProcess]sillsettings.Address
 	for i := range found {
 		address, err := p.freeAddress()
 		if err != nil {
@@ -238,8 +240,8 @@
 	return found, nil
 }
 
-// Ports are searched below those that the system gives to outgoing connections,
-// which could otherwise take a port between release and start.
+// Ports are chosen below the system's ephemeral range. Otherwise an outgoing
+// connection could take a port between releaseAddresses and the start of its process.
 const (
 	firstPort       = 20000
 	portCount       = 12000
@@ -261,16 +263,16 @@
 			_ = l.Close()
 			continue
 		}
-		p.held = append(p.held, l, u)
+		p.reserved = append(p.reserved, l, u)
 		return address, nil
 	}
 	return "", eris.Wrap(last, "freeAddress")
 }
 
-// release frees the addresses for the processes that are about to start.
-func (p *product) release() {
-	for _, h := range p.held {
-		_ = h.Close()
+// releaseAddresses frees the addresses for the processes that are about to start.
+func (p *product) releaseAddresses() {
+	for _, c := range p.reserved {
+		_ = c.Close()
 	}
-	p.held = nil
+	p.reserved = nil
 }
--- a/cmd/sillbench/run.go
+++ b/cmd/sillbench/run.go
@@ -59,10 +59,10 @@
 func newRunCommand() command {
 	f := runFlags{
 		scenario: "utility", out: "bench-out", format: "svg", seed: 1, duration: 30 * time.Second,
-		standin: beside("sillstandin"), product: beside("wasabisill"),
+		standin: siblingProgram("sillstandin"), product: siblingProgram("wasabisill"),
 	}
 	sub := flaggy.NewSubcommand("run")
-	sub.Description = "put a load on a deployment, audit and report it"
+	sub.Description = "run a load against a deployment, audit it and report on it"
 	sub.AdditionalHelpAppend = runHelp
 	sub.String(&f.scenario, "", "scenario", "utility, orchard, both or a JSON file")
 	sub.String(&f.deployment, "", "deployment", "JSON file of a running deployment; none starts one")
@@ -81,10 +81,10 @@
 	return command{sub: sub, run: f.runAll}
 }
 
-// bothScenarios stands for the two built-in scenarios, one after the other.
+// bothScenarios is the value of --scenario that runs all built-in scenarios in turn.
 const bothScenarios = "both"
 
-// runAll runs the scenario, or both built-in ones, each with its own directory.
+// runAll runs the scenario, or the built-in ones, each with a directory of its own.
 func (f *runFlags) runAll(ctx context.Context) error {
 	if f.scenario != bothScenarios {
 		return f.run(ctx)
@@ -103,8 +103,8 @@
 	return failed
 }
 
-// beside returns the path of a program in the directory of this one.
-func beside(name string) string {
+// siblingProgram returns the path of a program in the directory of this one.
+func siblingProgram(name string) string {
 	self, err := os.Executable()
 	if err != nil {
 		return name
@@ -126,8 +126,7 @@
 	if err := f.readFiles(&cfg); err != nil {
 		return err
 	}
-	const searchable = 0o755
-	if err := os.MkdirAll(f.out, searchable); err != nil {
+	if err := os.MkdirAll(f.out, directoryMode); err != nil {
 		return eris.Wrap(err, "run: directory")
 	}
 	if f.deployment == "" {
@@ -179,8 +178,8 @@
 	return sillload.ReadJSON(f.faults, into)
 }
 
-// resize replaces the sizes that the command line gives. The report then has
-// another scenario, since its figures cannot be compared.
+// resize applies the sizes of the command line to the scenario. It adds them to the
+// scenario's name, since figures of different sizes cannot be compared.
 func (f *runFlags) resize(s *sillload.Scenario) {
 	replace(&s.Gateways, f.gateways, &s.Name, "gateways")
 	replace(&s.Model.Engines, f.engines, &s.Name, "engines")
@@ -203,7 +202,7 @@
 	*name += fmt.Sprintf(" %s=%d", what, by)
 }
 
-// finish writes and prints the report; a failed audit is an error.
+// finish writes and prints the report. It returns errAudit if the audit failed.
 func (f *runFlags) finish(evidence *sillreport.Evidence) error {
 	r := sillreport.New(evidence)
 	if err := sillreport.Write(filepath.Join(f.out, "evidence.json"), evidence); err != nil {
--- a/cmd/sillstandin/main.go
+++ b/cmd/sillstandin/main.go
@@ -28,7 +28,7 @@
 Areas: platform: table, objects, orders, instances, usage, weights;
   engine: completions, requests, orders, load, cache-events;
   service: bookings, availability; scorer: score.
-GET /standin/record tells what really happened; engine and service take ?request_id=.
+GET /standin/record returns what actually happened; engine and service take ?request_id=.
 POST /standin/crash crashes an engine or a service.
 
 Exit codes: 0 done, 1 failed, 2 wrong command line.`
--- a/cmd/wasabisill/bundle.go
+++ b/cmd/wasabisill/bundle.go
@@ -16,16 +16,16 @@
 	bundleHelp   = "Check, sign, roll out and roll back the bundle of organisations, keys, routes, models, pools and availability zones."
 	checkHelp    = "Check a bundle and print every fault with its remedy."
 	diffHelp     = "Print what a bundle changes against the accepted version, or against another file."
-	signHelp     = "Sign a bundle off as the successor of a version."
-	rollOutHelp  = "Hand a signed bundle in. The same file may be handed in again: it is accepted once."
+	signHelp     = "Sign a bundle as the successor of a version."
+	rollOutHelp  = "Submit a signed bundle. The same file may be submitted again: it is accepted once."
 	rollBackHelp = "Accept the content of an earlier version as a new version."
 	statusHelp   = "Print the accepted version and the version in force in each process."
 	historyHelp  = "Print the last accepted versions."
 	withdrawHelp = "Withdraw a key: every gateway refuses it within seconds, also while the store is down; then accept a version without it."
-	keyHelp      = "Make keys for organisations."
-	keyNewHelp   = "Print a fresh key for an organisation, and its hash for the bundle."
-	operatorHelp = "Make keys for operators."
-	opNewHelp    = "Write a fresh Ed25519 private key to a file and print the public key for the settings."
+	keyHelp      = "Create keys for organisations."
+	keyNewHelp   = "Print a new key for an organisation, and its hash for the bundle."
+	operatorHelp = "Create keys for operators."
+	opNewHelp    = "Write a new Ed25519 private key to a file and print the public key for the settings."
 )
 
 func newBundleCommand() *command {
@@ -46,13 +46,13 @@
 	}}
 }
 
-// usageError returns an error of the command line.
+// usageError returns an error with the exit code of a wrong command line.
 func usageError(format string, args ...any) error {
 	return &exitError{code: exitUsage, err: fmt.Errorf(format, args...)}
 }
 
-// required returns an error for the first flag without a value; flags are pairs
-// of a name and its value.
+// required returns an error for the first flag without a value. The flags are pairs
+// of name and value.
 func required(flags ...[2]string) error {
 	for _, f := range flags {
 		if f[1] == "" {
@@ -185,7 +185,7 @@
 	return nil
 }
 
-// baseVersion returns the version of the flag, or the accepted one.
+// baseVersion returns the version from the flag, or the accepted one if it is not set.
 func (r *remoteFlags) baseVersion(ctx context.Context, flag int64) (sillid.BundleVersion, error) {
 	if flag >= 0 {
 		return sillid.BundleVersion(flag), nil
--- a/cmd/wasabisill/bundle_get.go
+++ b/cmd/wasabisill/bundle_get.go
@@ -13,7 +13,7 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-const getHelp = "Write the accepted version, or an earlier one, to a file to be edited."
+const getHelp = "Write the accepted version, or an earlier one, to a file for editing."
 
 func newGetCommand() *command {
 	sub := flaggy.NewSubcommand("get")
@@ -40,8 +40,7 @@
 	}}
 }
 
-// bundleFileMode lets other operators read a bundle, which holds no keys but
-// their hashes.
+// bundleFileMode lets other operators read a bundle, which holds only hashes of keys.
 const bundleFileMode = 0o644
 
 func writeBundle(path string, v sillid.BundleVersion, b *sillbundle.Bundle) error {
--- a/cmd/wasabisill/bundle_keys.go
+++ b/cmd/wasabisill/bundle_keys.go
@@ -17,23 +17,23 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// keyBytes is the length of a fresh key before it is encoded.
+// keyBytes is the length of a new key before it is encoded.
 const keyBytes = 32
 
-// keyPrefix lets scanners of leaked secrets find keys.
+// keyPrefix lets secret scanners recognise leaked keys.
 const keyPrefix = "sill_"
 
 func newKeyCommand() *command {
 	sub := flaggy.NewSubcommand("key")
 	sub.Description = keyHelp
-	fresh := flaggy.NewSubcommand("new")
-	fresh.Description = keyNewHelp
-	return &command{sub: sub, children: []*command{{sub: fresh, run: printNewKey}}}
+	newKey := flaggy.NewSubcommand("new")
+	newKey.Description = keyNewHelp
+	return &command{sub: sub, children: []*command{{sub: newKey, run: printNewKey}}}
 }
 
 func printNewKey(context.Context) error {
 	var b [keyBytes]byte
-	// Read of crypto/rand never fails; it stops the program instead.
+	// Read of crypto/rand never returns an error; it crashes the program instead.
 	_, _ = rand.Read(b[:])
 	key := keyPrefix + base64.RawURLEncoding.EncodeToString(b[:])
 	fmt.Printf("key:  %s\nhash: %s\n", key, sillbundle.HashKey(key))
@@ -43,11 +43,11 @@
 func newOperatorCommand() *command {
 	sub := flaggy.NewSubcommand("operator")
 	sub.Description = operatorHelp
-	fresh := flaggy.NewSubcommand("new")
-	fresh.Description = opNewHelp
+	newKey := flaggy.NewSubcommand("new")
+	newKey.Description = opNewHelp
 	var file string
-	fresh.String(&file, "", "operator-key-file", "new file for the private key, PEM")
-	return &command{sub: sub, children: []*command{{sub: fresh, run: func(context.Context) error {
+	newKey.String(&file, "", "operator-key-file", "new file for the private key, PEM")
+	return &command{sub: sub, children: []*command{{sub: newKey, run: func(context.Context) error {
 		return newOperatorKey(file)
 	}}}}
 }
@@ -84,7 +84,7 @@
 	return nil
 }
 
-// operatorFlags name the operator who signs.
+// operatorFlags are the flags that name the signing operator and the key file.
 type operatorFlags struct {
 	name    string
 	keyFile string
--- a/cmd/wasabisill/bundle_remote.go
+++ b/cmd/wasabisill/bundle_remote.go
@@ -24,7 +24,7 @@
 // defaultAdminTimeout bounds one call of the administration API.
 const defaultAdminTimeout = 30 * time.Second
 
-// remoteFlags tell how to reach the administration API.
+// remoteFlags are the flags for calls to the administration API.
 type remoteFlags struct {
 	adminURL       string
 	credentialFile string
@@ -50,7 +50,7 @@
 	}
 	transport := &http.Transport{}
 	if r.caFile != "" {
-		transport.TLSClientConfig, err = trust(r.caFile)
+		transport.TLSClientConfig, err = tlsConfig(r.caFile)
 		if err != nil {
 			return nil, err
 		}
@@ -62,7 +62,8 @@
 	}, nil
 }
 
-func trust(path string) (*tls.Config, error) {
+// tlsConfig returns a configuration that trusts only the certificates of a file.
+func tlsConfig(path string) (*tls.Config, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, usageError("read the certificates: %w", err)
@@ -74,7 +75,7 @@
 	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}, nil
 }
 
-// bundleOrFile returns the bundle of a file, or the accepted one if path is empty.
+// bundleOrFile returns the bundle in a file, or the accepted one if path is empty.
 func (r *remoteFlags) bundleOrFile(ctx context.Context, path string) (*sillbundle.Bundle, error) {
 	if path != "" {
 		return readBundle(path)
@@ -87,7 +88,7 @@
 	return b, refused(err)
 }
 
-// refused gives refusals of the API their exit code.
+// refused adds the exit code to an error if the API refused the call.
 func refused(err error) error {
 	var e *silladmin.RefusedError
 	if errors.As(err, &e) {
@@ -163,7 +164,7 @@
 	return printAccepted(e.RollBack(ctx, to))
 }
 
-// newEditor returns an editor that works through the administration API.
+// newEditor returns an editor that uses the administration API.
 func newEditor(c *silladmin.Client, operator *operatorFlags) (*sillbundlestore.Editor, error) {
 	key, err := operator.key()
 	if err != nil {
--- a/cmd/wasabisill/bundle_withdraw.go
+++ b/cmd/wasabisill/bundle_withdraw.go
@@ -12,7 +12,7 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// withdrawFlags name the key to be withdrawn, by its hash or by its label.
+// withdrawFlags are the flags that name the key to withdraw, by its hash or its label.
 type withdrawFlags struct {
 	hash         string
 	organisation string
@@ -75,8 +75,8 @@
 	return hash, nil
 }
 
-// acceptWithout accepts a version without the key, so that the bundle agrees
-// with the withdrawal.
+// acceptWithout publishes a version without the key, so that the bundle agrees with
+// the withdrawal.
 func (w *withdrawFlags) acceptWithout(ctx context.Context, c *silladmin.Client, hash sillbundle.KeyHash) error {
 	e, err := newEditor(c, &w.operator)
 	if err != nil {
--- a/cmd/wasabisill/command.go
+++ b/cmd/wasabisill/command.go
@@ -13,13 +13,13 @@
 type command struct {
 	// sub holds the name, the help text and the flags.
 	sub *flaggy.Subcommand
-	// run carries the command out; nil if the command only groups its children.
+	// run executes the command; nil if the command only groups its children.
 	run func(ctx context.Context) error
 	// children are the subcommands of this command.
 	children []*command
 }
 
-// attachChildren adds the command's children, and theirs, to the parser.
+// attachChildren adds the command's descendants to the parser.
 func (c *command) attachChildren() {
 	for _, ch := range c.children {
 		c.sub.AttachSubcommand(ch.sub, 1)
@@ -27,8 +27,8 @@
 	}
 }
 
-// describe sets the help text of a command: its first paragraph stands in lists
-// of commands, all of it in the command's own help.
+// describe sets the help text of a command. Lists of commands show its first
+// paragraph, the command's own help all of it.
 func describe(sub *flaggy.Subcommand, help string) {
 	first, rest, _ := strings.Cut(help, "\n\n")
 	sub.Description = first
@@ -48,7 +48,7 @@
 	return c
 }
 
-// printReady prints the addresses of a program that listens, as one JSON line.
+// printReady prints the addresses that a program listens on, as one JSON line.
 func printReady(addresses any) error {
 	return json.NewEncoder(os.Stdout).Encode(addresses)
 }
--- a/cmd/wasabisill/dev.go
+++ b/cmd/wasabisill/dev.go
@@ -40,7 +40,7 @@
 	}}
 }
 
-// devReady is the line that tells scripts how to reach the deployment.
+// devReady is the line from which scripts read how to reach the deployment.
 type devReady struct {
 	Ready           bool                             `json:"ready"`
 	GatewayURL      string                           `json:"gateway-url"`
--- a/cmd/wasabisill/log.go
+++ b/cmd/wasabisill/log.go
@@ -16,10 +16,11 @@
 	logHelp     = "Read the logs of gateways."
 	explainHelp = `Print what happened to one request, item, job or content of requests, from the logs of several gateways.
 
-Name the X-Request-Id of a request, the id of an item or of a job, or the content that the lines of a failed request show, and the files with the logs of all gateways; - is the standard input. The lines stand in order of time; differences of the gateways' clocks are found by changes that all of them learn of, and taken out. A bar marks lines that do not name the request but tell what its gateways and targets went through. Lines that can't be read are counted.`
+Pass the X-Request-Id of a request, the id of an item or of a job, or the content that the log lines of a failed request show, and the log files of all gateways; - is the standard input. The lines are sorted by time; differences between the gateways' clocks are found from changes that all of them observe, and corrected. A bar marks lines that do not name the request but report events of its gateways and targets. Lines that can't be read are counted.`
 )
 
-// maxLogFiles bounds the files of one call: at most some hundred gateways run.
+// maxLogFiles bounds the log files of one call; deployments have at most a few hundred
+// gateways.
 const maxLogFiles = 512
 
 func newLogCommand() *command {
@@ -42,12 +43,12 @@
 		if err := required([2]string{"id", id}); err != nil {
 			return err
 		}
-		return explainLogs(os.Stdout, id, named(files))
+		return explainLogs(os.Stdout, id, untilEmpty(files))
 	}}
 }
 
-// named returns the values up to the first that was not given.
-func named(values []string) []string {
+// untilEmpty returns the values before the first empty one.
+func untilEmpty(values []string) []string {
 	for i, v := range values {
 		if v == "" {
 			return values[:i]
@@ -66,11 +67,11 @@
 			return err
 		}
 	}
-	story, err := silltimeline.Tell(&logs, id)
+	timeline, err := silltimeline.Tell(&logs, id)
 	if err != nil {
 		return fmt.Errorf("explain %s: %w", id, err)
 	}
-	return story.Write(w)
+	return timeline.Write(w)
 }
 
 func readLog(logs *silltimeline.Logs, file string) error {
--- a/cmd/wasabisill/main.go
+++ b/cmd/wasabisill/main.go
@@ -12,7 +12,7 @@
 	"github.com/integrii/flaggy"
 )
 
-const mainHelp = `Rollout service for reinforcement learning: gateways answer callers and trainers, agents stand beside the targets.
+const mainHelp = `Rollout service for reinforcement learning: gateways answer callers and trainers, agents run beside the targets.
 
 Exit codes: 0 done, 1 failed, 2 wrong command line or settings, 3 refused by the service.`
 
@@ -24,7 +24,7 @@
 	exitRefused = 3
 )
 
-// exitError gives an error its exit code.
+// exitError is an error with the program's exit code.
 type exitError struct {
 	code int
 	err  error
--- a/cmd/wasabisill/platform.go
+++ b/cmd/wasabisill/platform.go
@@ -18,10 +18,10 @@
 
 const platformHelp = `Run a gateway on the prepared platform: it serves callers and trainers and calls the targets itself.
 
-The settings file is the one that the platform writes; the environment variable ` + sillplatform.SettingsVariable + ` names it. The gateway runs until SIGTERM. It then counts as not ready, hands its jobs to other gateways, answers what it has begun and ends within the grace of the settings. SIGHUP reads the settings again and cuts nothing.`
+The settings file is the one that the platform writes; the environment variable ` + sillplatform.SettingsVariable + ` names it. The gateway runs until SIGTERM. It then counts as not ready, hands its jobs to other gateways, finishes the requests that it has begun and ends within the grace period of the settings. SIGHUP checks the settings file again and interrupts nothing.`
 
-// memoryShare is the part of the instance's memory that the heap may grow to;
-// the rest is for stacks, buffers of sockets and the program itself.
+// memoryShare is the share of the instance's memory up to which the heap may grow;
+// the rest is for stacks, socket buffers and the program itself.
 const memoryShare = 0.6
 
 func newPlatformCommand() *command {
@@ -48,15 +48,15 @@
 	}
 	group := sillgroup.New(ctx)
 	defer group.Stop()
-	group.Go(func(ctx context.Context) { reloadOnHangup(ctx, log) })
+	group.Go(func(ctx context.Context) { checkSettingsOnHangup(ctx, log) })
 	service := sillplatform.New(settings, log)
 	service.Register(queue.Collector())
 	return service.Run(ctx, func() {})
 }
 
-// reloadOnHangup checks the settings at each SIGHUP. What they hold is fixed for
-// the life of a process; a file with faults is told, and the old one stays.
-func reloadOnHangup(ctx context.Context, log *zap.Logger) {
+// checkSettingsOnHangup reads and checks the settings file at each SIGHUP and logs its
+// faults. The settings of a running process do not change.
+func checkSettingsOnHangup(ctx context.Context, log *zap.Logger) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
--- a/cmd/wasabisill/settings.go
+++ b/cmd/wasabisill/settings.go
@@ -18,7 +18,7 @@
 	settingsExampleHelp = "Print the settings of a program with every field and its default."
 )
 
-// program names of the settings commands.
+// Names of the programs in the settings commands.
 const (
 	gatewayProgram = "gateway"
 	agentProgram   = "agent"
@@ -66,7 +66,7 @@
 	return nil
 }
 
-// defaults returns the default settings of a program and their check.
+// defaults returns the default settings of a program and their validation function.
 func defaults(program string) (any, func() error, error) {
 	switch program {
 	case gatewayProgram:
