Name the result of a table write in one place

The leases, the usage meter and the scaler each mapped an error of the table to the label of their metrics by a switch of their own. silltable.Result has it now; the scaler calls it with errors only, so that its reasons are the same. The label values did not change.

No change of behaviour; build, vet, linter and the tests of silllease, sillusage and sillscaler pass.

--- a/internal/silllease/metrics.go
+++ b/internal/silllease/metrics.go
@@ -1,8 +1,6 @@
 package silllease
 
 import (
-	"errors"
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/wasabisill/wasabisill/internal/silltable"
@@ -35,23 +33,10 @@
 }
 
 func (m *Metrics) call(kind CommandKind, err error) {
-	m.calls.WithLabelValues(kind.String(), result(err)).Inc()
+	m.calls.WithLabelValues(kind.String(), silltable.Result(err)).Inc()
 }
 
 // String returns the name of the call as the metrics' label "call" has it.
 func (k CommandKind) String() string {
 	return [...]string{"wait", "read", "take", "renew", "step-down"}[k]
 }
-
-func result(err error) string {
-	switch {
-	case err == nil:
-		return "done"
-	case errors.Is(err, silltable.ErrConflict):
-		return "conflict"
-	case errors.Is(err, silltable.ErrUnavailable):
-		return "unavailable"
-	default:
-		return "unknown"
-	}
-}
--- a/internal/sillscaler/metrics.go
+++ b/internal/sillscaler/metrics.go
@@ -37,14 +37,7 @@
 }
 
 func (m *Metrics) countWriteFailure(step string, err error) {
-	reason := "unknown"
-	switch {
-	case errors.Is(err, silltable.ErrConflict):
-		reason = "conflict"
-	case errors.Is(err, silltable.ErrUnavailable):
-		reason = "unavailable"
-	}
-	m.WriteFailures.WithLabelValues(step, reason).Inc()
+	m.WriteFailures.WithLabelValues(step, silltable.Result(err)).Inc()
 }
 
 func orderOutcome(err error) string {
--- a/internal/silltable/table.go
+++ b/internal/silltable/table.go
@@ -59,6 +59,20 @@
 	ErrUnknown = errors.New("outcome of the table call unknown: read the rows before a retry")
 )
 
+// Result returns the result of a write by its error, as metrics label it.
+func Result(err error) string {
+	switch {
+	case err == nil:
+		return "done"
+	case errors.Is(err, ErrConflict):
+		return "conflict"
+	case errors.Is(err, ErrUnavailable):
+		return "unavailable"
+	default:
+		return "unknown"
+	}
+}
+
 // Store is the interface to the table service. Its fields are safe for concurrent use.
 type Store struct {
 	// Get reads one row. Errors: ErrNotFound, ErrUnavailable.
--- a/internal/sillusage/metrics.go
+++ b/internal/sillusage/metrics.go
@@ -1,8 +1,6 @@
 package sillusage
 
 import (
-	"errors"
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/wasabisill/wasabisill/internal/silltable"
@@ -51,18 +49,5 @@
 }
 
 func (m *Metrics) countFlush(err error) {
-	m.Flushes.WithLabelValues(tableOutcome(err)).Inc()
-}
-
-func tableOutcome(err error) string {
-	switch {
-	case err == nil:
-		return "done"
-	case errors.Is(err, silltable.ErrConflict):
-		return "conflict"
-	case errors.Is(err, silltable.ErrUnavailable):
-		return "unavailable"
-	default:
-		return "unknown"
-	}
+	m.Flushes.WithLabelValues(silltable.Result(err)).Inc()
 }
