Recognise a failed connection attempt in one place

The clients of calls, objects, the table and engines each looked for a dial error to tell a request without effect from one whose outcome is unknown. sillcall.IsDialError has the check now.

No change of behaviour; build, vet, linter and the tests of sillcall, sillobject and the clients above them pass.

--- a/internal/sillcall/call.go
+++ b/internal/sillcall/call.go
@@ -106,13 +106,19 @@
 	if errors.Is(err, ErrNotPermitted) {
 		return ErrNotPermitted
 	}
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if IsDialError(err) {
 		return ErrNotSent
 	}
 	return ErrUnknown
 }
 
+// IsDialError reports whether a request failed because its connection was never
+// established, so that the request had no effect.
+func IsDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // permitReader is a request body whose reads fail if mayAct returns false. The
 // transport reads the body before it flushes the headers, so no complete request
 // leaves without permission.
--- a/internal/sillengine/client.go
+++ b/internal/sillengine/client.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wasabisill/wasabisill/internal/sillcall"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -269,8 +269,7 @@
 
 // sendError tells a call that never reached the engine from one that may have.
 func sendError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if sillcall.IsDialError(err) {
 		return eris.Wrapf(ErrNotReached, "sillengine.send: %v", err)
 	}
 	return eris.Wrap(err, "sillengine.send")
--- a/internal/sillobject/client.go
+++ b/internal/sillobject/client.go
@@ -3,14 +3,14 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/wasabisill/wasabisill/internal/sillcall"
 )
 
 // Config configures a client of the object store.
@@ -119,8 +119,7 @@
 // putError returns ErrUnavailable if the connection was never established, so that
 // the call had no effect, and ErrUnknown otherwise.
 func putError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if sillcall.IsDialError(err) {
 		return eris.Wrapf(ErrUnavailable, "sillobject.PutNew: %v", err)
 	}
 	return eris.Wrapf(ErrUnknown, "sillobject.PutNew: %v", err)
--- a/internal/silltable/client.go
+++ b/internal/silltable/client.go
@@ -6,13 +6,14 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/wasabisill/wasabisill/internal/sillcall"
 )
 
 // Config configures a client of the table service.
@@ -128,9 +129,7 @@
 // callError returns ErrUnavailable if the call cannot have had an effect: the
 // connection was never established, or the call only reads.
 func callError(method string, err error) error {
-	var op *net.OpError
-	dialFailed := errors.As(err, &op) && op.Op == "dial"
-	if dialFailed || method == http.MethodGet {
+	if sillcall.IsDialError(err) || method == http.MethodGet {
 		return eris.Wrapf(ErrUnavailable, "silltable.call: %v", err)
 	}
 	return eris.Wrap(err, "silltable.call")
