Run event loops by one function

The fleet of a gateway and the weight runner of an agent had the same loop over an event channel, a ticker and the end of the context, and with the owner of a batch the same send that gives up when the context ends. sillgroup.Loop and sillgroup.Send have them now, with tests.

No change of behaviour; build, vet, linter and the tests of sillgroup (with the race detector), sillweightswap, sillrollout and silldev pass.

--- a/internal/sillfleet/fleet.go
+++ b/internal/sillfleet/fleet.go
@@ -127,25 +127,11 @@
 }
 
 func (f *Fleet) run(ctx context.Context) {
-	tick := time.NewTicker(reconcileInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case e := <-f.events:
-			f.handleEvent(e)
-		case <-tick.C:
-			f.reconcile(ctx)
-		}
-	}
+	sillgroup.Loop(ctx, f.events, reconcileInterval, f.handleEvent, func() { f.reconcile(ctx) })
 }
 
 func (f *Fleet) enqueue(e any) {
-	select {
-	case f.events <- e:
-	case <-f.group.Context().Done():
-	}
+	sillgroup.Send(f.group.Context(), f.events, e)
 }
 
 func (f *Fleet) pollInstances(ctx context.Context) {
--- a/internal/sillrollout/owner_run.go
+++ b/internal/sillrollout/owner_run.go
@@ -101,10 +101,7 @@
 }
 
 func (o *owner) send(ctx context.Context, e event) {
-	select {
-	case o.events <- e:
-	case <-ctx.Done():
-	}
+	sillgroup.Send(ctx, o.events, e)
 }
 
 func (o *owner) step() {
--- a/internal/sillweightswap/runner.go
+++ b/internal/sillweightswap/runner.go
@@ -150,25 +150,11 @@
 }
 
 func (r *Runner) enqueue(e any) {
-	select {
-	case r.events <- e:
-	case <-r.group.Context().Done():
-	}
+	sillgroup.Send(r.group.Context(), r.events, e)
 }
 
 func (r *Runner) run(ctx context.Context) {
-	tick := time.NewTicker(tickInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case e := <-r.events:
-			r.handleEvent(e)
-		case <-tick.C:
-			r.tick()
-		}
-	}
+	sillgroup.Loop(ctx, r.events, tickInterval, r.handleEvent, r.tick)
 }
 
 func (r *Runner) tick() {
