Run the programs' subcommands by one package

wasabisill, sillbench and sillstandin each had a type for a subcommand, exit codes and a main function that sets up the parser, the signals and the dispatch. sillcommand has them now; the programs list their commands.

--- a/cmd/sillbench/plot.go
+++ b/cmd/sillbench/plot.go
@@ -8,10 +8,11 @@
 	"github.com/integrii/flaggy"
 	"github.com/rotisserie/eris"
 
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/sillreport"
 )
 
-func newPlotCommand() command {
+func newPlotCommand() *sillcommand.Command {
 	var path, dir string
 	format := "svg"
 	sub := flaggy.NewSubcommand("plot")
@@ -19,7 +20,7 @@
 	sub.AddPositionalValue(&path, "REPORT", 1, true, "report.json of a run")
 	sub.String(&dir, "", "out", "directory of the plots; that of the report if left out")
 	sub.String(&format, "", "format", "svg or png")
-	return command{sub: sub, run: func(context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(context.Context) error {
 		if dir == "" {
 			dir = filepath.Dir(path)
 		}
--- a/cmd/sillbench/run.go
+++ b/cmd/sillbench/run.go
@@ -11,6 +11,7 @@
 	"github.com/integrii/flaggy"
 	"github.com/rotisserie/eris"
 
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/sillload"
 	"github.com/wasabisill/wasabisill/internal/sillreport"
 )
@@ -56,7 +57,7 @@
 audit), the plots, and the logs of the processes. 'sillbench scenario NAME' prints a
 built-in scenario, to be changed and given to --scenario.`
 
-func newRunCommand() command {
+func newRunCommand() *sillcommand.Command {
 	f := runFlags{
 		scenario: "utility", out: "bench-out", format: "svg", seed: 1, duration: 30 * time.Second,
 		standin: siblingProgram("sillstandin"), product: siblingProgram("wasabisill"),
@@ -78,7 +79,7 @@
 	sub.Int(&f.services, "", "services", "number of services in place of the scenario's")
 	sub.Float64(&f.rate, "", "rate", "factor on the rates of the calls")
 	sub.Bool(&f.quiet, "", "quiet", "no line of progress a second")
-	return command{sub: sub, run: f.runAll}
+	return &sillcommand.Command{Sub: sub, Run: f.runAll}
 }
 
 // bothScenarios is the value of --scenario that runs all built-in scenarios in turn.
--- a/cmd/sillstandin/engine.go
+++ b/cmd/sillstandin/engine.go
@@ -5,11 +5,12 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/sillstandengine"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-func newEngineCommand() command {
+func newEngineCommand() *sillcommand.Command {
 	var flags serveFlags
 	cfg := sillstandengine.Config{
 		Slots:           sillstandengine.DefaultSlots,
@@ -33,7 +34,7 @@
 	sub.Duration(&cfg.EventLag, "", "event-lag", "delay of cache events")
 	sub.Duration(&cfg.SwapTime, "", "swap-time", "duration of a weight load")
 	sub.Bool(&cfg.CheckFencing, "", "check-fencing", "refuse orders with an old fencing number")
-	return command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		cfg.Seed = flags.seed
 		cfg.Model = sillid.ModelID(model)
 		cfg.Version = sillid.WeightVersion(version)
--- a/cmd/sillstandin/main.go
+++ b/cmd/sillstandin/main.go
@@ -4,15 +4,13 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
 
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/sillstandin"
 )
 
@@ -33,13 +31,6 @@
 
 Exit codes: 0 done, 1 failed, 2 wrong command line.`
 
-// Exit codes of the program.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 // serveFlags are the flags that every stand-in has.
 type serveFlags struct {
 	listen    string
@@ -60,36 +51,11 @@
 	})
 }
 
-// command is one subcommand of the program.
-type command struct {
-	sub *flaggy.Subcommand
-	run func(ctx context.Context) error
-}
-
 func main() {
-	os.Exit(run())
-}
-
-func run() int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	flaggy.SetName("sillstandin")
-	flaggy.SetDescription(mainHelp)
-	commands := []command{newPlatformCommand(), newEngineCommand(), newServiceCommand(), newScorerCommand()}
-	for _, c := range commands {
-		flaggy.AttachSubcommand(c.sub, 1)
-	}
-	flaggy.Parse()
-	for _, c := range commands {
-		if !c.sub.Used {
-			continue
-		}
-		if err := c.run(ctx); err != nil {
-			fmt.Fprintln(os.Stderr, "sillstandin:", err)
-			return exitFailed
-		}
-		return exitDone
-	}
-	flaggy.ShowHelp("")
-	return exitUsage
+	os.Exit(sillcommand.Main("sillstandin", mainHelp, []*sillcommand.Command{
+		newPlatformCommand(),
+		newEngineCommand(),
+		newServiceCommand(),
+		newScorerCommand(),
+	}))
 }
--- a/cmd/sillstandin/platform.go
+++ b/cmd/sillstandin/platform.go
@@ -5,10 +5,11 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/sillstandplatform"
 )
 
-func newPlatformCommand() command {
+func newPlatformCommand() *sillcommand.Command {
 	var flags serveFlags
 	cfg := sillstandplatform.Config{WeightBytes: sillstandplatform.DefaultWeightBytes}
 	sub := flaggy.NewSubcommand("platform")
@@ -23,7 +24,7 @@
 	sub.Duration(&cfg.StartDelay, "", "start-delay", "time until a started instance is up")
 	sub.Duration(&cfg.StopDelay, "", "stop-delay", "time until a stopped instance is gone")
 	sub.Duration(&cfg.InstanceLag, "", "instance-lag", "age of the listed instances")
-	return command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		cfg.Seed = flags.seed
 		p := sillstandplatform.New(cfg)
 		defer p.Close()
--- a/cmd/sillstandin/scorer.go
+++ b/cmd/sillstandin/scorer.go
@@ -5,15 +5,16 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/sillstandscorer"
 )
 
-func newScorerCommand() command {
+func newScorerCommand() *sillcommand.Command {
 	var flags serveFlags
 	sub := flaggy.NewSubcommand("scorer")
 	sub.Description = "scores samples: POST /score"
 	flags.add(sub)
-	return command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		s := sillstandscorer.New(sillstandscorer.Config{Seed: flags.seed})
 		return flags.serve(ctx, s, s.Panel)
 	}}
--- a/cmd/wasabisill/bundle.go
+++ b/cmd/wasabisill/bundle.go
@@ -9,6 +9,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/wasabisill/wasabisill/internal/sillbundle"
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -28,10 +29,10 @@
 	opNewHelp    = "Write a new Ed25519 private key to a file and print the public key for the settings."
 )
 
-func newBundleCommand() *command {
+func newBundleCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("bundle")
 	sub.Description = bundleHelp
-	return &command{sub: sub, children: []*command{
+	return &sillcommand.Command{Sub: sub, Children: []*sillcommand.Command{
 		newCheckCommand(),
 		newGetCommand(),
 		newDiffCommand(),
@@ -48,7 +49,7 @@
 
 // usageError returns an error with the exit code of a wrong command line.
 func usageError(format string, args ...any) error {
-	return &exitError{code: exitUsage, err: fmt.Errorf(format, args...)}
+	return &sillcommand.ExitError{Code: sillcommand.ExitUsage, Err: fmt.Errorf(format, args...)}
 }
 
 // required returns an error for the first flag without a value. The flags are pairs
@@ -74,12 +75,12 @@
 	return b, nil
 }
 
-func newCheckCommand() *command {
+func newCheckCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("check")
 	sub.Description = checkHelp
 	var file string
 	sub.String(&file, "", "bundle", "file of the bundle, JSON")
-	return &command{sub: sub, run: func(context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(context.Context) error {
 		if err := required([2]string{"bundle", file}); err != nil {
 			return err
 		}
@@ -88,14 +89,14 @@
 			return err
 		}
 		if err := b.Validate(); err != nil {
-			return &exitError{code: exitRefused, err: err}
+			return &sillcommand.ExitError{Code: exitRefused, Err: err}
 		}
 		fmt.Println("The bundle is valid.")
 		return nil
 	}}
 }
 
-func newDiffCommand() *command {
+func newDiffCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("diff")
 	sub.Description = diffHelp
 	var file, against string
@@ -105,7 +106,7 @@
 	sub.String(&against, "", "against", "file of the bundle to compare with, in place of the accepted version")
 	sub.Bool(&asJSON, "", "json", "print the changes as JSON")
 	remote.attach(sub)
-	return &command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		if err := required([2]string{"bundle", file}); err != nil {
 			return err
 		}
@@ -135,7 +136,7 @@
 	return e.Encode(value)
 }
 
-func newSignCommand() *command {
+func newSignCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("sign")
 	sub.Description = signHelp
 	var file, out string
@@ -147,7 +148,7 @@
 	sub.Int64(&base, "", "base-version", "version that the bundle replaces, 0 for the first; the accepted one by default")
 	operator.attach(sub)
 	remote.attach(sub)
-	return &command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		if err := required([2]string{"bundle", file}, [2]string{"out", out}); err != nil {
 			return err
 		}
@@ -156,7 +157,7 @@
 			return err
 		}
 		if err := b.Validate(); err != nil {
-			return &exitError{code: exitRefused, err: err}
+			return &sillcommand.ExitError{Code: exitRefused, Err: err}
 		}
 		version, err := remote.baseVersion(ctx, base)
 		if err != nil {
--- a/cmd/wasabisill/bundle_get.go
+++ b/cmd/wasabisill/bundle_get.go
@@ -10,12 +10,13 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/wasabisill/wasabisill/internal/sillbundle"
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
 const getHelp = "Write the accepted version, or an earlier one, to a file for editing."
 
-func newGetCommand() *command {
+func newGetCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("get")
 	sub.Description = getHelp
 	var out string
@@ -24,7 +25,7 @@
 	sub.String(&out, "", "out", "file for the bundle, JSON")
 	sub.UInt64(&version, "", "bundle-version", "version to write; the accepted one by default")
 	remote.attach(sub)
-	return &command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		if err := required([2]string{"out", out}); err != nil {
 			return err
 		}
--- a/cmd/wasabisill/bundle_keys.go
+++ b/cmd/wasabisill/bundle_keys.go
@@ -14,6 +14,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/wasabisill/wasabisill/internal/sillbundle"
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -23,12 +24,12 @@
 // keyPrefix lets secret scanners recognise leaked keys.
 const keyPrefix = "sill_"
 
-func newKeyCommand() *command {
+func newKeyCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("key")
 	sub.Description = keyHelp
 	newKey := flaggy.NewSubcommand("new")
 	newKey.Description = keyNewHelp
-	return &command{sub: sub, children: []*command{{sub: newKey, run: printNewKey}}}
+	return &sillcommand.Command{Sub: sub, Children: []*sillcommand.Command{{Sub: newKey, Run: printNewKey}}}
 }
 
 func printNewKey(context.Context) error {
@@ -40,14 +41,14 @@
 	return nil
 }
 
-func newOperatorCommand() *command {
+func newOperatorCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("operator")
 	sub.Description = operatorHelp
 	newKey := flaggy.NewSubcommand("new")
 	newKey.Description = opNewHelp
 	var file string
 	newKey.String(&file, "", "operator-key-file", "new file for the private key, PEM")
-	return &command{sub: sub, children: []*command{{sub: newKey, run: func(context.Context) error {
+	return &sillcommand.Command{Sub: sub, Children: []*sillcommand.Command{{Sub: newKey, Run: func(context.Context) error {
 		return newOperatorKey(file)
 	}}}}
 }
--- a/cmd/wasabisill/bundle_remote.go
+++ b/cmd/wasabisill/bundle_remote.go
@@ -17,6 +17,7 @@
 	"github.com/wasabisill/wasabisill/internal/silladmin"
 	"github.com/wasabisill/wasabisill/internal/sillbundle"
 	"github.com/wasabisill/wasabisill/internal/sillbundlestore"
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
@@ -92,19 +93,19 @@
 func refused(err error) error {
 	var e *silladmin.RefusedError
 	if errors.As(err, &e) {
-		return &exitError{code: exitRefused, err: err}
+		return &sillcommand.ExitError{Code: exitRefused, Err: err}
 	}
 	return err
 }
 
-func newRollOutCommand() *command {
+func newRollOutCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("roll-out")
 	sub.Description = rollOutHelp
 	var file string
 	var remote remoteFlags
 	sub.String(&file, "", "signed", "file of the signed bundle")
 	remote.attach(sub)
-	return &command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		if err := required([2]string{"signed", file}); err != nil {
 			return err
 		}
@@ -132,7 +133,7 @@
 	return nil
 }
 
-func newRollBackCommand() *command {
+func newRollBackCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("roll-back")
 	sub.Description = rollBackHelp
 	var to uint64
@@ -141,7 +142,7 @@
 	sub.UInt64(&to, "", "to", "version whose content comes back")
 	operator.attach(sub)
 	remote.attach(sub)
-	return &command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		if to == 0 {
 			return usageError("set --to")
 		}
@@ -187,14 +188,14 @@
 	}, nil
 }
 
-func newStatusCommand() *command {
+func newStatusCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("status")
 	sub.Description = statusHelp
 	var asJSON bool
 	var remote remoteFlags
 	sub.Bool(&asJSON, "", "json", "print JSON")
 	remote.attach(sub)
-	return &command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		c, err := remote.client()
 		if err != nil {
 			return err
@@ -226,14 +227,14 @@
 	return time.UnixMilli(ms).UTC().Format(time.RFC3339)
 }
 
-func newHistoryCommand() *command {
+func newHistoryCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("history")
 	sub.Description = historyHelp
 	limit := 20
 	var remote remoteFlags
 	sub.Int(&limit, "", "limit", "number of versions")
 	remote.attach(sub)
-	return &command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		c, err := remote.client()
 		if err != nil {
 			return err
--- a/cmd/wasabisill/bundle_test.go
+++ b/cmd/wasabisill/bundle_test.go
@@ -21,6 +21,7 @@
 	"github.com/wasabisill/wasabisill/internal/silladmin"
 	"github.com/wasabisill/wasabisill/internal/sillbundle"
 	"github.com/wasabisill/wasabisill/internal/sillbundlestore"
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/sillmemobject"
 	"github.com/wasabisill/wasabisill/internal/sillmemtable"
 	"github.com/wasabisill/wasabisill/internal/silltable"
@@ -100,14 +101,14 @@
 
 func runBundle(args []string) error {
 	c := newBundleCommand()
-	c.sub.Used = true
+	c.Sub.Used = true
 	p := flaggy.NewParser("wasabisill")
-	p.AttachSubcommand(c.sub, 1)
-	c.attachChildren()
+	p.AttachSubcommand(c.Sub, 1)
+	c.AttachChildren()
 	if err := p.ParseArgs(append([]string{"bundle"}, args...)); err != nil {
 		return err
 	}
-	return c.used().run(context.Background())
+	return c.Used().Run(context.Background())
 }
 
 // capture returns what run prints, and its error with the exit code.
@@ -129,10 +130,10 @@
 	if runErr == nil {
 		return string(data)
 	}
-	code := exitFailed
-	var e *exitError
+	code := sillcommand.ExitFailed
+	var e *sillcommand.ExitError
 	if errors.As(runErr, &e) {
-		code = e.code
+		code = e.Code
 	}
 	return fmt.Sprintf("%serror: %v\nexit code %d\n", data, runErr, code)
 }
--- a/cmd/wasabisill/bundle_withdraw.go
+++ b/cmd/wasabisill/bundle_withdraw.go
@@ -9,6 +9,7 @@
 	"github.com/wasabisill/wasabisill/internal/silladmin"
 	"github.com/wasabisill/wasabisill/internal/sillbundle"
 	"github.com/wasabisill/wasabisill/internal/sillbundlestore"
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -21,7 +22,7 @@
 	remote       remoteFlags
 }
 
-func newWithdrawKeyCommand() *command {
+func newWithdrawKeyCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("withdraw-key")
 	sub.Description = withdrawHelp
 	var w withdrawFlags
@@ -30,7 +31,7 @@
 	sub.String(&w.label, "", "label", "label of the key in its organisation, in place of the hash")
 	w.operator.attach(sub)
 	w.remote.attach(sub)
-	return &command{sub: sub, run: w.run}
+	return &sillcommand.Command{Sub: sub, Run: w.run}
 }
 
 func (w *withdrawFlags) run(ctx context.Context) error {
--- a/cmd/wasabisill/dev.go
+++ b/cmd/wasabisill/dev.go
@@ -8,6 +8,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/silldev"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
@@ -18,7 +19,7 @@
 
 It needs no settings. When it serves, it prints one JSON line on stdout and example commands on stderr. It runs until SIGTERM or Ctrl-C and keeps nothing.`
 
-func newDevCommand() *command {
+func newDevCommand() *sillcommand.Command {
 	cfg := silldev.Config{Engines: 2, Services: 2}
 	var callers, admin, metrics string
 	level := "warn"
@@ -30,7 +31,7 @@
 	sub.String(&admin, "", "listen-admin", "IP:PORT of the administration API; a free port by default")
 	sub.String(&metrics, "", "listen-metrics", "IP:PORT for metrics; a free port by default")
 	sub.String(&level, "", "log-level", "debug, info, warn or error")
-	return &command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		cfg.Listen = sillsettings.GatewayListen{
 			Callers: sillsettings.Address(callers),
 			Admin:   sillsettings.Address(admin),
@@ -58,7 +59,7 @@
 func runDev(ctx context.Context, cfg silldev.Config, level string) error {
 	log, err := silllog.New(level)
 	if err != nil {
-		return &exitError{code: exitUsage, err: err}
+		return &sillcommand.ExitError{Code: sillcommand.ExitUsage, Err: err}
 	}
 	cfg.Log = log
 	d, err := silldev.Start(ctx, cfg)
--- a/cmd/wasabisill/log.go
+++ b/cmd/wasabisill/log.go
@@ -9,6 +9,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/silltimeline"
 )
 
@@ -23,13 +24,13 @@
 // gateways.
 const maxLogFiles = 512
 
-func newLogCommand() *command {
+func newLogCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("log")
 	sub.Description = logHelp
-	return &command{sub: sub, children: []*command{newLogExplain()}}
+	return &sillcommand.Command{Sub: sub, Children: []*sillcommand.Command{newLogExplain()}}
 }
 
-func newLogExplain() *command {
+func newLogExplain() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("explain")
 	describe(sub, explainHelp)
 	var id string
@@ -39,7 +40,7 @@
 		sub.AddPositionalValue(&files[i], "file", i+1, false, "file with a log; more may follow")
 		sub.PositionalFlags[i].Hidden = i > 0
 	}
-	return &command{sub: sub, run: func(context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(context.Context) error {
 		if err := required([2]string{"id", id}); err != nil {
 			return err
 		}
@@ -59,7 +60,7 @@
 
 func explainLogs(w io.Writer, id string, files []string) error {
 	if len(files) == 0 {
-		return &exitError{code: exitUsage, err: errors.New("no log: name the files with the logs of the gateways, or - for the standard input")}
+		return &sillcommand.ExitError{Code: sillcommand.ExitUsage, Err: errors.New("no log: name the files with the logs of the gateways, or - for the standard input")}
 	}
 	var logs silltimeline.Logs
 	for _, file := range files {
--- a/cmd/wasabisill/platform.go
+++ b/cmd/wasabisill/platform.go
@@ -11,6 +11,7 @@
 	"github.com/integrii/flaggy"
 	"go.uber.org/zap"
 
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	sillplatform "github.com/wasabisill/wasabisill/platform"
@@ -24,16 +25,16 @@
 // the rest is for stacks, socket buffers and the program itself.
 const memoryShare = 0.6
 
-func newPlatformCommand() *command {
+func newPlatformCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("platform")
 	describe(sub, platformHelp)
-	return &command{sub: sub, run: runPlatform}
+	return &sillcommand.Command{Sub: sub, Run: runPlatform}
 }
 
 func runPlatform(ctx context.Context) error {
 	settings, err := sillplatform.LoadSettings()
 	if err != nil {
-		return &exitError{code: exitUsage, err: err}
+		return &sillcommand.ExitError{Code: sillcommand.ExitUsage, Err: err}
 	}
 	log, queue, err := silllog.NewQueued(os.Stdout, "info")
 	if err != nil {
--- a/cmd/wasabisill/settings.go
+++ b/cmd/wasabisill/settings.go
@@ -9,6 +9,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
 )
 
@@ -24,27 +25,27 @@
 	agentProgram   = "agent"
 )
 
-func newSettingsCommand() *command {
+func newSettingsCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("settings")
 	sub.Description = settingsHelp
-	return &command{sub: sub, children: []*command{newSettingsCheck(), newSettingsExample()}}
+	return &sillcommand.Command{Sub: sub, Children: []*sillcommand.Command{newSettingsCheck(), newSettingsExample()}}
 }
 
-func newSettingsCheck() *command {
+func newSettingsCheck() *sillcommand.Command {
 	var program, file string
 	sub := flaggy.NewSubcommand("check")
 	sub.Description = settingsCheckHelp
 	sub.AddPositionalValue(&program, "program", 1, true, "gateway or agent")
 	addSettingsFlag(sub, &file)
-	return &command{sub: sub, run: func(context.Context) error { return checkSettings(program, file) }}
+	return &sillcommand.Command{Sub: sub, Run: func(context.Context) error { return checkSettings(program, file) }}
 }
 
-func newSettingsExample() *command {
+func newSettingsExample() *sillcommand.Command {
 	var program string
 	sub := flaggy.NewSubcommand("example")
 	sub.Description = settingsExampleHelp
 	sub.AddPositionalValue(&program, "program", 1, true, "gateway or agent")
-	return &command{sub: sub, run: func(context.Context) error { return printExample(program) }}
+	return &sillcommand.Command{Sub: sub, Run: func(context.Context) error { return printExample(program) }}
 }
 
 // addSettingsFlag adds the flag that names the settings file.
@@ -55,13 +56,13 @@
 // loadSettings reads and checks a settings file.
 func loadSettings(file string, into any, validate func() error) error {
 	if file == "" {
-		return &exitError{code: exitUsage, err: errors.New("no settings file: name one with --settings")}
+		return &sillcommand.ExitError{Code: sillcommand.ExitUsage, Err: errors.New("no settings file: name one with --settings")}
 	}
 	if err := sillsettings.Load(file, into); err != nil {
-		return &exitError{code: exitUsage, err: err}
+		return &sillcommand.ExitError{Code: sillcommand.ExitUsage, Err: err}
 	}
 	if err := validate(); err != nil {
-		return &exitError{code: exitUsage, err: err}
+		return &sillcommand.ExitError{Code: sillcommand.ExitUsage, Err: err}
 	}
 	return nil
 }
@@ -77,7 +78,7 @@
 		return s, s.Validate, nil
 	}
 	err := fmt.Errorf("unknown program %q: write %s or %s", program, gatewayProgram, agentProgram)
-	return nil, nil, &exitError{code: exitUsage, err: err}
+	return nil, nil, &sillcommand.ExitError{Code: sillcommand.ExitUsage, Err: err}
 }
 
 func checkSettings(program, file string) error {
--- a/cmd/wasabisill/version.go
+++ b/cmd/wasabisill/version.go
@@ -6,6 +6,8 @@
 	"runtime/debug"
 
 	"github.com/integrii/flaggy"
+
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 )
 
 const versionHelp = "Print the version of the program."
@@ -13,10 +15,10 @@
 // release is the version of the program, as in CHANGELOG.md.
 const release = "0.1.0"
 
-func newVersionCommand() *command {
+func newVersionCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("version")
 	sub.Description = versionHelp
-	return &command{sub: sub, run: printVersion}
+	return &sillcommand.Command{Sub: sub, Run: printVersion}
 }
 
 func printVersion(context.Context) error {
