Read a valid bundle and print JSON in one place each

bundle check and bundle sign each read and validated a bundle; settings example and dev encoded JSON beside printJSON and printReady.

--- a/cmd/wasabisill/bundle.go
+++ b/cmd/wasabisill/bundle.go
@@ -75,6 +75,18 @@
 	return b, nil
 }
 
+// readValidBundle reads a bundle and returns an error for an invalid one.
+func readValidBundle(path string) (*sillbundle.Bundle, error) {
+	b, err := readBundle(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := b.Validate(); err != nil {
+		return nil, &sillcommand.ExitError{Code: exitRefused, Err: err}
+	}
+	return b, nil
+}
+
 func newCheckCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("check")
 	sub.Description = checkHelp
@@ -84,13 +96,9 @@
 		if err := required([2]string{"bundle", file}); err != nil {
 			return err
 		}
-		b, err := readBundle(file)
-		if err != nil {
+		if _, err := readValidBundle(file); err != nil {
 			return err
 		}
-		if err := b.Validate(); err != nil {
-			return &sillcommand.ExitError{Code: exitRefused, Err: err}
-		}
 		fmt.Println("The bundle is valid.")
 		return nil
 	}}
@@ -130,12 +138,6 @@
 	return nil
 }
 
-func printJSON(value any) error {
-	e := json.NewEncoder(os.Stdout)
-	e.SetIndent("", "  ")
-	return e.Encode(value)
-}
-
 func newSignCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("sign")
 	sub.Description = signHelp
@@ -152,13 +154,10 @@
 		if err := required([2]string{"bundle", file}, [2]string{"out", out}); err != nil {
 			return err
 		}
-		b, err := readBundle(file)
+		b, err := readValidBundle(file)
 		if err != nil {
 			return err
 		}
-		if err := b.Validate(); err != nil {
-			return &sillcommand.ExitError{Code: exitRefused, Err: err}
-		}
 		version, err := remote.baseVersion(ctx, base)
 		if err != nil {
 			return err
--- a/cmd/wasabisill/command.go
+++ b/cmd/wasabisill/command.go
@@ -16,7 +16,14 @@
 	sub.AdditionalHelpAppend = rest
 }
 
-// printReady prints the addresses that a program listens on, as one JSON line.
+// printJSON prints a value as indented JSON.
+func printJSON(value any) error {
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(value)
+}
+
+// printReady prints the addresses of a program that is ready, as one JSON line.
 func printReady(addresses any) error {
 	return json.NewEncoder(os.Stdout).Encode(addresses)
 }
--- a/cmd/wasabisill/dev.go
+++ b/cmd/wasabisill/dev.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
 
@@ -67,7 +66,7 @@
 		return err
 	}
 	defer d.Stop()
-	if err := json.NewEncoder(os.Stdout).Encode(readyOf(d)); err != nil {
+	if err := printReady(readyOf(d)); err != nil {
 		return err
 	}
 	fmt.Fprint(os.Stderr, d.Examples())
--- a/cmd/wasabisill/settings.go
+++ b/cmd/wasabisill/settings.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
 
 	"github.com/integrii/flaggy"
 
@@ -98,7 +96,5 @@
 	if err != nil {
 		return err
 	}
-	e := json.NewEncoder(os.Stdout)
-	e.SetIndent("", "  ")
-	return e.Encode(settings)
+	return printJSON(settings)
 }
