Route the calls of the stand-ins by one router

Engine, platform, scorer and service each built a router that applies the faults of their panel and serves the calls that set the faults. sillstandin.Router has that now.

--- a/internal/sillstandengine/engine.go
+++ b/internal/sillstandengine/engine.go
@@ -13,8 +13,6 @@
 	"sync"
 	"time"
 
-	"github.com/gorilla/mux"
-
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/sillstandin"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
@@ -95,7 +93,7 @@
 	Panel *sillstandin.Panel
 
 	cfg    Config
-	router *mux.Router
+	router *sillstandin.Router
 	group  *sillgroup.Group
 	// wake holds at most one signal that work arrived.
 	wake chan struct{}
@@ -125,7 +123,6 @@
 	cfg = cfg.withDefaults()
 	e := &Engine{
 		cfg:     cfg,
-		router:  mux.NewRouter(),
 		group:   sillgroup.New(context.Background()),
 		wake:    make(chan struct{}, 1),
 		model:   cfg.Model,
@@ -138,26 +135,23 @@
 		Seed:    cfg.Seed,
 		OnCrash: e.crash,
 	})
+	e.router = sillstandin.NewRouter(e.Panel)
 	e.routes()
 	e.group.Go(e.loop)
 	return e
 }
 
 func (e *Engine) routes() {
-	handle := func(area, method, path string, h http.HandlerFunc) {
-		e.router.HandleFunc(path, e.Panel.Wrap(area, h)).Methods(method)
-	}
-	handle(areaCompletions, http.MethodPost, "/v1/completions", e.serveText)
-	handle(areaCompletions, http.MethodPost, "/v1/chat/completions", e.serveChat)
-	handle(areaRequests, http.MethodPost, "/v1/requests/{id}/cancel", e.serveCancel)
-	handle(areaRequests, http.MethodPost, "/v1/requests/{id}/export", e.serveExport)
-	handle(areaRequests, http.MethodPost, "/v1/kv/import", e.serveImport)
-	handle(areaOrders, http.MethodPost, "/v1/orders", e.serveOrder)
-	handle(areaLoad, http.MethodGet, "/v1/load", e.serveLoad)
-	handle(areaCacheEvents, http.MethodGet, "/v1/cache-events", e.serveCacheEvents)
-	e.router.HandleFunc("/standin/faults", e.Panel.ServeFaults).Methods(http.MethodPost)
-	e.router.HandleFunc("/standin/crash", e.Panel.ServeCrash).Methods(http.MethodPost)
-	e.router.HandleFunc("/standin/record", e.serveRecord).Methods(http.MethodGet)
+	e.router.Handle(areaCompletions, http.MethodPost, "/v1/completions", e.serveText)
+	e.router.Handle(areaCompletions, http.MethodPost, "/v1/chat/completions", e.serveChat)
+	e.router.Handle(areaRequests, http.MethodPost, "/v1/requests/{id}/cancel", e.serveCancel)
+	e.router.Handle(areaRequests, http.MethodPost, "/v1/requests/{id}/export", e.serveExport)
+	e.router.Handle(areaRequests, http.MethodPost, "/v1/kv/import", e.serveImport)
+	e.router.Handle(areaOrders, http.MethodPost, "/v1/orders", e.serveOrder)
+	e.router.Handle(areaLoad, http.MethodGet, "/v1/load", e.serveLoad)
+	e.router.Handle(areaCacheEvents, http.MethodGet, "/v1/cache-events", e.serveCacheEvents)
+	e.router.HandleControl(http.MethodPost, "/standin/crash", e.Panel.ServeCrash)
+	e.router.HandleControl(http.MethodGet, "/standin/record", e.serveRecord)
 }
 
 // ServeHTTP answers one call.
--- a/internal/sillstandplatform/platform.go
+++ b/internal/sillstandplatform/platform.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
@@ -70,7 +69,7 @@
 	Panel *sillstandin.Panel
 
 	cfg    Config
-	router *mux.Router
+	router *sillstandin.Router
 	group  *sillgroup.Group
 	table  *sillmemtable.Table
 	store  *silltable.Store
@@ -98,7 +97,6 @@
 	}
 	p := &Platform{
 		cfg:         cfg,
-		router:      mux.NewRouter(),
 		group:       sillgroup.New(context.Background()),
 		table:       &sillmemtable.Table{},
 		writeLimit:  limiter(cfg.TableWrites),
@@ -113,6 +111,7 @@
 		Areas: []string{AreaTable, AreaObjects, AreaOrders, AreaInstances, AreaUsage, AreaWeights},
 		Seed:  cfg.Seed,
 	})
+	p.router = sillstandin.NewRouter(p.Panel)
 	p.routes()
 	return p
 }
@@ -126,23 +125,19 @@
 }
 
 func (p *Platform) routes() {
-	handle := func(area, method, path string, h http.HandlerFunc) {
-		p.router.HandleFunc(path, p.Panel.Wrap(area, h)).Methods(method)
-	}
-	handle(AreaTable, http.MethodGet, "/table/row", p.serveRow)
-	handle(AreaTable, http.MethodGet, "/table/rows", p.serveRows)
-	handle(AreaTable, http.MethodPost, "/table/commit", p.serveCommit)
-	handle(AreaObjects, http.MethodPut, "/objects/{name:.+}", p.servePutObject)
-	handle(AreaObjects, http.MethodGet, "/objects/{name:.+}", p.serveGetObject)
-	handle(AreaOrders, http.MethodPost, "/orders", p.serveOrder)
-	handle(AreaOrders, http.MethodGet, "/orders/{id}", p.serveGetOrder)
-	handle(AreaInstances, http.MethodGet, "/instances", p.serveInstances)
-	handle(AreaUsage, http.MethodPost, "/usage", p.serveUsage)
-	handle(AreaWeights, http.MethodGet, "/weights/{model}/{version}", p.serveWeights)
-	p.router.HandleFunc("/standin/faults", p.Panel.ServeFaults).Methods(http.MethodPost)
-	p.router.HandleFunc("/standin/instances", p.serveSetInstances).Methods(http.MethodPost)
-	p.router.HandleFunc("/standin/limits", p.serveSetLimits).Methods(http.MethodPost)
-	p.router.HandleFunc("/standin/record", p.serveRecord).Methods(http.MethodGet)
+	p.router.Handle(AreaTable, http.MethodGet, "/table/row", p.serveRow)
+	p.router.Handle(AreaTable, http.MethodGet, "/table/rows", p.serveRows)
+	p.router.Handle(AreaTable, http.MethodPost, "/table/commit", p.serveCommit)
+	p.router.Handle(AreaObjects, http.MethodPut, "/objects/{name:.+}", p.servePutObject)
+	p.router.Handle(AreaObjects, http.MethodGet, "/objects/{name:.+}", p.serveGetObject)
+	p.router.Handle(AreaOrders, http.MethodPost, "/orders", p.serveOrder)
+	p.router.Handle(AreaOrders, http.MethodGet, "/orders/{id}", p.serveGetOrder)
+	p.router.Handle(AreaInstances, http.MethodGet, "/instances", p.serveInstances)
+	p.router.Handle(AreaUsage, http.MethodPost, "/usage", p.serveUsage)
+	p.router.Handle(AreaWeights, http.MethodGet, "/weights/{model}/{version}", p.serveWeights)
+	p.router.HandleControl(http.MethodPost, "/standin/instances", p.serveSetInstances)
+	p.router.HandleControl(http.MethodPost, "/standin/limits", p.serveSetLimits)
+	p.router.HandleControl(http.MethodGet, "/standin/record", p.serveRecord)
 }
 
 // ServeHTTP answers one call.
--- a/internal/sillstandscorer/scorer.go
+++ b/internal/sillstandscorer/scorer.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"sync"
 
-	"github.com/gorilla/mux"
-
 	"github.com/wasabisill/wasabisill/internal/sillstandin"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
@@ -27,7 +25,7 @@
 	// Panel sets the faults.
 	Panel *sillstandin.Panel
 
-	router *mux.Router
+	router *sillstandin.Router
 	mu     sync.Mutex
 	runs   []Run
 }
@@ -44,11 +42,11 @@
 
 // New returns a scorer.
 func New(cfg Config) *Scorer {
-	s := &Scorer{router: mux.NewRouter()}
+	s := &Scorer{}
 	s.Panel = sillstandin.NewPanel(sillstandin.PanelConfig{Areas: []string{areaScore}, Seed: cfg.Seed})
-	s.router.HandleFunc("/score", s.Panel.Wrap(areaScore, s.score)).Methods(http.MethodPost)
-	s.router.HandleFunc("/standin/faults", s.Panel.ServeFaults).Methods(http.MethodPost)
-	s.router.HandleFunc("/standin/record", s.record).Methods(http.MethodGet)
+	s.router = sillstandin.NewRouter(s.Panel)
+	s.router.Handle(areaScore, http.MethodPost, "/score", s.score)
+	s.router.HandleControl(http.MethodGet, "/standin/record", s.record)
 	return s
 }
 
--- a/internal/sillstandservice/service.go
+++ b/internal/sillstandservice/service.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/gorilla/mux"
-
 	"github.com/wasabisill/wasabisill/internal/sillstandin"
 )
 
@@ -67,7 +65,7 @@
 	Panel *sillstandin.Panel
 
 	cfg    Config
-	router *mux.Router
+	router *sillstandin.Router
 	slots  chan struct{}
 
 	mu   sync.Mutex
@@ -81,17 +79,17 @@
 	if cfg.Slots == 0 {
 		cfg.Slots = DefaultSlots
 	}
-	s := &Service{cfg: cfg, router: mux.NewRouter(), slots: make(chan struct{}, cfg.Slots)}
+	s := &Service{cfg: cfg, slots: make(chan struct{}, cfg.Slots)}
 	s.Panel = sillstandin.NewPanel(sillstandin.PanelConfig{
 		Areas:   []string{areaBookings, areaAvailability},
 		Seed:    cfg.Seed,
 		OnCrash: s.noteCrash,
 	})
-	s.router.HandleFunc("/bookings", s.Panel.Wrap(areaBookings, s.book)).Methods(http.MethodPost)
-	s.router.HandleFunc("/availability", s.Panel.Wrap(areaAvailability, s.availability)).Methods(http.MethodGet)
-	s.router.HandleFunc("/standin/faults", s.Panel.ServeFaults).Methods(http.MethodPost)
-	s.router.HandleFunc("/standin/crash", s.Panel.ServeCrash).Methods(http.MethodPost)
-	s.router.HandleFunc("/standin/record", s.record).Methods(http.MethodGet)
+	s.router = sillstandin.NewRouter(s.Panel)
+	s.router.Handle(areaBookings, http.MethodPost, "/bookings", s.book)
+	s.router.Handle(areaAvailability, http.MethodGet, "/availability", s.availability)
+	s.router.HandleControl(http.MethodPost, "/standin/crash", s.Panel.ServeCrash)
+	s.router.HandleControl(http.MethodGet, "/standin/record", s.record)
 	return s
 }
 
