Mix the bits of hashes in one package

The finaliser of MurmurHash3 stood in silllease and the stand-in engine, that of SplitMix64 in sillroute and sillmembership. sillhash has both now.

--- a/internal/silllease/rank.go
+++ b/internal/silllease/rank.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/sillhash"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -33,18 +34,7 @@
 	_, _ = h.Write([]byte(name))
 	_, _ = h.Write([]byte{0})
 	_, _ = h.Write([]byte(member))
-	return mix(h.Sum64())
-}
-
-// mix is the 64-bit finaliser of MurmurHash3. It makes the last input bytes affect
-// all bits of the hash, which FNV alone does not.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return x
+	return sillhash.Murmur(h.Sum64())
 }
 
 // pollInterval returns the mean time between two reads of a candidate. It doubles
--- a/internal/sillmembership/subset.go
+++ b/internal/sillmembership/subset.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"slices"
 
+	"github.com/wasabisill/wasabisill/internal/sillhash"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -113,9 +114,6 @@
 	h := fnv.New64a()
 	// Hash.Write never returns an error.
 	_, _ = h.Write([]byte(s))
-	z := h.Sum64()
 	// FNV-1a alone mixes the last characters too little for names that differ only there.
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return z ^ z>>31
+	return sillhash.SplitMix(h.Sum64())
 }
--- a/internal/sillroute/cache.go
+++ b/internal/sillroute/cache.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 
+	"github.com/wasabisill/wasabisill/internal/sillhash"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -30,7 +31,7 @@
 	for i := range n {
 		// Write of a hash never fails.
 		_, _ = h.Write(prompt[i*BlockBytes : (i+1)*BlockBytes])
-		hashes = append(hashes, mix(h.Sum64()))
+		hashes = append(hashes, sillhash.SplitMix(h.Sum64()))
 	}
 	return hashes
 }
--- a/internal/sillroute/chooser.go
+++ b/internal/sillroute/chooser.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/sillhash"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -177,13 +178,7 @@
 // nextRandom returns the next number of a splitmix64 generator.
 func (s *search) nextRandom() uint64 {
 	s.randomState += 0x9e3779b97f4a7c15
-	return mix(s.randomState)
-}
-
-func mix(z uint64) uint64 {
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return z ^ z>>31
+	return sillhash.SplitMix(s.randomState)
 }
 
 // affinityTarget returns the target that most likely has the longest part of
@@ -214,7 +209,7 @@
 	var highest, secondHighest uint64
 	for n := range candidates {
 		c := &candidates[n]
-		weight := mix(c.state.hash ^ prefix)
+		weight := sillhash.SplitMix(c.state.hash ^ prefix)
 		switch {
 		case weight < secondHighest || !s.usable(c):
 		case weight >= highest:
--- a/internal/sillroute/table.go
+++ b/internal/sillroute/table.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/sillhash"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -192,5 +193,5 @@
 	h := fnv.New64a()
 	// Write of a hash never fails.
 	_, _ = h.Write([]byte(s))
-	return mix(h.Sum64())
+	return sillhash.SplitMix(h.Sum64())
 }
--- a/internal/sillstandengine/truth.go
+++ b/internal/sillstandengine/truth.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"strings"
 
+	"github.com/wasabisill/wasabisill/internal/sillhash"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -29,17 +30,7 @@
 		binary.LittleEndian.PutUint64(b[:], n)
 		_, _ = h.Write(b[:])
 	}
-	return mix(h.Sum64())
-}
-
-// mix spreads the differences of the last bytes over the whole word.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return x
+	return sillhash.Murmur(h.Sum64())
 }
 
 // TokenAt returns the token at position i, from 0, of the generation of a
