Create metrics by one set of functions

Histograms, sillagent, silldirectgateway and silllog keep the literals.

No change of behaviour: the calls were rewritten by a script that carries name, help and labels over; 'wasabisill dev' shows the same 130 HELP and TYPE lines before and after (counters with labels show only once they have counted). Build, vet, linter and the tests of the packages, of silldev and of silldirectgateway pass.

--- a/internal/silladmin/metrics.go
+++ b/internal/silladmin/metrics.go
@@ -1,6 +1,10 @@
 package silladmin
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/wasabisill/wasabisill/internal/sillmetric"
+)
 
 // Metrics counts the calls of the administration API.
 type Metrics struct {
@@ -12,15 +16,9 @@
 // NewMetrics returns the metrics, registered at reg unless it is nil.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_admin_refused_total", Help: "Calls refused by kind of problem.",
-		}, []string{"kind"}),
-		accepted: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "wasabisill_admin_accepted_total", Help: "Bundles accepted.",
-		}),
-		withdrawn: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "wasabisill_admin_withdrawn_total", Help: "Withdrawals applied.",
-		}),
+		refused:   sillmetric.CounterVec("wasabisill_admin_refused_total", "Calls refused by kind of problem.", "kind"),
+		accepted:  sillmetric.Counter("wasabisill_admin_accepted_total", "Bundles accepted."),
+		withdrawn: sillmetric.Counter("wasabisill_admin_withdrawn_total", "Withdrawals applied."),
 	}
 	if reg != nil {
 		reg.MustRegister(m.refused, m.accepted, m.withdrawn)
--- a/internal/sillapp/gatewayweight.go
+++ b/internal/sillapp/gatewayweight.go
@@ -18,6 +18,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllink"
 	"github.com/wasabisill/wasabisill/internal/sillmembership"
+	"github.com/wasabisill/wasabisill/internal/sillmetric"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/internal/sillweight"
 	"github.com/wasabisill/wasabisill/internal/sillwire"
@@ -64,13 +65,10 @@
 }
 
 func newPlanMetrics(r prometheus.Registerer) *planMetrics {
-	counter := func(name, help string) prometheus.Counter {
-		return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
-	}
 	m := &planMetrics{
-		pushed:     counter("wasabisill_gateway_weight_plans_pushed_total", "Weight plans that were sent to agents."),
-		pushFailed: counter("wasabisill_gateway_weight_plan_push_failures_total", "Weight plans that did not reach an agent; they are sent again."),
-		readFailed: counter("wasabisill_gateway_weight_plan_read_failures_total", "Failed reads of a model's weight plan."),
+		pushed:     sillmetric.Counter("wasabisill_gateway_weight_plans_pushed_total", "Weight plans that were sent to agents."),
+		pushFailed: sillmetric.Counter("wasabisill_gateway_weight_plan_push_failures_total", "Weight plans that did not reach an agent; they are sent again."),
+		readFailed: sillmetric.Counter("wasabisill_gateway_weight_plan_read_failures_total", "Failed reads of a model's weight plan."),
 	}
 	r.MustRegister(m.pushed, m.pushFailed, m.readFailed)
 	return m
--- a/internal/sillbundlestore/metrics.go
+++ b/internal/sillbundlestore/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/wasabisill/wasabisill/internal/sillmetric"
 	"github.com/wasabisill/wasabisill/internal/sillobject"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 )
@@ -22,24 +23,12 @@
 // NewMetrics returns the metrics, registered at reg unless it is nil.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		accepts: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_bundle_accepts_total", Help: "Bundles handed in by result.",
-		}, []string{"result"}),
-		polls: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_bundle_polls_total", Help: "Store calls that follow the bundle by call and result.",
-		}, []string{"call", "result"}),
-		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_bundle_retries_total", Help: "Store calls tried again, by reason.",
-		}, []string{"reason"}),
-		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_bundle_offers_refused_total", Help: "Offered bundles and withdrawals that were not applied, by reason.",
-		}, []string{"reason"}),
-		version: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "wasabisill_bundle_version", Help: "Bundle version in force.",
-		}),
-		withdrawals: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "wasabisill_bundle_withdrawn_keys", Help: "Keys withdrawn by notices.",
-		}),
+		accepts:     sillmetric.CounterVec("wasabisill_bundle_accepts_total", "Bundles handed in by result.", "result"),
+		polls:       sillmetric.CounterVec("wasabisill_bundle_polls_total", "Store calls that follow the bundle by call and result.", "call", "result"),
+		retries:     sillmetric.CounterVec("wasabisill_bundle_retries_total", "Store calls tried again, by reason.", "reason"),
+		refused:     sillmetric.CounterVec("wasabisill_bundle_offers_refused_total", "Offered bundles and withdrawals that were not applied, by reason.", "reason"),
+		version:     sillmetric.Gauge("wasabisill_bundle_version", "Bundle version in force."),
+		withdrawals: sillmetric.Gauge("wasabisill_bundle_withdrawn_keys", "Keys withdrawn by notices."),
 	}
 	if reg != nil {
 		reg.MustRegister(m.accepts, m.polls, m.retries, m.refused, m.version, m.withdrawals)
--- a/internal/silldispatch/dispatch.go
+++ b/internal/silldispatch/dispatch.go
@@ -10,6 +10,7 @@
 
 	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/sillmetric"
 	"github.com/wasabisill/wasabisill/internal/sillretry"
 	"github.com/wasabisill/wasabisill/internal/sillroute"
 	"github.com/wasabisill/wasabisill/internal/sillwire"
@@ -35,26 +36,11 @@
 // NewMetrics registers the dispatcher's counters.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		Retried: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_gateway_retries_total",
-			Help: "Attempts at another target, by the kind of the problem before and the reason to try again.",
-		}, []string{"kind", "reason"}),
-		GaveUp: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_gateway_retries_denied_total",
-			Help: "Failed attempts that no other followed, by the kind of their problem and the reason.",
-		}, []string{"kind", "reason"}),
-		Attached: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "wasabisill_gateway_attached_total",
-			Help: "Answers that were asked for again after a lost connection.",
-		}),
-		Awaited: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "wasabisill_gateway_awaited_total",
-			Help: "Requests that waited for their pool to get a target.",
-		}),
-		Resumed: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "wasabisill_gateway_resumed_total",
-			Help: "Generations that went on at another target.",
-		}),
+		Retried:  sillmetric.CounterVec("wasabisill_gateway_retries_total", "Attempts at another target, by the kind of the problem before and the reason to try again.", "kind", "reason"),
+		GaveUp:   sillmetric.CounterVec("wasabisill_gateway_retries_denied_total", "Failed attempts that no other followed, by the kind of their problem and the reason.", "kind", "reason"),
+		Attached: sillmetric.Counter("wasabisill_gateway_attached_total", "Answers that were asked for again after a lost connection."),
+		Awaited:  sillmetric.Counter("wasabisill_gateway_awaited_total", "Requests that waited for their pool to get a target."),
+		Resumed:  sillmetric.Counter("wasabisill_gateway_resumed_total", "Generations that went on at another target."),
 	}
 	r.MustRegister(m.Retried, m.GaveUp, m.Attached, m.Resumed, m.Awaited)
 	return m
--- a/internal/sillfleet/metrics.go
+++ b/internal/sillfleet/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/wasabisill/wasabisill/internal/sillmetric"
 )
 
 // Metrics are the fleet's metrics.
@@ -19,22 +21,10 @@
 // NewMetrics registers the metrics.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		Targets: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "wasabisill_gateway_targets",
-			Help: "Targets of the gateway's subset, by pool and state.",
-		}, []string{"pool", "state"}),
-		ConnectionsLost: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "wasabisill_gateway_connections_lost_total",
-			Help: "Connections to agents that were given up or could not be opened.",
-		}),
-		ListFailures: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "wasabisill_gateway_instance_list_failures_total",
-			Help: "Failed reads of the platform's instance list.",
-		}),
-		Ejections: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_gateway_ejections_total",
-			Help: "Targets that were taken out of the choice for a while, by reason.",
-		}, []string{"reason"}),
+		Targets:         sillmetric.GaugeVec("wasabisill_gateway_targets", "Targets of the gateway's subset, by pool and state.", "pool", "state"),
+		ConnectionsLost: sillmetric.Counter("wasabisill_gateway_connections_lost_total", "Connections to agents that were given up or could not be opened."),
+		ListFailures:    sillmetric.Counter("wasabisill_gateway_instance_list_failures_total", "Failed reads of the platform's instance list."),
+		Ejections:       sillmetric.CounterVec("wasabisill_gateway_ejections_total", "Targets that were taken out of the choice for a while, by reason.", "reason"),
 	}
 	r.MustRegister(m.Targets, m.ConnectionsLost, m.ListFailures, m.Ejections)
 	return m
--- a/internal/sillforwarder/metrics.go
+++ b/internal/sillforwarder/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/wasabisill/wasabisill/internal/sillmetric"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 )
 
@@ -19,14 +20,8 @@
 // NewMetrics returns the metrics and registers them with r, unless r is nil.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_direct_refusals_total",
-			Help: "Requests without an answer of a target, by reason.",
-		}, []string{"reason"}),
-		failedAttempts: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_direct_failed_attempts_total",
-			Help: "Attempts at targets that gave no answer, by outcome.",
-		}, []string{"outcome"}),
+		refusals:       sillmetric.CounterVec("wasabisill_direct_refusals_total", "Requests without an answer of a target, by reason.", "reason"),
+		failedAttempts: sillmetric.CounterVec("wasabisill_direct_failed_attempts_total", "Attempts at targets that gave no answer, by outcome.", "outcome"),
 		latency: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "wasabisill_direct_answer_seconds",
 			Help:    "Time from the sending of an attempt to its whole answer.",
--- a/internal/sillgateway/metrics.go
+++ b/internal/sillgateway/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/wasabisill/wasabisill/internal/sillmetric"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
 
@@ -23,27 +24,15 @@
 // NewMetrics registers the counters.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		Refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_gateway_refused_total",
-			Help: "Requests without a whole answer, by kind and by what is known of their effect.",
-		}, []string{"kind", "outcome"}),
-		Answered: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_gateway_answered_total",
-			Help: "Whole answers, by organisation and route.",
-		}, []string{"organisation", "route"}),
+		Refused:  sillmetric.CounterVec("wasabisill_gateway_refused_total", "Requests without a whole answer, by kind and by what is known of their effect.", "kind", "outcome"),
+		Answered: sillmetric.CounterVec("wasabisill_gateway_answered_total", "Whole answers, by organisation and route.", "organisation", "route"),
 		Duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "wasabisill_gateway_answer_seconds",
 			Help:    "Time from a request's arrival to the last byte of its whole answer.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 18),
 		}, []string{"route"}),
-		EndedWithdrawn: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "wasabisill_gateway_ended_withdrawn_total",
-			Help: "Running requests that ended because their key was withdrawn.",
-		}),
-		Replayed: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "wasabisill_gateway_replayed_total",
-			Help: "Kept answers given to repeated requests.",
-		}),
+		EndedWithdrawn: sillmetric.Counter("wasabisill_gateway_ended_withdrawn_total", "Running requests that ended because their key was withdrawn."),
+		Replayed:       sillmetric.Counter("wasabisill_gateway_replayed_total", "Kept answers given to repeated requests."),
 	}
 	for kind := range sillproblem.Kinds() {
 		m.Refused.WithLabelValues(string(kind), string(sillproblem.NotRun))
--- a/internal/sillgroupcommit/committer.go
+++ b/internal/sillgroupcommit/committer.go
@@ -19,6 +19,7 @@
 
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllog"
+	"github.com/wasabisill/wasabisill/internal/sillmetric"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 )
 
@@ -94,14 +95,8 @@
 	cfg.Log = cfg.Log.Named("group-commit")
 	c := &Committer{
 		cfg: cfg, opened: make(chan struct{}, 1), failedUntil: make(map[string]time.Time),
-		writes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_own_row_writes_total",
-			Help: "Writes of rows that the gateway keeps about itself, by way (leader, self, direct) and outcome (done, failed).",
-		}, []string{"way", "outcome"}),
-		commits: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_group_commits_total",
-			Help: "Transactions with gathered writes, by outcome (done, failed).",
-		}, []string{"outcome"}),
+		writes:  sillmetric.CounterVec("wasabisill_own_row_writes_total", "Writes of rows that the gateway keeps about itself, by way (leader, self, direct) and outcome (done, failed).", "way", "outcome"),
+		commits: sillmetric.CounterVec("wasabisill_group_commits_total", "Transactions with gathered writes, by outcome (done, failed).", "outcome"),
 	}
 	if cfg.Registerer != nil {
 		cfg.Registerer.MustRegister(c.writes, c.commits)
--- a/internal/silllease/metrics.go
+++ b/internal/silllease/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/wasabisill/wasabisill/internal/sillmetric"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 )
 
@@ -16,15 +17,9 @@
 // NewMetrics returns the metrics, registered with reg unless it is nil.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		acquired: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "wasabisill_lease_taken_total", Help: "Leases taken.",
-		}),
-		lost: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "wasabisill_lease_lost_total", Help: "Leases lost before they were given up.",
-		}),
-		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_lease_table_calls_total", Help: "Table calls for leases by call and result.",
-		}, []string{"call", "result"}),
+		acquired: sillmetric.Counter("wasabisill_lease_taken_total", "Leases taken."),
+		lost:     sillmetric.Counter("wasabisill_lease_lost_total", "Leases lost before they were given up."),
+		calls:    sillmetric.CounterVec("wasabisill_lease_table_calls_total", "Table calls for leases by call and result.", "call", "result"),
 	}
 	if reg != nil {
 		reg.MustRegister(m.acquired, m.lost, m.calls)
--- a/internal/sillrelay/relay.go
+++ b/internal/sillrelay/relay.go
@@ -16,6 +16,7 @@
 
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllog"
+	"github.com/wasabisill/wasabisill/internal/sillmetric"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
 )
@@ -61,10 +62,7 @@
 // New returns a relay that treats the service as reachable until a call fails.
 func New(cfg Config) *Relay {
 	cfg.Log = cfg.Log.Named("relay")
-	r := &Relay{cfg: cfg, calls: prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "wasabisill_relay_calls_total",
-		Help: "Calls of the table service, by way (direct, peer) and outcome.",
-	}, []string{"way", "outcome"})}
+	r := &Relay{cfg: cfg, calls: sillmetric.CounterVec("wasabisill_relay_calls_total", "Calls of the table service, by way (direct, peer) and outcome.", "way", "outcome")}
 	if cfg.Registerer != nil {
 		cfg.Registerer.MustRegister(r.calls)
 	}
--- a/internal/sillrollout/metrics.go
+++ b/internal/sillrollout/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/wasabisill/wasabisill/internal/sillattribution"
+	"github.com/wasabisill/wasabisill/internal/sillmetric"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 )
 
@@ -20,18 +21,10 @@
 // NewMetrics registers the counters; a nil registerer leaves them unregistered.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		samples: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_rollout_samples_total", Help: "Samples by what happened to them.",
-		}, []string{"event"}),
-		unattributable: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_rollout_unattributable_total", Help: "Discarded generations by reason.",
-		}, []string{"reason"}),
-		formFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_rollout_form_failures_total", Help: "Deliveries that could not be formed by reason.",
-		}, []string{"reason"}),
-		withdrawn: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "wasabisill_rollout_groups_withdrawn_total", Help: "Groups whose delivery grew too old before it was given.",
-		}),
+		samples:        sillmetric.CounterVec("wasabisill_rollout_samples_total", "Samples by what happened to them.", "event"),
+		unattributable: sillmetric.CounterVec("wasabisill_rollout_unattributable_total", "Discarded generations by reason.", "reason"),
+		formFailures:   sillmetric.CounterVec("wasabisill_rollout_form_failures_total", "Deliveries that could not be formed by reason.", "reason"),
+		withdrawn:      sillmetric.Counter("wasabisill_rollout_groups_withdrawn_total", "Groups whose delivery grew too old before it was given."),
 	}
 	for _, reason := range sillattribution.Reasons() {
 		m.unattributable.WithLabelValues(string(reason))
--- a/internal/sillscaler/metrics.go
+++ b/internal/sillscaler/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/wasabisill/wasabisill/internal/sillcall"
+	"github.com/wasabisill/wasabisill/internal/sillmetric"
 	"github.com/wasabisill/wasabisill/internal/sillorder"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 )
@@ -24,18 +25,14 @@
 // NewMetrics returns metrics registered with r.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		Orders:        vector("wasabisill_scale_orders_total", "Sends of orders.", "action", "outcome"),
-		Reconciled:    vector("wasabisill_scale_reconciled_total", "Orders looked up.", "state"),
-		WriteFailures: vector("wasabisill_scale_refusals_total", "Failed writes of the table.", "step", "reason"),
+		Orders:        sillmetric.CounterVec("wasabisill_scale_orders_total", "Sends of orders.", "action", "outcome"),
+		Reconciled:    sillmetric.CounterVec("wasabisill_scale_reconciled_total", "Orders looked up.", "state"),
+		WriteFailures: sillmetric.CounterVec("wasabisill_scale_refusals_total", "Failed writes of the table.", "step", "reason"),
 	}
 	r.MustRegister(m.Orders, m.Reconciled, m.WriteFailures)
 	return m
 }
 
-func vector(name, help string, labels ...string) *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
-}
-
 func (m *Metrics) countWriteFailure(step string, err error) {
 	m.WriteFailures.WithLabelValues(step, silltable.Result(err)).Inc()
 }
--- a/internal/sillusage/metrics.go
+++ b/internal/sillusage/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/wasabisill/wasabisill/internal/sillmetric"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 )
 
@@ -28,26 +29,18 @@
 // NewMetrics returns metrics registered with r.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		Flushes:     vector("wasabisill_usage_flushes_total", "Writes of agent rows.", "outcome"),
-		Renewals:    counter("wasabisill_usage_renewals_total", "Meters that went on under a fresh name."),
-		BackupDrops: counter("wasabisill_usage_witness_drops_total", "Records beyond the limit of a witness."),
-		Seals:       vector("wasabisill_usage_seals_total", "Agents ended by the closer.", "reason"),
-		Frozen:      counter("wasabisill_usage_frozen_total", "Frozen windows of organisations."),
-		Carried:     counter("wasabisill_usage_carried_total", "Requests reported in a later window."),
-		Reports:     vector("wasabisill_usage_reports_total", "Sends of usage reports.", "outcome"),
+		Flushes:     sillmetric.CounterVec("wasabisill_usage_flushes_total", "Writes of agent rows.", "outcome"),
+		Renewals:    sillmetric.Counter("wasabisill_usage_renewals_total", "Meters that went on under a fresh name."),
+		BackupDrops: sillmetric.Counter("wasabisill_usage_witness_drops_total", "Records beyond the limit of a witness."),
+		Seals:       sillmetric.CounterVec("wasabisill_usage_seals_total", "Agents ended by the closer.", "reason"),
+		Frozen:      sillmetric.Counter("wasabisill_usage_frozen_total", "Frozen windows of organisations."),
+		Carried:     sillmetric.Counter("wasabisill_usage_carried_total", "Requests reported in a later window."),
+		Reports:     sillmetric.CounterVec("wasabisill_usage_reports_total", "Sends of usage reports.", "outcome"),
 	}
 	r.MustRegister(m.Flushes, m.Renewals, m.BackupDrops, m.Seals, m.Frozen, m.Carried, m.Reports)
 	return m
 }
 
-func counter(name, help string) prometheus.Counter {
-	return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
-}
-
-func vector(name, help, label string) *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{label})
-}
-
 func (m *Metrics) countFlush(err error) {
 	m.Flushes.WithLabelValues(silltable.Result(err)).Inc()
 }
--- a/internal/sillweightswap/metrics.go
+++ b/internal/sillweightswap/metrics.go
@@ -1,6 +1,10 @@
 package sillweightswap
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/wasabisill/wasabisill/internal/sillmetric"
+)
 
 // Metrics are the metrics of an agent's weight fetches and loads.
 type Metrics struct {
@@ -21,30 +25,12 @@
 // NewMetrics registers the metrics.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		Fetches: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_agent_weight_fetches_total",
-			Help: "Weight versions that were fetched, by source.",
-		}, []string{"source"}),
-		FetchFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_agent_weight_fetch_failures_total",
-			Help: "Failed fetches of weights, by source and reason; each is tried again.",
-		}, []string{"source", "reason"}),
-		Swaps: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_agent_weight_swaps_total",
-			Help: "Orders to load weights, by outcome.",
-		}, []string{"outcome"}),
-		MessageFailures: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "wasabisill_agent_weight_message_failures_total",
-			Help: "Statuses that did not reach another agent; they are sent again.",
-		}),
-		TakenOut: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "wasabisill_agent_weight_taken_out_total",
-			Help: "Weight versions that the engine failed to load for good; its target is out of serving.",
-		}),
-		HeldBytes: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "wasabisill_agent_weight_held_bytes",
-			Help: "Size of the weights that the agent holds for its engine and for other agents.",
-		}),
+		Fetches:         sillmetric.CounterVec("wasabisill_agent_weight_fetches_total", "Weight versions that were fetched, by source.", "source"),
+		FetchFailures:   sillmetric.CounterVec("wasabisill_agent_weight_fetch_failures_total", "Failed fetches of weights, by source and reason; each is tried again.", "source", "reason"),
+		Swaps:           sillmetric.CounterVec("wasabisill_agent_weight_swaps_total", "Orders to load weights, by outcome.", "outcome"),
+		MessageFailures: sillmetric.Counter("wasabisill_agent_weight_message_failures_total", "Statuses that did not reach another agent; they are sent again."),
+		TakenOut:        sillmetric.Counter("wasabisill_agent_weight_taken_out_total", "Weight versions that the engine failed to load for good; its target is out of serving."),
+		HeldBytes:       sillmetric.Gauge("wasabisill_agent_weight_held_bytes", "Size of the weights that the agent holds for its engine and for other agents."),
 	}
 	r.MustRegister(m.Fetches, m.FetchFailures, m.Swaps, m.MessageFailures, m.TakenOut, m.HeldBytes)
 	return m
