Create the commands of gateway and agent by one function

Both read a settings file and run a process.

No change of behaviour: eight command lines (help, no file, a missing file, invalid settings) printed the same and ended with the same exit codes before and after. Build, vet, linter and the tests of cmd/wasabisill pass.

--- a/cmd/wasabisill/agent.go
+++ b/cmd/wasabisill/agent.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/integrii/flaggy"
-
 	"github.com/wasabisill/wasabisill/internal/sillapp"
 	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/silllog"
@@ -16,11 +14,7 @@
 The agent runs until SIGTERM. It then takes no new work, waits for the running requests up to control.drain-limit-seconds, writes its last usage figures, and ends. Once it listens, it prints one JSON line with its addresses on stdout.`
 
 func newAgentCommand() *sillcommand.Command {
-	var file string
-	sub := flaggy.NewSubcommand("agent")
-	describe(sub, agentHelp)
-	addSettingsFlag(sub, &file)
-	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error { return runAgent(ctx, file) }}
+	return newProcessCommand("agent", agentHelp, runAgent)
 }
 
 func runAgent(ctx context.Context, file string) error {
--- a/cmd/wasabisill/gateway.go
+++ b/cmd/wasabisill/gateway.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/integrii/flaggy"
-
 	"github.com/wasabisill/wasabisill/internal/sillapp"
 	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/silllog"
@@ -16,11 +14,7 @@
 The gateway runs until SIGTERM. It then takes no new connections, waits for the running requests up to control.drain-limit-seconds, and ends. Once it listens, it prints one JSON line with its addresses on stdout.`
 
 func newGatewayCommand() *sillcommand.Command {
-	var file string
-	sub := flaggy.NewSubcommand("gateway")
-	describe(sub, gatewayHelp)
-	addSettingsFlag(sub, &file)
-	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error { return runGateway(ctx, file) }}
+	return newProcessCommand("gateway", gatewayHelp, runGateway)
 }
 
 func runGateway(ctx context.Context, file string) error {
--- a/cmd/wasabisill/settings.go
+++ b/cmd/wasabisill/settings.go
@@ -51,6 +51,15 @@
 	sub.String(file, "s", "settings", "path of the settings file, in JSON")
 }
 
+// newProcessCommand returns the command that runs a process with a settings file.
+func newProcessCommand(name, help string, run func(ctx context.Context, file string) error) *sillcommand.Command {
+	var file string
+	sub := flaggy.NewSubcommand(name)
+	describe(sub, help)
+	addSettingsFlag(sub, &file)
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error { return run(ctx, file) }}
+}
+
 // loadSettings reads and checks a settings file.
 func loadSettings(file string, into any, validate func() error) error {
 	if file == "" {
