--- a/cmd/sillbench/bundle.go
+++ b/cmd/sillbench/bundle.go
@@ -31,7 +31,7 @@
 	serviceRoute sillid.RouteID = "service"
 )
 
-// bundle returns the scenario's bundle, with a new key for each organisation.
+// bundle returns the scenario's bundle, with new keys for the organisations.
 func (p *product) bundle() *sillbundle.Bundle {
 	s := p.scenario
 	b := &sillbundle.Bundle{
@@ -60,25 +60,33 @@
 	for _, z := range s.Zones {
 		b.Zones = append(b.Zones, sillbundle.AvailabilityZone{ID: z, Region: s.Region})
 	}
+	b.Organisations = p.organisations()
+	for _, t := range s.Trainers {
+		b.Trainers = append(b.Trainers, sillbundle.Trainer{
+			ID: t.ID, Organisation: t.Organisation, Model: s.Model.Model, StalenessBound: t.StalenessBound, Weight: 1,
+		})
+	}
+	return b
+}
+
+// organisations returns the scenario's organisations, weighted by their shares. It adds
+// a new key for each to the deployment.
+func (p *product) organisations() []sillbundle.Organisation {
 	smallest := math.Inf(1)
-	for _, o := range s.Organisations {
+	for _, o := range p.scenario.Organisations {
 		smallest = min(smallest, o.Share)
 	}
-	for _, o := range s.Organisations {
+	var all []sillbundle.Organisation
+	for _, o := range p.scenario.Organisations {
 		key := sillid.Fresh("key")
 		p.deployed.deployment.Keys[o.ID] = key
-		b.Organisations = append(b.Organisations, sillbundle.Organisation{
+		all = append(all, sillbundle.Organisation{
 			ID: o.ID, Weight: max(1, int(o.Share/smallest)), MaxConcurrent: organisationMaxConcurrent,
 			Routes: []sillid.RouteID{modelRoute, serviceRoute},
 			Keys:   []sillbundle.Key{{Label: operatorName, Hash: sillbundle.HashKey(key)}},
 		})
 	}
-	for _, t := range s.Trainers {
-		b.Trainers = append(b.Trainers, sillbundle.Trainer{
-			ID: t.ID, Organisation: t.Organisation, Model: s.Model.Model, StalenessBound: t.StalenessBound, Weight: 1,
-		})
-	}
-	return b
+	return all
 }
 
 // publish publishes the bundle in the platform's store.
