--- a/cmd/wasabisill/agent.go
+++ b/cmd/wasabisill/agent.go
@@ -3,9 +3,8 @@
 import (
 	"context"
 
-	"github.com/integrii/flaggy"
-
 	"github.com/wasabisill/wasabisill/internal/sillapp"
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
@@ -15,12 +14,8 @@
 
 The agent runs until SIGTERM. It then takes no new work, waits for the running requests up to control.drain-limit-seconds, writes its last usage figures, and ends. SIGHUP checks the settings again and cuts nothing. Once it listens, it prints one JSON line with its addresses on stdout.`
 
-func newAgentCommand() *command {
-	var file string
-	sub := flaggy.NewSubcommand("agent")
-	describe(sub, agentHelp)
-	addSettingsFlag(sub, &file)
-	return &command{sub: sub, run: func(ctx context.Context) error { return runAgent(ctx, file) }}
+func newAgentCommand() *sillcommand.Command {
+	return newProcessCommand("agent", agentHelp, runAgent)
 }
 
 func runAgent(ctx context.Context, file string) error {
--- a/cmd/wasabisill/bundle_remote.go
+++ b/cmd/wasabisill/bundle_remote.go
@@ -17,6 +17,7 @@
 	"github.com/wasabisill/wasabisill/internal/silladmin"
 	"github.com/wasabisill/wasabisill/internal/sillbundle"
 	"github.com/wasabisill/wasabisill/internal/sillbundlestore"
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
@@ -24,7 +25,7 @@
 // defaultAdminTimeout bounds one call of the administration API.
 const defaultAdminTimeout = 30 * time.Second
 
-// remoteFlags tell how to reach the administration API.
+// remoteFlags are the flags for calls to the administration API.
 type remoteFlags struct {
 	adminURL       string
 	credentialFile string
@@ -50,7 +51,7 @@
 	}
 	transport := &http.Transport{}
 	if r.caFile != "" {
-		transport.TLSClientConfig, err = trust(r.caFile)
+		transport.TLSClientConfig, err = tlsConfig(r.caFile)
 		if err != nil {
 			return nil, err
 		}
@@ -62,7 +63,8 @@
 	}, nil
 }
 
-func trust(path string) (*tls.Config, error) {
+// tlsConfig returns a configuration that trusts only the certificates of a file.
+func tlsConfig(path string) (*tls.Config, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, usageError("read the certificates: %w", err)
@@ -74,7 +76,7 @@
 	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}, nil
 }
 
-// bundleOrFile returns the bundle of a file, or the accepted one if path is empty.
+// bundleOrFile returns the bundle in a file, or the accepted one if path is empty.
 func (r *remoteFlags) bundleOrFile(ctx context.Context, path string) (*sillbundle.Bundle, error) {
 	if path != "" {
 		return readBundle(path)
@@ -87,23 +89,23 @@
 	return b, refused(err)
 }
 
-// refused gives refusals of the API their exit code.
+// refused adds the exit code to an error if the API refused the call.
 func refused(err error) error {
 	var e *silladmin.RefusedError
 	if errors.As(err, &e) {
-		return &exitError{code: exitRefused, err: err}
+		return &sillcommand.ExitError{Code: exitRefused, Err: err}
 	}
 	return err
 }
 
-func newRollOutCommand() *command {
+func newRollOutCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("roll-out")
 	sub.Description = rollOutHelp
 	var file string
 	var remote remoteFlags
 	sub.String(&file, "", "signed", "file of the signed bundle")
 	remote.attach(sub)
-	return &command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		if err := required([2]string{"signed", file}); err != nil {
 			return err
 		}
@@ -131,7 +133,7 @@
 	return nil
 }
 
-func newRollBackCommand() *command {
+func newRollBackCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("roll-back")
 	sub.Description = rollBackHelp
 	var to uint64
@@ -140,7 +142,7 @@
 	sub.UInt64(&to, "", "to", "version whose content comes back")
 	operator.attach(sub)
 	remote.attach(sub)
-	return &command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		if to == 0 {
 			return usageError("set --to")
 		}
@@ -163,7 +165,7 @@
 	return printAccepted(e.RollBack(ctx, to))
 }
 
-// newEditor returns an editor that works through the administration API.
+// newEditor returns an editor that uses the administration API.
 func newEditor(c *silladmin.Client, operator *operatorFlags) (*sillbundlestore.Editor, error) {
 	key, err := operator.key()
 	if err != nil {
@@ -186,14 +188,14 @@
 	}, nil
 }
 
-func newStatusCommand() *command {
+func newStatusCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("status")
 	sub.Description = statusHelp
 	var asJSON bool
 	var remote remoteFlags
 	sub.Bool(&asJSON, "", "json", "print JSON")
 	remote.attach(sub)
-	return &command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		c, err := remote.client()
 		if err != nil {
 			return err
@@ -225,14 +227,14 @@
 	return time.UnixMilli(ms).UTC().Format(time.RFC3339)
 }
 
-func newHistoryCommand() *command {
+func newHistoryCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("history")
 	sub.Description = historyHelp
 	limit := 20
 	var remote remoteFlags
 	sub.Int(&limit, "", "limit", "number of versions")
 	remote.attach(sub)
-	return &command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		c, err := remote.client()
 		if err != nil {
 			return err
--- a/cmd/wasabisill/dev.go
+++ b/cmd/wasabisill/dev.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
 
 	"github.com/integrii/flaggy"
 
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/silldev"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
@@ -18,7 +18,7 @@
 
 It needs no settings. When it serves, it prints one JSON line on stdout and example commands on stderr. It runs until SIGTERM or Ctrl-C and keeps nothing.`
 
-func newDevCommand() *command {
+func newDevCommand() *sillcommand.Command {
 	cfg := silldev.Config{Engines: 2, Services: 2}
 	var callers, admin, metrics string
 	level := "warn"
@@ -30,7 +30,7 @@
 	sub.String(&admin, "", "listen-admin", "IP:PORT of the administration API; a free port by default")
 	sub.String(&metrics, "", "listen-metrics", "IP:PORT for metrics; a free port by default")
 	sub.String(&level, "", "log-level", "debug, info, warn or error")
-	return &command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		cfg.Listen = sillsettings.GatewayListen{
 			Callers: sillsettings.Address(callers),
 			Admin:   sillsettings.Address(admin),
@@ -40,7 +40,7 @@
 	}}
 }
 
-// devReady is the line that tells scripts how to reach the deployment.
+// devReady is the line from which scripts read how to reach the deployment.
 type devReady struct {
 	Ready           bool                             `json:"ready"`
 	GatewayURL      string                           `json:"gateway-url"`
@@ -58,7 +58,7 @@
 func runDev(ctx context.Context, cfg silldev.Config, level string) error {
 	log, err := silllog.New(level)
 	if err != nil {
-		return &exitError{code: exitUsage, err: err}
+		return &sillcommand.ExitError{Code: sillcommand.ExitUsage, Err: err}
 	}
 	cfg.Log = log
 	d, err := silldev.Start(ctx, cfg)
@@ -66,7 +66,7 @@
 		return err
 	}
 	defer d.Stop()
-	if err := json.NewEncoder(os.Stdout).Encode(readyOf(d)); err != nil {
+	if err := printReady(readyOf(d)); err != nil {
 		return err
 	}
 	fmt.Fprint(os.Stderr, d.Examples())
--- a/cmd/wasabisill/gateway.go
+++ b/cmd/wasabisill/gateway.go
@@ -3,9 +3,8 @@
 import (
 	"context"
 
-	"github.com/integrii/flaggy"
-
 	"github.com/wasabisill/wasabisill/internal/sillapp"
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
@@ -15,12 +14,8 @@
 
 The gateway runs until SIGTERM. It then takes no new connections, waits for the running requests up to control.drain-limit-seconds, and ends. SIGHUP checks the settings again and cuts nothing. Once it listens, it prints one JSON line with its addresses on stdout.`
 
-func newGatewayCommand() *command {
-	var file string
-	sub := flaggy.NewSubcommand("gateway")
-	describe(sub, gatewayHelp)
-	addSettingsFlag(sub, &file)
-	return &command{sub: sub, run: func(ctx context.Context) error { return runGateway(ctx, file) }}
+func newGatewayCommand() *sillcommand.Command {
+	return newProcessCommand("gateway", gatewayHelp, runGateway)
 }
 
 func runGateway(ctx context.Context, file string) error {
--- a/cmd/wasabisill/platform.go
+++ b/cmd/wasabisill/platform.go
@@ -8,6 +8,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	sillplatform "github.com/wasabisill/wasabisill/platform"
@@ -15,23 +16,23 @@
 
 const platformHelp = `Run a gateway on the prepared platform: it serves callers and trainers and calls the targets itself.
 
-The settings file is the one that the platform writes; the environment variable ` + sillplatform.SettingsVariable + ` names it. The gateway runs until SIGTERM. It then counts as not ready, hands its jobs to other gateways, answers what it has begun and ends within the grace of the settings. SIGHUP reads the settings again and cuts nothing.`
+The settings file is the one that the platform writes; the environment variable ` + sillplatform.SettingsVariable + ` names it. The gateway runs until SIGTERM. It then counts as not ready, hands its jobs to other gateways, finishes the requests that it has begun and ends within the grace period of the settings. SIGHUP checks the settings file again and interrupts nothing.`
 
-// memoryShare is the part of the instance's memory that the heap may grow to;
-// the rest is for stacks, buffers of sockets and the program itself.
+// memoryShare is the share of the instance's memory up to which the heap may grow;
+// the rest is for stacks, socket buffers and the program itself.
 const memoryShare = 0.6
 
-func newPlatformCommand() *command {
+func newPlatformCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("platform")
 	describe(sub, platformHelp)
-	return &command{sub: sub, run: runPlatform}
+	return &sillcommand.Command{Sub: sub, Run: runPlatform}
 }
 
 func runPlatform(ctx context.Context) error {
 	received := receiveHangups()
 	settings, err := sillplatform.LoadSettings()
 	if err != nil {
-		return &exitError{code: exitUsage, err: err}
+		return &sillcommand.ExitError{Code: sillcommand.ExitUsage, Err: err}
 	}
 	log, queue, err := silllog.NewQueued(os.Stdout, "info")
 	if err != nil {
