Pass on the jobs that a gateway gets while it stops

What callers saw: a job that was submitted right around a SIGTERM could get the stopping gateway as its owner: another gateway had not yet read that it stops, or the job was accepted or claimed by calls under way there. No process ran it until that owner counted as dead, 1.7 s after its last renewal.

Cause: a runner that stops released the jobs that it ran at that moment, and no others.

Change: it goes on for a second to release jobs that name it as their owner, those whose first release failed included. The other gateways claim them at once.

In the tests the follower of the states now outlives the runner, as it does in the gateway.

--- a/internal/silldirectgateway/providers.go
+++ b/internal/silldirectgateway/providers.go
@@ -18,6 +18,10 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
+// jobHandoverTime is how long a gateway that stops goes on to pass new jobs on. The others
+// read within that time that it stops.
+const jobHandoverTime = time.Second
+
 // bufferShare is the share of the process's memory that responses may take while they
 // are read.
 const bufferShare = 0.125
@@ -105,7 +109,7 @@
 		Self: silljob.GatewayRun(p.members.run), Store: p.store, Board: p.view.board, Cache: p.cache,
 		Directory: p.view.directory, Pool: p.adapter.TargetPool, Codec: p.adapter.Codec,
 		Forwarder: p.forwarder, Catalog: p.view.catalog, Zone: p.settings.Zone,
-		Owner: p.members.owner, TakeoverRank: p.members.rank, Alive: p.members.alive,
+		Owner: p.members.owner, TakeoverRank: p.members.rank, Alive: p.members.alive, HandoverTime: jobHandoverTime,
 		Metrics: silljob.NewMetrics(r), Log: log,
 	})
 }
--- a/internal/silljob/help_test.go
+++ b/internal/silljob/help_test.go
@@ -36,6 +36,8 @@
 	engines []*sillstandtarget.Target
 	scorer  *sillstandtarget.Target
 	catalog *sillcatalog.Holder
+	// handover is the HandoverTime of the gateways.
+	handover time.Duration
 
 	mu    sync.Mutex
 	nodes map[GatewayRun]*node
@@ -47,8 +49,9 @@
 	reader    *Reader
 	board     *Board
 	directory *silltarget.Directory
-	group     *sillgroup.Group
-	alive     bool
+	// group runs the runner; background runs what goes on when it stops.
+	group, background *sillgroup.Group
+	alive             bool
 }
 
 const testModel sillid.ModelID = "m"
@@ -91,7 +94,8 @@
 
 // start starts a gateway, which owns the jobs that are submitted to it.
 func (c *cluster) start(run GatewayRun) *node {
-	n := &node{board: NewBoard(), directory: silltarget.NewDirectory(), group: sillgroup.New(context.Background()), alive: true}
+	n := &node{board: NewBoard(), directory: silltarget.NewDirectory(), alive: true}
+	n.group, n.background = sillgroup.New(context.Background()), sillgroup.New(context.Background())
 	for _, e := range c.engines {
 		n.directory.Apply(e.Entry("p", 2, versions{testModel: 1}))
 	}
@@ -118,14 +122,15 @@
 		Self: run, Store: c.store, Board: n.board, Cache: cache, Directory: n.directory, Pool: pool, Codec: codec,
 		Forwarder: forwarder, Catalog: c.catalog, Owner: func(sillid.ModelID) GatewayRun { return run },
 		TakeoverRank: func(sillid.ModelID) (int, bool) { return 0, c.isAlive(run) },
-		Alive:        c.isAlive, Metrics: NewMetrics(nil), Log: zap.NewNop(),
+		HandoverTime: c.handover, Alive: c.isAlive, Metrics: NewMetrics(nil), Log: zap.NewNop(),
 	})
 	n.reader = &Reader{Store: c.store, Board: n.board, Cache: cache, BoardAge: func() (time.Duration, bool) { return follower.Age(time.Now()) }}
 	c.mu.Lock()
 	c.nodes[run] = n
 	c.mu.Unlock()
-	n.group.Go(follower.Run)
+	n.background.Go(follower.Run)
 	n.group.Go(n.runner.Run)
+	c.t.Cleanup(n.background.Stop)
 	c.t.Cleanup(n.group.Stop)
 	return n
 }
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -36,9 +36,12 @@
 	// jobs of a model, from 0; false if it may not.
 	TakeoverRank func(model sillid.ModelID) (int, bool)
 	// Alive returns whether a process is known to be running.
-	Alive   func(run GatewayRun) bool
-	Metrics *Metrics
-	Log     *zap.Logger
+	Alive func(run GatewayRun) bool
+	// HandoverTime is how long a process that stops goes on to release jobs of which it
+	// becomes the owner: others learn later that it stops.
+	HandoverTime time.Duration
+	Metrics      *Metrics
+	Log          *zap.Logger
 }
 
 // Runner runs the jobs that this process owns, and takes over jobs whose owner is not
@@ -88,7 +91,8 @@
 	}
 }
 
-// Run runs owned jobs until ctx ends, then releases them.
+// Run runs owned jobs until ctx ends, then releases them and those that it gets within
+// HandoverTime.
 func (r *Runner) Run(ctx context.Context) {
 	defer r.group.Stop()
 	r.group.Go(r.dispatchLoop)
@@ -100,6 +104,7 @@
 		select {
 		case <-ctx.Done():
 			r.releaseAll()
+			r.releaseAssigned()
 			return
 		case <-changed:
 		case <-ticker.C:
--- a/internal/silljob/runner_test.go
+++ b/internal/silljob/runner_test.go
@@ -391,6 +391,38 @@
 	}
 }
 
+// TestStoppingOwnerPassesNewJobsOn guards against jobs that get an owner which has just
+// stopped, and then wait until it counts as dead.
+func TestStoppingOwnerPassesNewJobsOn(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// assign makes a job that the stopping gateway a owns.
+		assign func(t *testing.T, a, b *node, sub *Submission)
+	}{
+		{"submitted to it", func(t *testing.T, a, _ *node, sub *Submission) { a.submit(t, sub) }},
+		{"submitted to another", func(t *testing.T, _, b *node, sub *Submission) {
+			b.runner.cfg.Owner = func(sillid.ModelID) GatewayRun { return "a" }
+			b.submit(t, sub)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 1, completeStream)
+			c.handover = 5 * time.Second
+			a, b := c.start("a"), c.start("b")
+			a.group.Cancel()
+			eventually(t, "the gateway is stopping", func() bool {
+				a.runner.mu.Lock()
+				defer a.runner.mu.Unlock()
+				return a.runner.stopping
+			})
+			sub := submission("job", 2)
+			tc.assign(t, a, b, sub)
+			checkComplete(t, sub, b.results(t, "job", 2), testEvents)
+		})
+	}
+}
+
 // TestLostOwnersProgressIsSaved declares the owner dead once it has saved progress. Its
 // successor must resume from there.
 func TestLostOwnersProgressIsSaved(t *testing.T) {
--- a/internal/silljob/takeover.go
+++ b/internal/silljob/takeover.go
@@ -215,3 +215,45 @@
 		}
 	}
 }
+
+// releaseAssigned releases the jobs that other processes, calls under way or earlier
+// claims make this one own, for HandoverTime.
+func (r *Runner) releaseAssigned() {
+	if r.cfg.HandoverTime <= 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.group.Context(), r.cfg.HandoverTime)
+	defer cancel()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		changed := r.cfg.Board.Changed()
+		for job, v := range r.cfg.Board.OpenJobs() {
+			if v.Owner == r.cfg.Self {
+				r.releaseJob(ctx, job, v)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// releaseJob releases a job that this process owns, whether it runs the job or not.
+func (r *Runner) releaseJob(ctx context.Context, job ID, v VersionedState) {
+	r.mu.Lock()
+	j := r.jobs[job]
+	r.mu.Unlock()
+	if j != nil {
+		r.release(ctx, j)
+		return
+	}
+	after, err := r.cfg.Store.Release(ctx, job, v, Update{Waiting: v.Waiting})
+	r.cfg.Log.Info("Passing a new job on.", zap.String("job", string(job)), silllog.Err(err))
+	if err == nil {
+		r.cfg.Board.UpdateIfNewer(job, after)
+	}
+}
