Treat a request as not sent if no byte was written

What callers saw: a target that resets a kept connection between the check of it and the write of the next request: that request failed with 502 where it may run once only, as if it might have run, and counted as usage. Commits to the table were in doubt.

Cause: every failure after the connection was picked counted as sent, also a write of which the kernel took no byte.

Change: a request is sent once a byte of it was written. A long body is written beside the reading of the response, so a failure closes the connection and asks the write.

How often targets reset just then was not measured. A connection that is closed without a reset in that moment still takes the bytes; such a request may have run.

--- a/internal/silltransport/conn.go
+++ b/internal/silltransport/conn.go
@@ -142,25 +142,26 @@
 // exchange writes a request and reads the head of its response.
 func (c *conn) exchange(ctx context.Context, req *Request) (*http.Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.tcp.SetDeadline(expiredDeadline) })
-	fail := func(sent bool, err error) (*http.Response, error) {
+	written := &requestWrite{}
+	fail := func(err error) (*http.Response, error) {
 		stop()
 		c.close()
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, &Error{Sent: sent, Connected: true, Err: err}
+		return nil, &Error{Sent: written.sent(), Connected: true, Err: err}
 	}
 	if ctx.Err() != nil {
-		return fail(false, ctx.Err())
+		return fail(ctx.Err())
 	}
 	c.recordCarried(req.ID)
-	written := c.write(req)
+	written = c.write(req)
 	if err := written.failed(); err != nil {
-		return fail(true, err)
+		return fail(err)
 	}
 	resp, err := c.readResponse(req)
 	if err != nil {
-		return fail(true, err)
+		return fail(err)
 	}
 	body := &responseBody{conn: c, body: resp.Body, stop: stop, reusable: !resp.Close && written.complete(), ctx: ctx}
 	body.setExpiry(resp.Header)
@@ -170,46 +171,63 @@
 
 // requestWrite is the write of a request, which may still be running.
 type requestWrite struct {
-	// result receives the error of a write that runs while the response is read;
+	// running receives the outcome of a write that runs while the response is read;
 	// nil if the write has ended.
-	result chan error
-	// err is the error of a write that has ended.
-	err error
+	running chan writeOutcome
+	// outcome is the outcome of a write that has ended.
+	outcome writeOutcome
+}
+
+// writeOutcome is what a write returned. Without bytes the peer gets nothing.
+type writeOutcome struct {
+	bytes int64
+	err   error
 }
 
 // failed returns the error of a write that ended before the response was read.
-func (w *requestWrite) failed() error { return w.err }
+func (w *requestWrite) failed() error { return w.outcome.err }
 
 // complete returns whether the entire request was written without an error.
 func (w *requestWrite) complete() bool {
-	if w.result == nil {
-		return w.err == nil
+	if w.running == nil {
+		return w.outcome.err == nil
 	}
 	select {
-	case err := <-w.result:
-		return err == nil
+	case w.outcome = <-w.running:
+		w.running = nil
+		return w.outcome.err == nil
 	default:
 		return false
 	}
 }
 
+// sent returns whether a byte of the request was written. The connection must be closed,
+// so that a running write ends.
+func (w *requestWrite) sent() bool {
+	if w.running != nil {
+		w.outcome = <-w.running
+		w.running = nil
+	}
+	return w.outcome.bytes > 0
+}
+
 // write writes a request with a short body before it returns. A longer body is
 // written while the response is read, since the peer may respond before it has
 // read the entire body.
 func (c *conn) write(req *Request) *requestWrite {
 	head := encodeHead(req)
 	if len(req.Body) <= maxInlineBodyBytes {
-		_, err := c.tcp.Write(append(head, req.Body...))
-		return &requestWrite{err: err}
+		n, err := c.tcp.Write(append(head, req.Body...))
+		return &requestWrite{outcome: writeOutcome{bytes: int64(n), err: err}}
 	}
-	w := &requestWrite{result: make(chan error, 1)}
+	running := make(chan writeOutcome, 1)
 	var group sync.WaitGroup
 	group.Go(func() {
 		buffers := net.Buffers{head, req.Body}
-		_, err := buffers.WriteTo(c.tcp)
-		w.result <- err
+		n, err := buffers.WriteTo(c.tcp)
+		running <- writeOutcome{bytes: n, err: err}
 	})
-	return w
+	return &requestWrite{running: running}
 }
 
 func encodeHead(req *Request) []byte {
--- a/internal/silltransport/transport_test.go
+++ b/internal/silltransport/transport_test.go
@@ -300,6 +300,42 @@
 	checkBody(t, pool, p.address(), "2", "ok")
 }
 
+// TestResetBeforeTheRequestIsNotSent guards against a request that counts as sent although
+// the peer had reset the connection before its first byte.
+func TestResetBeforeTheRequestIsNotSent(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		body []byte
+	}{{"short", []byte("body")}, {"long", make([]byte, 4*maxInlineBodyBytes)}} {
+		t.Run(tc.name, func(t *testing.T) {
+			reset := make(chan struct{})
+			p := newPeer(t, func(c net.Conn, r string) bool {
+				_, _ = io.WriteString(c, responseWith(idOf(r), "", "ok"))
+				<-reset
+				_ = c.(*net.TCPConn).SetLinger(0)
+				return false
+			})
+			pool := newTestPool(sameID)
+			checkBody(t, pool, p.address(), "1", "ok")
+			c, err := pool.acquire(t.Context(), p.address(), "2")
+			if err != nil {
+				t.Fatal(err)
+			}
+			close(reset)
+			waitUntil(t, func() bool { return !c.isIdle() })
+			req := request("2")
+			req.Body = tc.body
+			resp, err := c.exchange(t.Context(), req)
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			if !NotSent(err) {
+				t.Errorf("error %v; want one of a request that was not sent", err)
+			}
+		})
+	}
+}
+
 func TestUnreachableIsNotSent(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
