Write the records of silent agents at a gateway's stop

Use was never reported when agents ended without a last flush and their gateways were stopped within 15 s, as in a zone that fails while instances are replaced: only the gateways held the records of the agents' last requests, and wrote them once an agent was silent for 15 s; a stop dropped them.

A gateway that stops now also writes the records of the agents that are silent at that time. The writing of an agent's records changes no figures if the agent is alive. An agent that ends less than the silence limit of 3 s before its gateway's last heartbeat, or later, is still not covered.

--- a/internal/sillapp/usage.go
+++ b/internal/sillapp/usage.go
@@ -97,26 +97,33 @@
 	m.dead = false
 }
 
-// sweep gives up meters that were silent for too long.
-func (w *witness) sweep(now time.Time) {
+// sweep gives up meters that were silent for longer than the limit.
+func (w *witness) sweep(now time.Time, limit time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, m := range w.meters {
-		if !m.dead && now.Sub(m.at) > meterSilence {
+		if !m.dead && now.Sub(m.at) > limit {
 			m.dead = true
 			w.MarkAgentDead(m.name)
 		}
 	}
 }
 
-// run writes the records of dead agents until ctx ends.
+// run writes the records of dead agents until ctx ends, and then those of agents that
+// are silent, which nobody else may hold.
 func (w *witness) run(ctx context.Context, log *zap.Logger) {
 	sillgroup.Every(ctx, witnessInterval, func(now time.Time) {
-		w.sweep(now)
+		w.sweep(now, meterSilence)
 		if err := w.Flush(ctx); err != nil && ctx.Err() == nil {
 			log.Debug("could not write the records of dead agents", zap.Error(err))
 		}
 	})
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastFlushLimit)
+	defer cancel()
+	w.sweep(time.Now(), sillwire.SilenceLimit)
+	if err := w.Flush(ctx); err != nil {
+		log.Warn("could not write the records of silent agents; their use is not reported", zap.Error(err))
+	}
 }
 
 // usageModule holds the gateway's part in metering and the usage task.
--- a/internal/sillprocess/usage_test.go
+++ b/internal/sillprocess/usage_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -204,3 +205,30 @@
 		})
 	}
 }
+
+func TestUsageOutlivesAnAgentAndThenItsGateway(t *testing.T) {
+	t.Parallel()
+	c := usageCluster(t)
+	c.serveSome(t, 20)
+	for _, tg := range c.targets {
+		tg.agent.kill()
+	}
+	// The gateways notice that the agents are silent, and have not given them up.
+	time.Sleep(4 * time.Second)
+	for _, g := range c.gateways {
+		g.process.signal(syscall.SIGTERM)
+	}
+	for _, g := range slices.Clone(c.gateways) {
+		g.process.terminate(t)
+	}
+	for _, tg := range c.targets {
+		c.startAgent(tg)
+	}
+	c.list()
+	for _, g := range slices.Clone(c.gateways) {
+		c.gateways = slices.DeleteFunc(c.gateways, func(other *gateway) bool { return other == g })
+		c.addGateway()
+	}
+	c.awaitServing()
+	c.checkUsage(t)
+}
