Outlive the reader of the log

A gateway or an agent ended at once, and with it every request that it ran, when the reader of its log was gone, as after a restart of a log collector behind a pipe: the Go runtime ends a process by SIGPIPE that writes to a standard stream nobody reads. The three commands that serve now ignore the signal; the line is lost, the requests are not.

--- a/cmd/wasabisill/agent.go
+++ b/cmd/wasabisill/agent.go
@@ -24,6 +24,7 @@
 }
 
 func runAgent(ctx context.Context, file string) error {
+	outliveLogReader()
 	received := receiveHangups()
 	settings, err := loadAgent(file)
 	if err != nil {
--- a/cmd/wasabisill/gateway.go
+++ b/cmd/wasabisill/gateway.go
@@ -24,6 +24,7 @@
 }
 
 func runGateway(ctx context.Context, file string) error {
+	outliveLogReader()
 	received := receiveHangups()
 	settings, err := loadGateway(file)
 	if err != nil {
--- a/cmd/wasabisill/platform.go
+++ b/cmd/wasabisill/platform.go
@@ -28,6 +28,7 @@
 }
 
 func runPlatform(ctx context.Context) error {
+	outliveLogReader()
 	received := receiveHangups()
 	settings, err := sillplatform.LoadSettings()
 	if err != nil {
--- a/cmd/wasabisill/hangup.go
+++ b/cmd/wasabisill/signal.go
@@ -38,3 +38,9 @@
 		}
 	}
 }
+
+// outliveLogReader makes a line of the log that can't be written be lost. Without it
+// the line would end the process, and with it the requests that run.
+func outliveLogReader() {
+	signal.Ignore(syscall.SIGPIPE)
+}
--- a/internal/sillprocess/signal_test.go
+++ b/internal/sillprocess/signal_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -58,3 +61,28 @@
 	c.t.Helper()
 	eventually(c.t, "the log holds "+text, func() bool { return strings.Contains(p.log.String(), text) })
 }
+
+func TestLostLogReaderEndsNoProcess(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, size{services: 1, gateways: 1})
+	tg := c.targets[0]
+	tg.agent.terminate(t)
+	reader, writer, err := os.Pipe()
+	check(t, err)
+	cmd := exec.Command(filepath.Join(binaries, "wasabisill"), "agent", "--settings", c.settingsFile(string(tg.id), tg.settings))
+	cmd.Stderr = writer
+	check(t, cmd.Start())
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	check(t, writer.Close())
+	c.awaitServing()
+	c.slowBookings(500 * time.Millisecond)
+	done := c.later(c.gateways[0], booking(`{"room":1}`))
+	time.Sleep(200 * time.Millisecond)
+	check(t, reader.Close())
+	// The SIGHUP makes the agent log a line.
+	check(t, cmd.Process.Signal(syscall.SIGHUP))
+	checkStatus(t, await(t, done), http.StatusCreated)
+}
