--- a/internal/sillprocess/failure_test.go
+++ b/internal/sillprocess/failure_test.go
@@ -69,7 +69,7 @@
 	count := 0
 	for _, r := range c.record(tg, "") {
 		if complete, ok := r["complete"].(bool); ok && !complete {
-			if ended, _ := r["ended"].(float64); ended == 0 {
+			if end, _ := r["end"].(float64); end == 0 {
 				count++
 			}
 		}
