End a stopped gateway's rollouts before its links

Engines went on with the samples of a batch for up to 10 s, the time for which agents wait for a lost gateway, when the gateway that owned the batch was stopped as planned: its links to the agents were closed before the tasks that used them, which could no longer cancel their runs. The next owner starts the same samples meanwhile, beside them.

The tasks under leases now end before the links, and the gateway waits until the agents have told the ends of the runs that it cancelled, up to 2 s.

--- a/internal/sillapp/gateway.go
+++ b/internal/sillapp/gateway.go
@@ -56,6 +56,7 @@
 			newRegisterer,
 			newGatewayID,
 			newBackground,
+			newControlTasks,
 			newTable,
 			newObjects,
 			newInstances,
@@ -84,6 +85,8 @@
 			startKeeper,
 			g.startFleet,
 			startPlans,
+			endExchanges,
+			endControlTasks,
 		),
 		usageModule(),
 		rolloutModule(),
@@ -113,6 +116,20 @@
 	return b
 }
 
+// controlTasks runs the goroutines that compete for leases. They end before the links
+// that their tasks use.
+type controlTasks struct {
+	*sillgroup.Group
+}
+
+func newControlTasks() controlTasks {
+	return controlTasks{sillgroup.New(context.Background())}
+}
+
+func endControlTasks(lc fx.Lifecycle, c controlTasks) {
+	lc.Append(fx.StopHook(c.Stop))
+}
+
 // startOperatorPort serves metrics and health.
 func (g *Gateway) startOperatorPort(lc fx.Lifecycle, s *sillsettings.Gateway, r *prometheus.Registry, c *sillbundlestore.Service) error {
 	srv, err := listen(s.Listen.Metrics, sillsettings.ServerTLS{}, operatorHandler(r, func() error { return g.ready(c) }))
--- a/internal/sillapp/gatewaycallers.go
+++ b/internal/sillapp/gatewaycallers.go
@@ -34,6 +34,12 @@
 	})
 }
 
+// endExchanges lets the agents tell the end of runs that were cancelled, before the
+// links close.
+func endExchanges(lc fx.Lifecycle, d *silldispatch.Dispatcher) {
+	lc.Append(fx.StopHook(d.AwaitLingering))
+}
+
 // callersParts is what the callers' side needs.
 type callersParts struct {
 	fx.In
--- a/internal/sillapp/leases.go
+++ b/internal/sillapp/leases.go
@@ -50,8 +50,8 @@
 
 // keep competes for the lease of a task until the process stops, and runs the
 // task while it is held.
-func (l *leases) keep(b background, t leaseTask) {
-	b.Go(l.runner(t).Run)
+func (l *leases) keep(c controlTasks, t leaseTask) {
+	c.Go(l.runner(t).Run)
 }
 
 // runner returns what competes for the lease of a task.
--- a/internal/sillapp/rollout.go
+++ b/internal/sillapp/rollout.go
@@ -139,15 +139,15 @@
 type ownerParts struct {
 	fx.In
 
-	Settings   *sillsettings.Gateway
-	Background background
-	Leases     *leases
-	Ledger     *sillrollout.Ledger
-	Generator  *sillsample.Generator
-	Config     *sillbundlestore.Service
-	Fleet      *sillfleet.Fleet
-	Metrics    *sillrollout.Metrics
-	Log        *zap.Logger
+	Settings  *sillsettings.Gateway
+	Control   controlTasks
+	Leases    *leases
+	Ledger    *sillrollout.Ledger
+	Generator *sillsample.Generator
+	Config    *sillbundlestore.Service
+	Fleet     *sillfleet.Fleet
+	Metrics   *sillrollout.Metrics
+	Log       *zap.Logger
 }
 
 // startOwners competes for the shards of batches. A gateway without a scorer
@@ -173,7 +173,7 @@
 	lc.Append(fx.StartHook(func() {
 		for shard := range sillrollout.Shards {
 			t := sillrollout.NewTask(cfg, shard)
-			p.Leases.keep(p.Background, leaseTask{name: sillrollout.LeaseName(shard), run: t.Run})
+			p.Leases.keep(p.Control, leaseTask{name: sillrollout.LeaseName(shard), run: t.Run})
 		}
 	}))
 }
--- a/internal/sillapp/scale.go
+++ b/internal/sillapp/scale.go
@@ -38,15 +38,15 @@
 type scaleParts struct {
 	fx.In
 
-	Settings   *sillsettings.Gateway
-	Background background
-	Leases     *leases
-	Table      *silltable.Store
-	Instances  *sillinstance.Client
-	Config     *sillbundlestore.Service
-	Fleet      *sillfleet.Fleet
-	Metrics    *sillscaler.Metrics
-	Log        *zap.Logger
+	Settings  *sillsettings.Gateway
+	Control   controlTasks
+	Leases    *leases
+	Table     *silltable.Store
+	Instances *sillinstance.Client
+	Config    *sillbundlestore.Service
+	Fleet     *sillfleet.Fleet
+	Metrics   *sillscaler.Metrics
+	Log       *zap.Logger
 }
 
 // scaleModule holds the scaler, one task for each pool in each availability zone.
@@ -62,7 +62,7 @@
 		return
 	}
 	s := &scaler{parts: p, started: make(map[shard]context.CancelFunc)}
-	lc.Append(fx.StartHook(func() { p.Background.Go(s.run) }))
+	lc.Append(fx.StartHook(func() { p.Control.Go(s.run) }))
 }
 
 // shard is a pool in an availability zone.
--- a/internal/sillapp/usage.go
+++ b/internal/sillapp/usage.go
@@ -185,9 +185,9 @@
 	orphanGraceShare = 2
 )
 
-func startUsage(lc fx.Lifecycle, b background, w *witness, l *leases, t *sillusage.Task, log *zap.Logger) {
+func startUsage(lc fx.Lifecycle, b background, c controlTasks, w *witness, l *leases, t *sillusage.Task, log *zap.Logger) {
 	lc.Append(fx.StartHook(func() {
 		b.Go(func(ctx context.Context) { w.run(ctx, log.Named("usage")) })
-		l.keep(b, leaseTask{name: usageLease, run: func(ctx context.Context, g silllease.Guard) { t.Run(ctx, g) }})
+		l.keep(c, leaseTask{name: usageLease, run: func(ctx context.Context, g silllease.Guard) { t.Run(ctx, g) }})
 	}))
 }
--- a/internal/silldispatch/attempt.go
+++ b/internal/silldispatch/attempt.go
@@ -97,13 +97,32 @@
 
 // linger records the usage of a run whose caller has disconnected, in the background.
 func (d *Dispatcher) linger(x Exchange) {
+	d.lingering.Add(1)
 	d.cfg.Group.Go(func(context.Context) {
+		defer d.lingering.Add(-1)
 		if f := x.Linger(lingerLimit); f != nil && f.Usage != nil {
 			d.cfg.OnUsage(f.Usage)
 		}
 	})
 }
 
+// lingerPoll is the time between two checks of AwaitLingering.
+const lingerPoll = 10 * time.Millisecond
+
+// AwaitLingering waits until the agents have told the ends of the runs whose callers have
+// disconnected, or ctx ends.
+func (d *Dispatcher) AwaitLingering(ctx context.Context) {
+	tick := time.NewTicker(lingerPoll)
+	defer tick.Stop()
+	for d.lingering.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 // follow receives the frames of a response. If a connection is lost, it asks the agent
 // for the rest of the response over a new one.
 func (d *Dispatcher) follow(ctx context.Context, r *Request, a *attempt, x Exchange, out *output) result {
--- a/internal/silldispatch/dispatch.go
+++ b/internal/silldispatch/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -86,6 +87,9 @@
 type Dispatcher struct {
 	cfg     Config
 	budgets *sillretry.Budgets
+	// lingering counts the runs whose end is awaited although nobody waits for their
+	// responses.
+	lingering atomic.Int64
 }
 
 // New returns a dispatcher.
