Close idle connections to targets before the targets do

An idempotent call to a service, or a generation, could meet the end of its kept connection: the agent kept idle connections for as long as the target did, and a target closes one that was idle for its time, commonly 2 to 5 s, also while the next request is on its way. The transport repeats only GETs by itself. The gateway then took the run to another target, or answered 502 in a pool of one, and the agent counted a crash of the target, with evidence against every request that it ran.

The agent now closes connections to its target that were idle for a second, and so before common servers do. A request that must not run twice gets a connection of its own, as before.

How often it happens with real targets was not measured.

--- a/internal/sillagent/service.go
+++ b/internal/sillagent/service.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillwire"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
@@ -17,8 +18,13 @@
 // RequestIDHeader carries the request's id to targets and back to callers.
 const RequestIDHeader = "X-Request-Id"
 
-// idleConnections is the number of connections kept open to the service.
-const idleConnections = 64
+const (
+	// idleConnections is the number of connections kept open to the service.
+	idleConnections = 64
+	// idleTimeout is below the time after which common servers close an idle
+	// connection, which may meet the next request.
+	idleTimeout = time.Second
+)
 
 // serviceClient calls a plain service.
 type serviceClient struct {
@@ -33,7 +39,7 @@
 func newServiceClient(baseURL string) *serviceClient {
 	return &serviceClient{
 		baseURL: baseURL,
-		pooled:  newHTTPClient(&http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true}),
+		pooled:  newHTTPClient(&http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true}),
 		single:  newHTTPClient(&http.Transport{DisableKeepAlives: true, DisableCompression: true}),
 	}
 }
--- a/internal/sillengine/client.go
+++ b/internal/sillengine/client.go
@@ -38,15 +38,18 @@
 // maxAnswerBytes bounds the answer of a call that is no generation.
 const maxAnswerBytes = 256 << 20
 
-// idleConnections is the number of connections kept open to the engine.
-const idleConnections = 64
+const (
+	// idleConnections is the number of connections kept open to the engine.
+	idleConnections = 64
+	// idleTimeout is below the time after which common servers close an idle
+	// connection, which may meet the next call.
+	idleTimeout = time.Second
+)
 
 // New returns a client. It makes no call.
 func New(cfg Config) *Client {
-	return &Client{
-		cfg:  cfg,
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true}},
-	}
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	return &Client{cfg: cfg, http: &http.Client{Transport: transport}}
 }
 
 var (
