--- a/internal/sillapp/leases.go
+++ b/internal/sillapp/leases.go
@@ -50,8 +50,8 @@
 
 // start competes for the lease of a task until the process stops, and runs the task
 // while the lease is held.
-func (l *leases) start(b background, t leaseTask) {
-	b.Go(l.runner(t).Run)
+func (l *leases) start(c controlTasks, t leaseTask) {
+	c.Go(l.runner(t).Run)
 }
 
 // runner returns the runner that competes for the lease of a task.
