Stop accepting connections while callers connect again and again

What callers saw: a stop under callers who connect again after each response took up to 2.2 s longer and went on taking requests; with more of them it would run into its time limit and cut what it had taken.

Cause: a listener that stops accepts until no connection waits, and that moment need not come: all responses say Connection: close, so all callers connect again.

Change: at most 128 connections are accepted after the stop.

--- a/internal/sillserver/listener.go
+++ b/internal/sillserver/listener.go
@@ -12,14 +12,22 @@
 	"github.com/wasabisill/wasabisill/internal/sillsocket"
 )
 
-// acceptRetry is the time limit of accepting a connection that is known to wait.
-const acceptRetry = 20 * time.Millisecond
+const (
+	// acceptRetry is the time limit of accepting a connection that is known to wait.
+	acceptRetry = 20 * time.Millisecond
+	// maxWaiting bounds the connections that are accepted after stop, so that callers who
+	// connect again and again don't keep a stopping server busy.
+	maxWaiting = 128
+)
 
 // listener accepts connections and keeps those that are open.
 type listener struct {
 	*net.TCPListener
 	// stopping is whether no connection is accepted but those that wait already.
 	stopping atomic.Bool
+	// waiting is the number of connections that were accepted after stop. Accept alone
+	// uses it.
+	waiting int
 
 	mu sync.Mutex
 	// open holds the connections that are not closed.
@@ -36,12 +44,18 @@
 	return &listener{TCPListener: l, open: make(map[*conn]struct{}), emptied: make(chan struct{}, 1)}
 }
 
-// Accept returns the next connection. After stop, it returns those that wait already, and
-// then net.ErrClosed.
+// Accept returns the next connection. After stop, it returns those that wait already,
+// maxWaiting at most, and then net.ErrClosed.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
+		if l.waiting == maxWaiting {
+			return nil, net.ErrClosed
+		}
 		tcp, err := l.AcceptTCP()
 		if err == nil {
+			if l.stopping.Load() {
+				l.waiting++
+			}
 			return l.add(tcp), nil
 		}
 		if !l.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
