--- a/internal/sillserver/server_test.go
+++ b/internal/sillserver/server_test.go
@@ -167,6 +167,21 @@
 	}
 }
 
+// TestShutdownAcceptsABoundedNumberOfConnections guards against a shutdown that does not end
+// while callers connect again and again.
+func TestShutdownAcceptsABoundedNumberOfConnections(t *testing.T) {
+	s := listenTest(t, nil, func() {})
+	for range maxWaiting + 20 {
+		s.dial().send(request)
+	}
+	s.listener.stop()
+	s.start()
+	s.shutdown(testTimeout)
+	if n := s.handled.Load(); n != maxWaiting {
+		t.Errorf("%d requests were handled, want those of %d connections", n, maxWaiting)
+	}
+}
+
 func TestShutdownWaitsForRunningRequests(t *testing.T) {
 	for name, tc := range map[string]struct {
 		limit time.Duration
