Announce a stop to callers before the table is told

What callers saw: while the table answered nothing, a gateway that stops kept their connections open for up to 2 s more, without a word in its responses, and an idle one took 4.5 s to stop; the time for running requests shrank by as much. Found by a review.

Cause: the row that says that the gateway leaves was written before anything else, and the notice of 2.5 s began after it.

Change: responses say Connection: close from the first moment, and the notice counts from SIGTERM, as the readiness that the load balancer asks for does. The row is written meanwhile.

--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -162,13 +162,14 @@
 // has noticed that the process is not ready, and returns once every request is
 // complete or stopMargin remains of the grace period.
 func (s *Service) stop(ctx context.Context) error {
-	deadline := time.Now().Add(s.settings.GracePeriod - stopMargin)
+	started := time.Now()
+	deadline := started.Add(s.settings.GracePeriod - stopMargin)
 	s.stopping.Store(true)
+	s.servers.drain()
 	s.Log.Info("Stopping.", zap.Duration("grace", s.settings.GracePeriod))
 	s.members.write(ctx, s.tables.store, true)
 	s.work.Cancel()
-	s.servers.drain()
-	time.Sleep(min(balancerCheckDelay, time.Until(deadline)))
+	time.Sleep(min(time.Until(started.Add(balancerCheckDelay)), time.Until(deadline)))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	s.Log.Info("Closing the listener of callers.")
