End connections without a request half a second after a stop closes its listener

What callers saw: a connection that was opened just before the listener closed stayed open for a second. A request that came on it later than 3 s after SIGTERM was passed on and, if its target needed longer than the rest of the grace, cut at its end. One half-sent request held a stop for 4.9 s.

Change: every connection without a request ends half a second after the listener closes at the latest, that is 3.0 s after SIGTERM; one that gets rid of its request later ends at once. A half-sent request ends with its connection and not with a response of net/http (400), after which callers don't try again.

The tests of lingering are of single connections with fixed times.

--- a/internal/sillserver/conn.go
+++ b/internal/sillserver/conn.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -13,16 +12,12 @@
 	"github.com/wasabisill/wasabisill/internal/sillsocket"
 )
 
-// Times for which a connection without a request stays open once idle connections are
-// ended: its caller may have sent a request that has not arrived.
-const (
-	// newLinger applies to a connection on which nothing has arrived.
-	newLinger = time.Second
-	// idleLinger applies after a response that did not say that it was the last one.
-	idleLinger = 500 * time.Millisecond
-	// partLinger applies after a part of a request.
-	partLinger = 5 * time.Second
-)
+// lingerTime is how long a connection without a request stays open at a shutdown: its
+// caller may have sent a request that has not arrived.
+const lingerTime = 500 * time.Millisecond
+
+// errEnded is what reads of a connection return that has ended itself.
+var errEnded error = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
 
 // phase is what happens on a connection.
 type phase int
@@ -40,8 +35,8 @@
 	phaseEnded
 )
 
-// conn is a connection that ends itself when it is idle: its reader sees the end of the
-// input, which net/http takes for a caller that has closed the connection.
+// conn is a connection that ends itself when it is idle: its reader gets an error, and
+// net/http closes it.
 type conn struct {
 	*net.TCPConn
 	listener *listener
@@ -49,12 +44,14 @@
 
 	mu    sync.Mutex
 	phase phase
-	// since is when the phase began or, while reading, when bytes last arrived.
+	// since is when the phase began.
 	since time.Time
 	// deadline is the read deadline that net/http has set.
 	deadline time.Time
-	// ending is whether the connection ends when it is idle.
-	ending bool
+	// ending is whether the connection ends when no request is on it, and endingSince is
+	// since when.
+	ending      bool
+	endingSince time.Time
 }
 
 func newConn(tcp *net.TCPConn, l *listener) *conn {
@@ -83,17 +80,20 @@
 func (c *conn) enter(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.phase == phaseEnded {
+		return
+	}
 	c.phase, c.since = p, time.Now()
 	if c.ending {
 		_ = c.applyDeadline()
 	}
 }
 
-// end makes the connection end once it is idle for the linger of its phase.
+// end makes the connection end once it has lingered without a request.
 func (c *conn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ending = true
+	c.ending, c.endingSince = true, time.Now()
 	_ = c.applyDeadline()
 }
 
@@ -138,25 +138,21 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
-// lingerEnd returns when the connection ends if nothing arrives before; false if it does
-// not end by itself.
+// lingerEnd returns when the connection ends if no request comes before; false if it does
+// not end by itself. A connection that gets rid of its request late ends at once: a new
+// one would have too little time.
 func (c *conn) lingerEnd() (time.Time, bool) {
-	if !c.ending {
+	if !c.ending || c.phase == phaseHandling || c.phase == phaseEnded {
 		return time.Time{}, false
 	}
-	switch c.phase {
-	case phaseNew:
-		return c.since.Add(newLinger), true
-	case phaseReading:
-		return c.since.Add(partLinger), true
-	case phaseIdle:
-		return c.since.Add(idleLinger), true
-	case phaseHandling, phaseEnded:
+	from := c.endingSince
+	if c.phase == phaseIdle && c.since.Before(from) {
+		from = c.since
 	}
-	return time.Time{}, false
+	return from.Add(lingerTime), true
 }
 
-// Read reads what the caller sent. It returns io.EOF if the connection has ended itself.
+// Read reads what the caller sent. It returns errEnded if the connection has ended itself.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.TCPConn.Read(p)
@@ -199,7 +195,9 @@
 	}
 	if end, ok := c.lingerEnd(); ok && !now.Before(end) {
 		c.phase = phaseEnded
-		return io.EOF
+		// net/http would respond to a part of a request with 400, as if it were the whole.
+		_ = c.TCPConn.Close()
+		return errEnded
 	}
 	return c.applyDeadline()
 }
