--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -164,8 +164,8 @@
 func (s *Service) stop(ctx context.Context) error {
 	started := time.Now()
 	deadline := started.Add(s.settings.GracePeriod - stopMargin)
-	s.stopping.Store(true)
 	s.servers.drain()
+	s.stopping.Store(true)
 	s.Log.Info("Stopping.", zap.Duration("grace", s.settings.GracePeriod))
 	s.members.write(ctx, s.tables.store, true)
 	s.work.Cancel()
