--- a/internal/sillprocess/soak_test.go
+++ b/internal/sillprocess/soak_test.go
@@ -127,7 +127,7 @@
 
 func newSoakRun(t *testing.T, seed uint64) *soakRun {
 	s := &soakRun{test: t, seed: seed, processes: sillgroup.New(context.Background()), logs: make(map[string][]*output)}
-	s.plan = sillsoak.NewPlan(sillsoak.PlanConfig{Seed: seed, Processes: *soakProcesses, Duration: *soakDuration, Notice: soakNotice})
+	s.plan = sillsoak.NewPlan(sillsoak.PlanConfig{Seed: seed, Processes: *soakProcesses, Duration: *soakDuration, Notice: soakNotice, Hangups: true})
 	s.audit = sillsoak.NewAudit(sillsoak.AuditConfig{
 		Judge:     judgeSoak,
 		MayRepeat: func(k sillsoak.Kind) bool { return k == soakAvailability },
