--- a/internal/sillsoak/driver.go
+++ b/internal/sillsoak/driver.go
@@ -6,6 +6,8 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
 )
 
 // stopSlack allows for the time in which a busy machine ends a process.
@@ -25,9 +27,10 @@
 	Start func(processors int) (*Process, error)
 	// AwaitServing returns when the process serves or has ended.
 	AwaitServing func(p *Process)
-	// IsReady, if not nil, returns whether the process accepts new callers.
-	IsReady func() bool
-	Audit   *Audit
+	// Check, if not nil, returns whether the process answers a readiness check, and
+	// whether it is ready.
+	Check func() (answers, ready bool)
+	Audit *Audit
 }
 
 // Run carries out the stops and returns once the last process has ended. It leaves out
@@ -116,7 +119,10 @@
 func (d *Driver) stop(s Stop) {
 	began := time.Now()
 	d.Process.Signal(syscall.SIGTERM)
-	for _, a := range d.actions(s) {
+	checks := sillgroup.New(context.Background())
+	checks.Go(func(context.Context) { d.awaitNotReady(d.Process) })
+	defer checks.Stop()
+	for _, a := range s.actions() {
 		select {
 		case <-d.Process.Done:
 		case <-time.After(time.Until(began.Add(a.after))):
@@ -135,25 +141,33 @@
 	d.Audit.Count("stops", 1)
 }
 
+// readyPoll is the time between two readiness checks of a process that stops.
+const readyPoll = 100 * time.Millisecond
+
+// awaitNotReady checks that the process tells before its end that it is not ready.
+func (d *Driver) awaitNotReady(p *Process) {
+	for d.Check != nil {
+		if answers, ready := d.Check(); answers && !ready {
+			return
+		}
+		select {
+		case <-p.Done:
+			d.Audit.fault(readyInStop, "%s", d.Name)
+			return
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
 // action is a signal or a pause at a time of a stop.
 type action struct {
 	after time.Duration
 	do    func(p *Process)
 }
 
-// readyCheckDelay is the time after SIGTERM from which a process must not be ready.
-const readyCheckDelay = 500 * time.Millisecond
-
 // actions returns what happens during a stop, in order.
-func (d *Driver) actions(s Stop) []action {
+func (s *Stop) actions() []action {
 	var list []action
-	if d.IsReady != nil {
-		list = append(list, action{readyCheckDelay, func(*Process) {
-			if d.IsReady() {
-				d.Audit.fault(readyInStop, "%s", d.Name)
-			}
-		}})
-	}
 	for _, after := range s.Terms {
 		list = append(list, action{after, func(p *Process) { p.Signal(syscall.SIGTERM) }})
 	}
