--- a/cmd/wasabisill/agent.go
+++ b/cmd/wasabisill/agent.go
@@ -19,6 +19,7 @@
 }
 
 func runAgent(ctx context.Context, file string) error {
+	outliveLogReader()
 	received := receiveHangups()
 	settings, err := loadAgent(file)
 	if err != nil {
--- a/cmd/wasabisill/gateway.go
+++ b/cmd/wasabisill/gateway.go
@@ -19,6 +19,7 @@
 }
 
 func runGateway(ctx context.Context, file string) error {
+	outliveLogReader()
 	received := receiveHangups()
 	settings, err := loadGateway(file)
 	if err != nil {
--- a/cmd/wasabisill/platform.go
+++ b/cmd/wasabisill/platform.go
@@ -29,6 +29,7 @@
 }
 
 func runPlatform(ctx context.Context) error {
+	outliveLogReader()
 	received := receiveHangups()
 	settings, err := sillplatform.LoadSettings()
 	if err != nil {
--- a/internal/sillapp/usage.go
+++ b/internal/sillapp/usage.go
@@ -97,26 +97,33 @@
 	m.dead = false
 }
 
-// markSilentMeters marks as dead the meters that were silent for too long.
-func (b *recordBackup) markSilentMeters(now time.Time) {
+// markSilentMeters marks as dead the meters that were silent for longer than the limit.
+func (b *recordBackup) markSilentMeters(now time.Time, limit time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, m := range b.meters {
-		if !m.dead && now.Sub(m.at) > meterSilence {
+		if !m.dead && now.Sub(m.at) > limit {
 			m.dead = true
 			b.MarkAgentDead(m.name)
 		}
 	}
 }
 
-// run writes the records of dead agents until ctx ends.
+// run writes the records of dead agents until ctx ends, and then those of agents that
+// are silent, which nobody else may hold.
 func (b *recordBackup) run(ctx context.Context, log *zap.Logger) {
 	sillgroup.Every(ctx, backupFlushInterval, func(now time.Time) {
-		b.markSilentMeters(now)
+		b.markSilentMeters(now, meterSilence)
 		if err := b.Flush(ctx); err != nil && ctx.Err() == nil {
 			log.Debug("could not write the records of dead agents", zap.Error(err))
 		}
 	})
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastFlushTimeout)
+	defer cancel()
+	b.markSilentMeters(time.Now(), sillwire.SilenceLimit)
+	if err := b.Flush(ctx); err != nil {
+		log.Warn("could not write the records of silent agents; their use is not reported", zap.Error(err))
+	}
 }
 
 // usageModule holds the gateway's part in metering and the usage task.
@@ -178,9 +185,9 @@
 	orphanGraceDivisor = 2
 )
 
-func startUsage(lc fx.Lifecycle, b background, r *recordBackup, l *leases, t *sillusage.Task, log *zap.Logger) {
+func startUsage(lc fx.Lifecycle, b background, c controlTasks, r *recordBackup, l *leases, t *sillusage.Task, log *zap.Logger) {
 	lc.Append(fx.StartHook(func() {
 		b.Go(func(ctx context.Context) { r.run(ctx, log.Named("usage")) })
-		l.start(b, leaseTask{name: usageLease, run: func(ctx context.Context, g silllease.Guard) { t.Run(ctx, g) }})
+		l.start(c, leaseTask{name: usageLease, run: func(ctx context.Context, g silllease.Guard) { t.Run(ctx, g) }})
 	}))
 }
