Stop a target only after its gateways know of its drain

A booking ended as connection-silent, outcome unknown, without having run, when the scaler stopped a target that was idle at that moment: the agent answered the drain with no open runs, the order to stop the instance left at once, and gateways that had not read a heartbeat since went on sending to it.

An agent now counts as open, besides its runs, the requests that it is receiving and the gateways that may still send some, until their next heartbeat after the one that told of the drain.

--- a/internal/sillagent/gateways_test.go
+++ b/internal/sillagent/gateways_test.go
@@ -63,3 +63,19 @@
 	g.leave(second)
 	checkUninformed(t, g, 0)
 }
+
+func TestTargetIsNotDrainedWhileAGatewayMaySendToIt(t *testing.T) {
+	now := time.Unix(1, 0)
+	clock := func() time.Time { return now }
+	a := &Agent{registry: newRegistry(clock), gateways: newGateways(clock)}
+	h := a.gateways.enter()
+	a.gateways.sending(h, true)
+	if open := a.drained().Open; open != 1 {
+		t.Errorf("%d open before the gateway knows of the drain, want 1", open)
+	}
+	now = now.Add(time.Second)
+	a.gateways.pinged(h)
+	if open := a.drained().Open; open != 0 {
+		t.Errorf("%d open after the gateway knows of the drain, want 0", open)
+	}
+}
--- a/internal/sillagent/stream.go
+++ b/internal/sillagent/stream.go
@@ -156,7 +156,13 @@
 func (a *Agent) drainStream(stream *quic.Stream, m *sillwire.Drain) error {
 	done := make(chan struct{})
 	a.control.await(drainAsked{reason: m.Reason, undo: m.Undo, done: done}, done)
-	return sillwire.Write(stream, &sillwire.Drained{Open: a.registry.open()})
+	return sillwire.Write(stream, a.drained())
+}
+
+// drained returns how much may still run or come.
+func (a *Agent) drained() *sillwire.Drained {
+	receiving := int(a.receiving.Load())
+	return &sillwire.Drained{Open: a.registry.open() + receiving + a.gateways.uninformed()}
 }
 
 // runStream receives a request, runs it and sends its response.
--- a/internal/sillprocess/agentstop_test.go
+++ b/internal/sillprocess/agentstop_test.go
@@ -14,9 +14,12 @@
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
 )
 
+// shortPause is the time between two bookings of a busy caller.
+const shortPause = time.Millisecond
+
 // steadyBookings sends bookings with a body each of their own until stop, which
 // returns their answers by body.
-func (c *cluster) steadyBookings(g *gateway, callers int) (stop func() map[string]answer) {
+func (c *cluster) steadyBookings(g *gateway, callers int, pause time.Duration) (stop func() map[string]answer) {
 	var mu sync.Mutex
 	answers := make(map[string]answer)
 	group := sillgroup.New(context.Background())
@@ -28,7 +31,7 @@
 				mu.Lock()
 				answers[body] = a
 				mu.Unlock()
-				time.Sleep(time.Millisecond)
+				time.Sleep(pause)
 			}
 		})
 	}
@@ -74,7 +77,7 @@
 	t.Parallel()
 	c := newCluster(t, size{services: 2, gateways: 1})
 	c.awaitServing()
-	stop := c.steadyBookings(c.gateways[0], 64)
+	stop := c.steadyBookings(c.gateways[0], 64, shortPause)
 	time.Sleep(time.Second)
 	c.drain(c.gateways[0], c.targets[0])
 	time.Sleep(2 * time.Second)
@@ -85,7 +88,7 @@
 	t.Parallel()
 	c := newCluster(t, size{services: 2, gateways: 1})
 	c.awaitServing()
-	stop := c.steadyBookings(c.gateways[0], 8)
+	stop := c.steadyBookings(c.gateways[0], 8, shortPause)
 	time.Sleep(time.Second)
 	c.targets[0].agent.terminate(t)
 	time.Sleep(4 * time.Second)
@@ -96,7 +99,7 @@
 	t.Parallel()
 	c := newCluster(t, size{services: 3, gateways: 2})
 	c.awaitServing()
-	stops := []func() map[string]answer{c.steadyBookings(c.gateways[0], 4), c.steadyBookings(c.gateways[1], 4)}
+	stops := []func() map[string]answer{c.steadyBookings(c.gateways[0], 4, shortPause), c.steadyBookings(c.gateways[1], 4, shortPause)}
 	for _, tg := range c.targets {
 		tg.agent.terminate(t)
 		c.startAgent(tg)
--- a/internal/sillprocess/scale_test.go
+++ b/internal/sillprocess/scale_test.go
@@ -156,3 +156,27 @@
 		}
 	}
 }
+
+func TestTargetThatIsStoppedGetsNoMoreBookings(t *testing.T) {
+	c := scaleCluster(t)
+	c.awaitEachTarget(t)
+	stop := c.steadyBookings(c.gateways[0], 1, 250*time.Millisecond)
+	c.bound(1, 4)
+	var order sillstandplatform.Order
+	eventually(t, "a target is stopped", func() bool {
+		for _, o := range c.platformRecord().Orders {
+			if o.Action == sillstandplatform.ActionStop {
+				order = o
+				return true
+			}
+		}
+		return false
+	})
+	for _, tg := range c.targets {
+		if tg.instance.InstanceID == order.InstanceID {
+			tg.agent.kill()
+		}
+	}
+	time.Sleep(2 * time.Second)
+	c.checkBookings(t, stop())
+}
--- a/internal/sillwire/control.go
+++ b/internal/sillwire/control.go
@@ -50,7 +50,8 @@
 
 // Drained answers a Drain.
 type Drained struct {
-	// Open counts the runs that have not ended, or whose answer is still under way.
+	// Open counts the runs that have not ended, or whose answer is still under way, and
+	// the gateways that may still send requests. Once it is 0, the target may be stopped.
 	Open int `cbor:"1,keyasint"`
 }
 
