--- a/internal/sillwire/control.go
+++ b/internal/sillwire/control.go
@@ -50,8 +50,9 @@
 
 // Drained answers a Drain.
 type Drained struct {
-	// Open is the number of runs that have not ended or whose response is still
-	// being sent.
+	// Open is the number of runs that have not ended or whose response is still being
+	// sent, and of gateways that may still send requests. Once it is 0, the target may be
+	// stopped.
 	Open int `cbor:"1,keyasint"`
 }
 
