--- a/cmd/wasabisill/agent.go
+++ b/cmd/wasabisill/agent.go
@@ -3,34 +3,45 @@
 import (
 	"context"
 
-	"github.com/integrii/flaggy"
-
 	"github.com/wasabisill/wasabisill/internal/sillapp"
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
 )
 
 const agentHelp = `Run an agent: the process beside one target, through which every request to the target passes.
 
-The agent runs until SIGTERM. It then takes no new work, waits for the running requests up to control.drain-limit-seconds, writes its last usage figures, and ends. Once it listens, it prints one JSON line with its addresses on stdout.`
+The agent runs until SIGTERM. It then takes no new work, waits for the running requests up to control.drain-limit-seconds, writes its last usage figures, and ends. SIGHUP checks the settings again and cuts nothing. Once it listens, it prints one JSON line with its addresses on stdout.`
 
-func newAgentCommand() *command {
-	var file string
-	sub := flaggy.NewSubcommand("agent")
-	describe(sub, agentHelp)
-	addSettingsFlag(sub, &file)
-	return &command{sub: sub, run: func(ctx context.Context) error { return runAgent(ctx, file) }}
+func newAgentCommand() *sillcommand.Command {
+	return newProcessCommand("agent", agentHelp, runAgent)
 }
 
 func runAgent(ctx context.Context, file string) error {
-	settings := sillsettings.DefaultAgent()
-	if err := loadSettings(file, settings, settings.Validate); err != nil {
+	outliveLogReader()
+	received := receiveHangups()
+	settings, err := loadAgent(file)
+	if err != nil {
 		return err
 	}
 	log, err := silllog.New(settings.Log.Level)
 	if err != nil {
 		return err
 	}
+	group := sillgroup.New(ctx)
+	defer group.Stop()
+	group.Go(func(ctx context.Context) {
+		received.follow(ctx, log, func() error {
+			_, err := loadAgent(file)
+			return err
+		})
+	})
 	a := sillapp.NewAgent(settings, log)
 	return a.Run(ctx, func() error { return printReady(a.Addresses) })
 }
+
+func loadAgent(file string) (*sillsettings.Agent, error) {
+	settings := sillsettings.DefaultAgent()
+	return settings, loadSettings(file, settings, settings.Validate)
+}
--- a/cmd/wasabisill/bundle.go
+++ b/cmd/wasabisill/bundle.go
@@ -9,6 +9,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/wasabisill/wasabisill/internal/sillbundle"
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -16,22 +17,22 @@
 	bundleHelp   = "Check, sign, roll out and roll back the bundle of organisations, keys, routes, models, pools and availability zones."
 	checkHelp    = "Check a bundle and print every fault with its remedy."
 	diffHelp     = "Print what a bundle changes against the accepted version, or against another file."
-	signHelp     = "Sign a bundle off as the successor of a version."
-	rollOutHelp  = "Hand a signed bundle in. The same file may be handed in again: it is accepted once."
+	signHelp     = "Sign a bundle as the successor of a version."
+	rollOutHelp  = "Submit a signed bundle. The same file may be submitted again: it is accepted once."
 	rollBackHelp = "Accept the content of an earlier version as a new version."
 	statusHelp   = "Print the accepted version and the version in force in each process."
 	historyHelp  = "Print the last accepted versions."
 	withdrawHelp = "Withdraw a key: every gateway refuses it within seconds, also while the store is down; then accept a version without it."
-	keyHelp      = "Make keys for organisations."
-	keyNewHelp   = "Print a fresh key for an organisation, and its hash for the bundle."
-	operatorHelp = "Make keys for operators."
-	opNewHelp    = "Write a fresh Ed25519 private key to a file and print the public key for the settings."
+	keyHelp      = "Create keys for organisations."
+	keyNewHelp   = "Print a new key for an organisation, and its hash for the bundle."
+	operatorHelp = "Create keys for operators."
+	opNewHelp    = "Write a new Ed25519 private key to a file and print the public key for the settings."
 )
 
-func newBundleCommand() *command {
+func newBundleCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("bundle")
 	sub.Description = bundleHelp
-	return &command{sub: sub, children: []*command{
+	return &sillcommand.Command{Sub: sub, Children: []*sillcommand.Command{
 		newCheckCommand(),
 		newGetCommand(),
 		newDiffCommand(),
@@ -46,13 +47,13 @@
 	}}
 }
 
-// usageError returns an error of the command line.
+// usageError returns an error with the exit code of a wrong command line.
 func usageError(format string, args ...any) error {
-	return &exitError{code: exitUsage, err: fmt.Errorf(format, args...)}
+	return &sillcommand.ExitError{Code: sillcommand.ExitUsage, Err: fmt.Errorf(format, args...)}
 }
 
-// required returns an error for the first flag without a value; flags are pairs
-// of a name and its value.
+// required returns an error for the first flag without a value. The flags are pairs
+// of name and value.
 func required(flags ...[2]string) error {
 	for _, f := range flags {
 		if f[1] == "" {
@@ -74,28 +75,36 @@
 	return b, nil
 }
 
-func newCheckCommand() *command {
+// readValidBundle reads a bundle and returns an error for an invalid one.
+func readValidBundle(path string) (*sillbundle.Bundle, error) {
+	b, err := readBundle(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := b.Validate(); err != nil {
+		return nil, &sillcommand.ExitError{Code: exitRefused, Err: err}
+	}
+	return b, nil
+}
+
+func newCheckCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("check")
 	sub.Description = checkHelp
 	var file string
 	sub.String(&file, "", "bundle", "file of the bundle, JSON")
-	return &command{sub: sub, run: func(context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(context.Context) error {
 		if err := required([2]string{"bundle", file}); err != nil {
 			return err
 		}
-		b, err := readBundle(file)
-		if err != nil {
+		if _, err := readValidBundle(file); err != nil {
 			return err
 		}
-		if err := b.Validate(); err != nil {
-			return &exitError{code: exitRefused, err: err}
-		}
 		fmt.Println("The bundle is valid.")
 		return nil
 	}}
 }
 
-func newDiffCommand() *command {
+func newDiffCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("diff")
 	sub.Description = diffHelp
 	var file, against string
@@ -105,7 +114,7 @@
 	sub.String(&against, "", "against", "file of the bundle to compare with, in place of the accepted version")
 	sub.Bool(&asJSON, "", "json", "print the changes as JSON")
 	remote.attach(sub)
-	return &command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		if err := required([2]string{"bundle", file}); err != nil {
 			return err
 		}
@@ -129,13 +138,7 @@
 	return nil
 }
 
-func printJSON(value any) error {
-	e := json.NewEncoder(os.Stdout)
-	e.SetIndent("", "  ")
-	return e.Encode(value)
-}
-
-func newSignCommand() *command {
+func newSignCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("sign")
 	sub.Description = signHelp
 	var file, out string
@@ -147,17 +150,14 @@
 	sub.Int64(&base, "", "base-version", "version that the bundle replaces, 0 for the first; the accepted one by default")
 	operator.attach(sub)
 	remote.attach(sub)
-	return &command{sub: sub, run: func(ctx context.Context) error {
+	return &sillcommand.Command{Sub: sub, Run: func(ctx context.Context) error {
 		if err := required([2]string{"bundle", file}, [2]string{"out", out}); err != nil {
 			return err
 		}
-		b, err := readBundle(file)
+		b, err := readValidBundle(file)
 		if err != nil {
 			return err
 		}
-		if err := b.Validate(); err != nil {
-			return &exitError{code: exitRefused, err: err}
-		}
 		version, err := remote.baseVersion(ctx, base)
 		if err != nil {
 			return err
@@ -185,7 +185,7 @@
 	return nil
 }
 
-// baseVersion returns the version of the flag, or the accepted one.
+// baseVersion returns the version from the flag, or the accepted one if it is not set.
 func (r *remoteFlags) baseVersion(ctx context.Context, flag int64) (sillid.BundleVersion, error) {
 	if flag >= 0 {
 		return sillid.BundleVersion(flag), nil
--- a/cmd/wasabisill/bundle_withdraw.go
+++ b/cmd/wasabisill/bundle_withdraw.go
@@ -9,10 +9,11 @@
 	"github.com/wasabisill/wasabisill/internal/silladmin"
 	"github.com/wasabisill/wasabisill/internal/sillbundle"
 	"github.com/wasabisill/wasabisill/internal/sillbundlestore"
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// withdrawFlags name the key to be withdrawn, by its hash or by its label.
+// withdrawFlags are the flags that name the key to withdraw, by its hash or its label.
 type withdrawFlags struct {
 	hash         string
 	organisation string
@@ -21,7 +22,7 @@
 	remote       remoteFlags
 }
 
-func newWithdrawKeyCommand() *command {
+func newWithdrawKeyCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("withdraw-key")
 	sub.Description = withdrawHelp
 	var w withdrawFlags
@@ -30,7 +31,7 @@
 	sub.String(&w.label, "", "label", "label of the key in its organisation, in place of the hash")
 	w.operator.attach(sub)
 	w.remote.attach(sub)
-	return &command{sub: sub, run: w.run}
+	return &sillcommand.Command{Sub: sub, Run: w.run}
 }
 
 func (w *withdrawFlags) run(ctx context.Context) error {
@@ -75,8 +76,8 @@
 	return hash, nil
 }
 
-// acceptWithout accepts a version without the key, so that the bundle agrees
-// with the withdrawal.
+// acceptWithout publishes a version without the key, so that the bundle agrees with
+// the withdrawal.
 func (w *withdrawFlags) acceptWithout(ctx context.Context, c *silladmin.Client, hash sillbundle.KeyHash) error {
 	e, err := newEditor(c, &w.operator)
 	if err != nil {
--- a/cmd/wasabisill/platform.go
+++ b/cmd/wasabisill/platform.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/integrii/flaggy"
-	"go.uber.org/zap"
 
+	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	sillplatform "github.com/wasabisill/wasabisill/platform"
@@ -18,22 +16,24 @@
 
 const platformHelp = `Run a gateway on the prepared platform: it serves callers and trainers and calls the targets itself.
 
-The settings file is the one that the platform writes; the environment variable ` + sillplatform.SettingsVariable + ` names it. The gateway runs until SIGTERM. It then counts as not ready, hands its jobs to other gateways, answers what it has begun and ends within the grace of the settings. SIGHUP reads the settings again and cuts nothing.`
+The settings file is the one that the platform writes; the environment variable ` + sillplatform.SettingsVariable + ` names it. The gateway runs until SIGTERM. It then counts as not ready, hands its jobs to other gateways, finishes the requests that it has begun and ends within the grace period of the settings. SIGHUP checks the settings file again and interrupts nothing.`
 
-// memoryShare is the part of the instance's memory that the heap may grow to;
-// the rest is for stacks, buffers of sockets and the program itself.
+// memoryShare is the share of the instance's memory up to which the heap may grow;
+// the rest is for stacks, socket buffers and the program itself.
 const memoryShare = 0.6
 
-func newPlatformCommand() *command {
+func newPlatformCommand() *sillcommand.Command {
 	sub := flaggy.NewSubcommand("platform")
 	describe(sub, platformHelp)
-	return &command{sub: sub, run: runPlatform}
+	return &sillcommand.Command{Sub: sub, Run: runPlatform}
 }
 
 func runPlatform(ctx context.Context) error {
+	outliveLogReader()
+	received := receiveHangups()
 	settings, err := sillplatform.LoadSettings()
 	if err != nil {
-		return &exitError{code: exitUsage, err: err}
+		return &sillcommand.ExitError{Code: sillcommand.ExitUsage, Err: err}
 	}
 	log, queue, err := silllog.NewQueued(os.Stdout, "info")
 	if err != nil {
@@ -46,27 +46,16 @@
 	if m := settings.Direct.MemoryBytes; m > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(m)))
 	}
-	group := sillgroup.New(ctx)
+	// Hangups are handled until the end of the stop, which begins when ctx ends.
+	group := sillgroup.New(context.WithoutCancel(ctx))
 	defer group.Stop()
-	group.Go(func(ctx context.Context) { reloadOnHangup(ctx, log) })
+	group.Go(func(ctx context.Context) {
+		received.follow(ctx, log, func() error {
+			_, err := sillplatform.LoadSettings()
+			return err
+		})
+	})
 	service := sillplatform.New(settings, log)
 	service.Register(queue.Collector())
 	return service.Run(ctx, func() {})
 }
-
-// reloadOnHangup checks the settings at each SIGHUP. What they hold is fixed for
-// the life of a process; a file with faults is told, and the old one stays.
-func reloadOnHangup(ctx context.Context, log *zap.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-			_, err := sillplatform.LoadSettings()
-			log.Info("Read the settings again.", silllog.Err(err))
-		}
-	}
-}
--- a/internal/sillapp/gatewaycallers.go
+++ b/internal/sillapp/gatewaycallers.go
@@ -20,21 +20,27 @@
 // moment in which a pool has no target that takes work.
 const targetWait = 2 * time.Second
 
-func newDispatcher(b background, f *sillfleet.Fleet, w *witness, c *sillcrash.SharedTracker, m *silldispatch.Metrics) *silldispatch.Dispatcher {
+func newDispatcher(b background, f *sillfleet.Fleet, r *recordBackup, c *sillcrash.SharedTracker, m *silldispatch.Metrics) *silldispatch.Dispatcher {
 	return silldispatch.New(silldispatch.Config{
 		Choose:     f.Choose,
-		OnUsage:    w.add,
+		OnUsage:    r.add,
 		Group:      b.Group,
 		TargetWait: targetWait,
 		Policy:     sillretry.DefaultPolicy(),
 		Suspects:   c,
-		OnDeath:    f.Hurry,
+		OnDeath:    f.SendHeartbeatsNow,
 		Metrics:    m,
 		Now:        time.Now,
 	})
 }
 
-// callersParts is what the callers' side needs.
+// endExchanges lets the agents tell the end of runs that were cancelled, before the
+// links close.
+func endExchanges(lc fx.Lifecycle, d *silldispatch.Dispatcher) {
+	lc.Append(fx.StopHook(d.AwaitLingering))
+}
+
+// callersParts holds the dependencies of the callers' API.
 type callersParts struct {
 	fx.In
 
--- a/internal/silldispatch/attempt.go
+++ b/internal/silldispatch/attempt.go
@@ -73,6 +73,9 @@
 	if errors.Is(err, silllink.ErrNotConnected) {
 		return result{problem: sillproblem.New(sillproblem.NoTarget, "the agent is not connected")}
 	}
+	if errors.Is(err, silllink.ErrDraining) {
+		return result{problem: sillproblem.New(sillproblem.Draining, "the target is being drained")}
+	}
 	if err != nil {
 		return d.follow(ctx, r, a, failedExchange(err), out)
 	}
@@ -94,13 +97,32 @@
 
 // linger records the usage of a run whose caller has disconnected, in the background.
 func (d *Dispatcher) linger(x Exchange) {
+	d.lingering.Add(1)
 	d.cfg.Group.Go(func(context.Context) {
+		defer d.lingering.Add(-1)
 		if f := x.Linger(lingerLimit); f != nil && f.Usage != nil {
 			d.cfg.OnUsage(f.Usage)
 		}
 	})
 }
 
+// lingerPoll is the time between two checks of AwaitLingering.
+const lingerPoll = 10 * time.Millisecond
+
+// AwaitLingering waits until the agents have told the ends of the runs whose callers have
+// disconnected, or ctx ends.
+func (d *Dispatcher) AwaitLingering(ctx context.Context) {
+	tick := time.NewTicker(lingerPoll)
+	defer tick.Stop()
+	for d.lingering.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 // follow receives the frames of a response. If a connection is lost, it asks the agent
 // for the rest of the response over a new one.
 func (d *Dispatcher) follow(ctx context.Context, r *Request, a *attempt, x Exchange, out *output) result {
--- a/internal/sillengine/client.go
+++ b/internal/sillengine/client.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wasabisill/wasabisill/internal/sillcall"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -38,15 +38,18 @@
 // maxAnswerBytes bounds the answer of a call that is no generation.
 const maxAnswerBytes = 256 << 20
 
-// idleConnections is the number of connections kept open to the engine.
-const idleConnections = 64
+const (
+	// idleConnections is the number of connections kept open to the engine.
+	idleConnections = 64
+	// idleTimeout is below the time after which common servers close an idle
+	// connection, which may meet the next call.
+	idleTimeout = time.Second
+)
 
 // New returns a client. It makes no call.
 func New(cfg Config) *Client {
-	return &Client{
-		cfg:  cfg,
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true}},
-	}
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	return &Client{cfg: cfg, http: &http.Client{Transport: transport}}
 }
 
 var (
@@ -269,8 +272,7 @@
 
 // sendError tells a call that never reached the engine from one that may have.
 func sendError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if sillcall.IsDialError(err) {
 		return eris.Wrapf(ErrNotReached, "sillengine.send: %v", err)
 	}
 	return eris.Wrap(err, "sillengine.send")
--- a/internal/sillfleet/reconcile.go
+++ b/internal/sillfleet/reconcile.go
@@ -12,20 +12,21 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// reconcile opens and closes links as the view wants and updates the choosers.
+// reconcile opens missing links, closes those that are no longer wanted and updates
+// the choosers.
 func (f *Fleet) reconcile(ctx context.Context) {
 	now := f.cfg.Now()
 	f.view.SetGateways(f.cfg.Gateways())
 	f.view.SetSubset(max(minPoolSubset, f.cfg.Subset/max(1, len(f.choosers))))
-	wanted := f.view.Wanted(now, f.covers)
-	f.closeUnwanted(wanted)
+	wanted := f.view.Wanted(now, f.connectsAll)
+	f.retireUnwanted(wanted)
 	pools := make(map[sillid.PoolID]bool)
 	for _, p := range wanted {
 		pools[p.Pool] = true
 		if p.Address == "" || f.links[p.Target] != nil {
 			continue
 		}
-		f.links[p.Target] = f.open(ctx, p)
+		f.links[p.Target] = f.openLink(ctx, p)
 	}
 	for pool := range pools {
 		f.ensureChooser(pool)
@@ -34,14 +35,15 @@
 		targets := f.view.Routable(now, pool)
 		c.Update(now, targets)
 		f.serving[pool] = len(targets)
-		f.rooms[pool] = roomOf(targets)
+		f.loads[pool] = loadOf(targets)
 	}
 	f.publish()
-	f.count(wanted)
+	f.countTargets(wanted)
 }
 
-// closeUnwanted closes links to targets that left the subset or moved.
-func (f *Fleet) closeUnwanted(wanted []sillmembership.Peer) {
+// retireUnwanted retires links to targets that left the subset or changed their address. They
+// close once their requests have ended.
+func (f *Fleet) retireUnwanted(wanted []sillmembership.Peer) {
 	address := make(map[sillid.TargetID]string, len(wanted))
 	for _, p := range wanted {
 		address[p.Target] = p.Address
@@ -52,11 +54,11 @@
 			continue
 		}
 		delete(f.links, target)
-		f.group.Go(func(context.Context) { l.Close() })
+		f.group.Go(l.Retire)
 	}
 }
 
-func (f *Fleet) open(ctx context.Context, p sillmembership.Peer) *silllink.Link {
+func (f *Fleet) openLink(ctx context.Context, p sillmembership.Peer) *silllink.Link {
 	target := p.Target
 	return silllink.New(ctx, silllink.Config{
 		Address: p.Address,
@@ -64,17 +66,18 @@
 		Ping:    f.cfg.Ping,
 		OnPong: func(l *silllink.Link, pong *sillwire.Pong) {
 			if pong.Target != target {
-				// The address was used again; the list will tell the new one.
-				f.send(pathFailed{target: target})
+				// Another agent has reused the address; the instance list will have the
+				// target's new one.
+				f.enqueue(pathFailed{target: target})
 				return
 			}
-			f.send(pongCame{pong: pong})
+			f.enqueue(pongReceived{pong: pong})
 			f.cfg.OnPong(l, pong)
 		},
 		OnLost: func(_ *silllink.Link, err error) {
-			f.cfg.Metrics.Lost.Inc()
+			f.cfg.Metrics.ConnectionsLost.Inc()
 			f.cfg.Log.Debug("lost an agent", zap.String("target", string(target)), zap.Error(err))
-			f.send(pathFailed{target: target})
+			f.enqueue(pathFailed{target: target})
 		},
 		Log: f.cfg.Log,
 	})
@@ -87,7 +90,7 @@
 	f.choosers[pool] = sillroute.NewChooser(sillroute.Config{
 		Zone: f.cfg.Zone,
 		Ejected: func(target sillid.TargetID, reason sillroute.EjectReason) {
-			f.cfg.Metrics.Ejected.WithLabelValues(string(reason)).Inc()
+			f.cfg.Metrics.Ejections.WithLabelValues(string(reason)).Inc()
 			f.cfg.Log.Warn("ejected a target", zap.String("target", string(target)), zap.String("reason", string(reason)))
 		},
 	})
--- a/internal/silljob/takeover.go
+++ b/internal/silljob/takeover.go
@@ -188,28 +188,72 @@
 	group.Wait()
 }
 
-// maxReleaseAttempts bounds the attempts to release a job while its writer changes the
-// state row.
-const maxReleaseAttempts = 5
-
-// release releases a job and saves its generations in progress.
+// release releases a job. It writes the results that are not published yet, and saves the
+// generations in progress. It tries again while the job's writer changes the state row or
+// the table refuses the write, for loadTimeout at most.
 func (r *Runner) release(ctx context.Context, j *ownedJob) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	for range maxReleaseAttempts {
+	for ctx.Err() == nil {
 		r.mu.Lock()
-		progress, held := j.inProgress(1), j.held
+		u, held := j.lastUpdate(), j.held
 		owned := r.jobs[j.sub.Job] == j
 		r.mu.Unlock()
 		if !owned || held.Done() {
 			return
 		}
-		err := r.cfg.Store.Release(ctx, j.sub.Job, held, progress)
-		r.cfg.Log.Info("Handing a job back.", zap.String("job", string(j.sub.Job)), zap.Int("texts", len(progress)), silllog.Err(err))
+		after, err := r.cfg.Store.Release(ctx, j.sub.Job, held, u)
+		r.cfg.Log.Info("Handing a job back.", zap.String("job", string(j.sub.Job)), zap.Int("texts", len(u.Progress)),
+			zap.Int("results", len(u.Results)), silllog.Err(err))
 		if err == nil {
 			j.group.Cancel()
+			r.recordWrite(j, after, u.Results)
+			return
+		}
+		if !r.resolveWrite(ctx, j) {
+			sleep(ctx, writeRetryDelay)
+		}
+	}
+}
+
+// releaseAssigned releases the jobs that other processes, calls under way or earlier
+// claims make this one own, for HandoverTime.
+func (r *Runner) releaseAssigned() {
+	if r.cfg.HandoverTime <= 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.group.Context(), r.cfg.HandoverTime)
+	defer cancel()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		changed := r.cfg.Board.Changed()
+		for job, v := range r.cfg.Board.OpenJobs() {
+			if v.Owner == r.cfg.Self {
+				r.releaseJob(ctx, job, v)
+			}
+		}
+		select {
+		case <-ctx.Done():
 			return
+		case <-changed:
+		case <-ticker.C:
 		}
-		r.resolveWrite(ctx, j)
+	}
+}
+
+// releaseJob releases a job that this process owns, whether it runs the job or not.
+func (r *Runner) releaseJob(ctx context.Context, job ID, v VersionedState) {
+	r.mu.Lock()
+	j := r.jobs[job]
+	r.mu.Unlock()
+	if j != nil {
+		r.release(ctx, j)
+		return
+	}
+	after, err := r.cfg.Store.Release(ctx, job, v, Update{Waiting: v.Waiting})
+	r.cfg.Log.Info("Passing a new job on.", zap.String("job", string(job)), silllog.Err(err))
+	if err == nil {
+		r.cfg.Board.UpdateIfNewer(job, after)
 	}
 }
--- a/internal/silltransport/transport_test.go
+++ b/internal/silltransport/transport_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -299,6 +300,42 @@
 	checkBody(t, pool, p.address(), "2", "ok")
 }
 
+// TestResetBeforeTheRequestIsNotSent guards against a request that counts as sent although
+// the peer had reset the connection before its first byte.
+func TestResetBeforeTheRequestIsNotSent(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		body []byte
+	}{{"short", []byte("body")}, {"long", make([]byte, 4*maxInlineBodyBytes)}} {
+		t.Run(tc.name, func(t *testing.T) {
+			reset := make(chan struct{})
+			p := newPeer(t, func(c net.Conn, r string) bool {
+				_, _ = io.WriteString(c, responseWith(idOf(r), "", "ok"))
+				<-reset
+				_ = c.(*net.TCPConn).SetLinger(0)
+				return false
+			})
+			pool := newTestPool(sameID)
+			checkBody(t, pool, p.address(), "1", "ok")
+			c, err := pool.acquire(t.Context(), p.address(), "2")
+			if err != nil {
+				t.Fatal(err)
+			}
+			close(reset)
+			waitUntil(t, func() bool { return !c.isIdle() })
+			req := request("2")
+			req.Body = tc.body
+			resp, err := c.exchange(t.Context(), req)
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			if !NotSent(err) {
+				t.Errorf("error %v; want one of a request that was not sent", err)
+			}
+		})
+	}
+}
+
 func TestUnreachableIsNotSent(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -447,3 +484,61 @@
 		}
 	}
 }
+
+// TestClosingIdleConnectionsCutsNoRequest guards against a pool that closes a connection
+// while a request uses it.
+func TestClosingIdleConnectionsCutsNoRequest(t *testing.T) {
+	const (
+		senders     = 8
+		requests    = 300
+		idleTimeout = 2 * time.Millisecond
+	)
+	for _, tc := range []struct {
+		name string
+		end  func(p *Pool, address string)
+	}{
+		{"expired", func(p *Pool, _ string) { p.CloseExpired(time.Now()) }},
+		{"all idle", func(p *Pool, address string) { p.CloseIdle(address) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			server := newPeer(t, func(conn net.Conn, _ string) bool {
+				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				return err == nil
+			})
+			pool := NewPool(Config{ConnectTimeout: time.Second, TCPUserTimeout: time.Second, IdleTimeout: idleTimeout})
+			closer := sillgroup.New(t.Context())
+			closer.Go(func(ctx context.Context) {
+				for ctx.Err() == nil {
+					tc.end(pool, server.address())
+					time.Sleep(100 * time.Microsecond)
+				}
+			})
+			group := sillgroup.New(t.Context())
+			for sender := range uint64(senders) {
+				random := rand.New(rand.NewPCG(1, sender))
+				group.Go(func(ctx context.Context) {
+					for range requests {
+						if err := sendOnce(ctx, pool, server.address()); err != nil {
+							t.Error(err)
+						}
+						time.Sleep(time.Duration(random.Int64N(int64(2 * idleTimeout))))
+					}
+				})
+			}
+			group.Wait()
+			closer.Stop()
+		})
+	}
+}
+
+// sendOnce sends a request and reads its response.
+func sendOnce(ctx context.Context, pool *Pool, address string) error {
+	resp, err := pool.Send(ctx, address, &Request{Method: http.MethodGet, RequestURI: "/", Host: "h"})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
