Complete a start before the stop that came meanwhile

What callers saw: a gateway that got SIGTERM in the last milliseconds of its start ended at once with exit code 1; a request that it had read was never answered, and nothing was handed over.

Cause: the start was given the context that SIGTERM ends. It returned "context canceled" although the listeners were open and goroutines ran, and the process ended without a stop.

Change: the start runs to its end, within the grace period, and the stop follows.

--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -120,7 +120,10 @@
 // Run serves until ctx ends, and then stops within the grace period. It calls started
 // once the gateway listens on all addresses.
 func (s *Service) Run(ctx context.Context, started func()) error {
-	if err := s.app.Start(ctx); err != nil {
+	// A start that has opened listeners is completed, so that the stop is orderly.
+	startCtx, cancelStart := context.WithTimeout(context.WithoutCancel(ctx), s.settings.GracePeriod)
+	defer cancelStart()
+	if err := s.app.Start(startCtx); err != nil {
 		return eris.Wrap(err, "silldirectgateway.Run")
 	}
 	started()
