--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -194,6 +194,7 @@
 		s.Forwarder.ResolveSilentTargets(now)
 		s.evidence.suspects.RemoveExpired()
 		s.adapter.TargetPool.CloseExpired(now)
+		s.adapter.PeerPool.CloseExpired(now)
 		for _, id := range s.view.directory.Expire(now) {
 			s.Log.Info("Target did not register again.", zap.String("target", string(id)))
 		}
