Complete the start of gateways and agents before the stop that came meanwhile

What callers and gateways saw: a process with agents that got SIGTERM while it started rolled its start back beside its own exit and ended with exit code 1.

--- a/internal/sillapp/listen.go
+++ b/internal/sillapp/listen.go
@@ -137,7 +137,8 @@
 // Run starts the program, calls ready, waits until ctx ends and stops it.
 func (p *program) Run(ctx context.Context, ready func() error) error {
 	debug.SetGCPercent(gcPercent)
-	startCtx, cancel := context.WithTimeout(ctx, fx.DefaultTimeout)
+	// A start that has opened listeners is completed, so that the stop is orderly.
+	startCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), fx.DefaultTimeout)
 	defer cancel()
 	if err := p.Start(startCtx); err != nil {
 		return err
