Log what gateways know of a request that crashes its servers

Nothing in the logs could tell gateways that do not hear of each other from evidence that was cleared or does not add up.

Now each gateway says, with the content: each crash with the score after it; evidence that came, with its age, its way and its sender; an answer that cleared evidence, with the score before; and for a refusal what it rests on. Agents and gateways with agents say the same of what heartbeats bring.

--- a/internal/sillagent/execute.go
+++ b/internal/sillagent/execute.go
@@ -96,7 +96,17 @@
 	result.finish.Died = died
 	if first {
 		a.cfg.Log.Warn("the target broke off", zap.String("run", died))
-		a.cfg.Suspects.RecordCrash(a.cfg.Now(), a.cfg.Target, died, a.registry.running())
+		a.recordCrash(died)
+	}
+}
+
+// recordCrash records that a run of the target crashed under the requests that it ran.
+func (a *Agent) recordCrash(died string) {
+	running := a.registry.running()
+	a.cfg.Suspects.RecordCrash(a.cfg.Now(), a.cfg.Target, died, running)
+	for _, r := range running {
+		fields := a.cfg.Suspects.State(r.Fingerprint).LogFields(a.cfg.Now())
+		a.cfg.Log.Warn("Target crashed under a request.", append(fields, zap.Stringer("content", r.Fingerprint), zap.String("run", died))...)
 	}
 }
 
--- a/internal/sillapp/agent.go
+++ b/internal/sillapp/agent.go
@@ -183,7 +183,7 @@
 		Meter:     meterUse(p.Meter),
 		OnPing: func(ping *sillwire.Ping, pong *sillwire.Pong) {
 			pong.AskConfig = p.Peer.HandleDigest(ping.Config)
-			p.Suspects.Merge(ping.Suspicions)
+			sillcrash.LogChanges(p.Log, time.Now(), p.Suspects.Merge(ping.Suspicions), "ping", string(ping.Gateway))
 			pong.Suspicions = p.Suspects.Export(maxEvidence)
 			pong.Config = p.Peer.Digest()
 			mark := p.Meter.DurableSequence()
--- a/internal/sillapp/gatewayfleet.go
+++ b/internal/sillapp/gatewayfleet.go
@@ -62,7 +62,7 @@
 			p.Peer.HandlePong(p.Background.Group, l, pong)
 			p.Plans.pushMissing(p.Background.Group, l, pong)
 			p.Backup.handlePong(time.Now(), pong)
-			p.Suspects.Merge(pong.Suspicions)
+			sillcrash.LogChanges(p.Log, time.Now(), p.Suspects.Merge(pong.Suspicions), "pong", l.Address())
 		},
 		Metrics: p.Metrics,
 		Log:     p.Log.Named("fleet"),
--- a/internal/sillcrash/evidence.go
+++ b/internal/sillcrash/evidence.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 )
 
 const (
@@ -85,19 +86,44 @@
 	return evidence
 }
 
-// Merge adds the evidence of another process. It is idempotent and independent
-// of the order of the evidence.
-func (t *Tracker) Merge(now time.Time, evidence []Evidence) {
+// Change is what the evidence of another process changed on one request.
+type Change struct {
+	Fingerprint   Fingerprint
+	Before, After State
+}
+
+// Merge adds the evidence of another process, and returns what it changed. It is
+// idempotent and independent of the order of the evidence.
+func (t *Tracker) Merge(now time.Time, evidence []Evidence) []Change {
+	var changes []Change
 	for _, e := range evidence {
-		s := t.suspectOf(now, e.Fingerprint)
-		latest := now.Add(maxClockSkew)
-		if !e.Cleared.After(latest) {
-			s.clear(e.Cleared)
+		change := Change{Fingerprint: e.Fingerprint, Before: t.State(now, e.Fingerprint)}
+		t.suspectOf(now, e.Fingerprint).merge(now, e)
+		change.After = t.State(now, e.Fingerprint)
+		if change.After != change.Before {
+			changes = append(changes, change)
 		}
-		for _, c := range e.Crashes {
-			if !c.At.After(latest) {
-				s.add(c)
-			}
+	}
+	return changes
+}
+
+// LogChanges logs what the evidence of another process changed. Way is how it came, and
+// from the process that sent it.
+func LogChanges(log *zap.Logger, now time.Time, changes []Change, way, from string) {
+	for _, c := range changes {
+		log.Info("Crash evidence on a request came.", append(c.After.LogFields(now), zap.Stringer("content", c.Fingerprint),
+			zap.Float64("score-before", c.Before.Score), zap.String("way", way), zap.String("from", from))...)
+	}
+}
+
+func (s *suspect) merge(now time.Time, e Evidence) {
+	latest := now.Add(maxClockSkew)
+	if !e.Cleared.After(latest) {
+		s.clear(e.Cleared)
+	}
+	for _, c := range e.Crashes {
+		if !c.At.After(latest) {
+			s.add(c)
 		}
 	}
 }
--- a/internal/sillcrash/shared.go
+++ b/internal/sillcrash/shared.go
@@ -30,11 +30,18 @@
 	s.tracker.RecordCrash(at, target, run, running)
 }
 
-// RecordSuccess clears the evidence on a request.
-func (s *SharedTracker) RecordSuccess(f Fingerprint) {
+// RecordSuccess clears the evidence on a request, and returns its state before.
+func (s *SharedTracker) RecordSuccess(f Fingerprint) State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tracker.RecordSuccess(s.now(), f)
+	return s.tracker.RecordSuccess(s.now(), f)
+}
+
+// State returns the evidence on a request in short.
+func (s *SharedTracker) State(f Fingerprint) State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.State(s.now(), f)
 }
 
 // Check returns a CrashSuspect problem if the request must not run now.
@@ -74,14 +81,14 @@
 	return s.tracker.Counts(s.now())
 }
 
-// Merge adds the evidence of another process.
-func (s *SharedTracker) Merge(evidence []Evidence) {
+// Merge adds the evidence of another process, and returns what it changed.
+func (s *SharedTracker) Merge(evidence []Evidence) []Change {
 	if len(evidence) == 0 {
-		return
+		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tracker.Merge(s.now(), evidence)
+	return s.tracker.Merge(s.now(), evidence)
 }
 
 // RemoveExpired removes the requests whose evidence has not changed recently.
--- a/internal/silldirectgateway/crashevidence.go
+++ b/internal/silldirectgateway/crashevidence.go
@@ -90,20 +90,21 @@
 	return b
 }
 
-// merge adds evidence that came on the given way.
-func (e *crashEvidence) merge(b []byte, way string) error {
+// merge adds evidence that came on the given way from a gateway, which is an instance or
+// an address.
+func (e *crashEvidence) merge(b []byte, way, from string) error {
 	evidence, err := sillcrash.Decode(b)
 	if err != nil || len(evidence) == 0 {
 		return err
 	}
 	e.received.WithLabelValues(way).Inc()
-	e.suspects.Merge(evidence)
+	sillcrash.LogChanges(e.log, time.Now(), e.suspects.Merge(evidence), way, from)
 	return nil
 }
 
 // mergeRow adds the evidence in the row of a gateway.
 func (e *crashEvidence) mergeRow(m sillcluster.Member, way string) {
-	if err := e.merge(m.CrashEvidence, way); err != nil {
+	if err := e.merge(m.CrashEvidence, way, string(m.Instance)); err != nil {
 		e.log.Error("Crash evidence can't be decoded; skipping it.", zap.String("instance", string(m.Instance)), silllog.Err(err))
 	}
 }
@@ -125,7 +126,7 @@
 
 // serve accepts the evidence of a peer.
 func (e *crashEvidence) serve(w http.ResponseWriter, r *http.Request) {
-	err := servePeerMessage(w, r, func(body []byte) error { return e.merge(body, wayPeer) })
+	err := servePeerMessage(w, r, func(body []byte) error { return e.merge(body, wayPeer, r.RemoteAddr) })
 	if err != nil {
 		e.log.Warn("Crash evidence of a peer can't be read.", zap.String("peer", r.RemoteAddr), silllog.Err(err))
 	}
--- a/internal/sillforwarder/crash.go
+++ b/internal/sillforwarder/crash.go
@@ -43,8 +43,10 @@
 // is safe for concurrent use.
 type crashMonitor struct {
 	suspects *sillcrash.SharedTracker
-	// onRefused is called when a crash leads to the refusal of a content.
-	onRefused func(content sillcrash.Fingerprint, target sillid.TargetID)
+	// onCrash is called for each content that a crashed target ran.
+	onCrash func(content sillcrash.Fingerprint, target sillid.TargetID)
+	// onCleared is called when an answer clears the evidence on a content.
+	onCleared func(content sillcrash.Fingerprint, target sillid.TargetID, before sillcrash.State)
 
 	mu sync.Mutex
 	// running holds the attempts that run, and those that broke within bystanderWindow.
@@ -53,8 +55,12 @@
 	silent []*run
 }
 
-func newCrashMonitor(suspects *sillcrash.SharedTracker, onRefused func(sillcrash.Fingerprint, sillid.TargetID)) *crashMonitor {
-	return &crashMonitor{suspects: suspects, onRefused: onRefused, running: make(map[sillid.TargetID][]*run)}
+func newCrashMonitor(suspects *sillcrash.SharedTracker) *crashMonitor {
+	return &crashMonitor{
+		suspects: suspects, running: make(map[sillid.TargetID][]*run),
+		onCrash:   func(sillcrash.Fingerprint, sillid.TargetID) {},
+		onCleared: func(sillcrash.Fingerprint, sillid.TargetID, sillcrash.State) {},
+	}
 }
 
 // start records an attempt that end ends.
@@ -78,7 +84,7 @@
 		m.recordCrash(time.Now(), m.breakOff(r))
 		return
 	case silltarget.Answered:
-		m.suspects.RecordSuccess(r.request.Fingerprint)
+		m.recordSuccess(r)
 	}
 	if silent := m.finish(r, o); len(silent) > 0 {
 		m.recordCrash(silent[len(silent)-1].endedAt, silent)
@@ -123,14 +129,14 @@
 func (m *crashMonitor) recordCrash(at time.Time, under []*run) {
 	m.suspects.RecordCrash(at, under[0].target, strconv.FormatInt(under[0].targetStart.UnixMilli(), 10), requestsOf(under))
 	for _, r := range under {
-		m.reportRefused(r)
+		m.onCrash(r.request.Fingerprint, r.target)
 	}
 }
 
-// reportRefused calls onRefused if the content of an attempt is refused from now on.
-func (m *crashMonitor) reportRefused(r *run) {
-	if m.suspects.Check(r.request.Fingerprint) != nil {
-		m.onRefused(r.request.Fingerprint, r.target)
+// recordSuccess clears the evidence on the content of an attempt.
+func (m *crashMonitor) recordSuccess(r *run) {
+	if before := m.suspects.RecordSuccess(r.request.Fingerprint); before.Crashes > 0 {
+		m.onCleared(r.request.Fingerprint, r.target, before)
 	}
 }
 
--- a/internal/sillforwarder/crash_test.go
+++ b/internal/sillforwarder/crash_test.go
@@ -155,7 +155,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			tracker := sillcrash.NewSharedTracker(time.Now)
-			m := newCrashMonitor(tracker, func(sillcrash.Fingerprint, sillid.TargetID) {})
+			m := newCrashMonitor(tracker)
 			m.end(m.start(silltarget.Grant{ID: "first"}, culprit), silltarget.Broken)
 			for _, id := range []sillid.TargetID{"a", "b", "c"} {
 				g := silltarget.Grant{ID: id}
@@ -176,7 +176,7 @@
 	for name, culpritFirst := range map[string]bool{"culprit breaks first": true, "bystander breaks first": false} {
 		t.Run(name, func(t *testing.T) {
 			tracker := sillcrash.NewSharedTracker(time.Now)
-			m := newCrashMonitor(tracker, func(sillcrash.Fingerprint, sillid.TargetID) {})
+			m := newCrashMonitor(tracker)
 			m.end(m.start(silltarget.Grant{ID: "first"}, culprit), silltarget.Broken)
 			for _, id := range []sillid.TargetID{"a", "b", "c", "d"} {
 				g := silltarget.Grant{ID: id}
--- a/internal/sillforwarder/forwarder.go
+++ b/internal/sillforwarder/forwarder.go
@@ -101,12 +101,19 @@
 func New(cfg Config) *Forwarder {
 	cfg.Log = cfg.Log.Named("forward")
 	f := &Forwarder{cfg: cfg, bodies: newBodyBuffer(cfg.BufferBytes)}
-	f.crashes = newCrashMonitor(cfg.Suspects, f.recordRefusedContent)
+	f.crashes = newCrashMonitor(cfg.Suspects)
+	f.crashes.onCrash, f.crashes.onCleared = f.recordCrash, f.recordCleared
 	return f
 }
 
-// recordRefusedContent logs and passes on that a content is refused from now on.
-func (f *Forwarder) recordRefusedContent(content sillcrash.Fingerprint, target sillid.TargetID) {
+// recordCrash logs that a target crashed under a content, and passes on that the content
+// is refused from now on.
+func (f *Forwarder) recordCrash(content sillcrash.Fingerprint, target sillid.TargetID) {
+	fields := f.evidenceFields(content, f.cfg.Suspects.State(content))
+	f.cfg.Log.Warn("Target crashed under a request.", append(fields, zap.String("target", string(target)))...)
+	if f.cfg.Suspects.Check(content) == nil {
+		return
+	}
 	f.cfg.Log.Warn("Targets crashed under a request; refusing its content.",
 		zap.Stringer("content", content), zap.String("target", string(target)))
 	if f.cfg.OnRefused != nil {
@@ -114,6 +121,16 @@
 	}
 }
 
+// recordCleared logs that an answer of a target cleared the evidence on a content.
+func (f *Forwarder) recordCleared(content sillcrash.Fingerprint, target sillid.TargetID, before sillcrash.State) {
+	f.cfg.Log.Info("Answer cleared the crash evidence on a request.", append(f.evidenceFields(content, before), zap.String("target", string(target)))...)
+}
+
+// evidenceFields returns the log fields of the crash evidence on a content.
+func (f *Forwarder) evidenceFields(content sillcrash.Fingerprint, s sillcrash.State) []zap.Field {
+	return append(s.LogFields(time.Now()), zap.Stringer("content", content))
+}
+
 // Do returns the response of a target, or an error of type *Refusal. When ctx
 // ends, the attempt at the target is cancelled too.
 func (f *Forwarder) Do(ctx context.Context, req *Request) (*Response, error) {
@@ -180,7 +197,11 @@
 // recordRefusal counts and logs a refusal, and returns it.
 func (f *Forwarder) recordRefusal(req *Request, p progress, r *Refusal) *Refusal {
 	f.cfg.Metrics.countRefusal(r.Reason)
-	f.cfg.Log.Warn("Gave a request up.", req.field(), zap.Stringer("content", p.content), zap.String("route", string(req.Route.ID)),
+	log := f.cfg.Log
+	if r.Reason == CrashSuspect {
+		log = log.With(f.cfg.Suspects.State(p.content).LogFields(time.Now())...)
+	}
+	log.Warn("Gave a request up.", req.field(), zap.Stringer("content", p.content), zap.String("route", string(req.Route.ID)),
 		zap.Uint64("config", uint64(req.Version)), zap.String("reason", string(r.Reason)), zap.Bool("not-run", r.NotRun),
 		zap.Int("attempts", p.attempts), zap.Int("unreachable", p.unreachable), zap.Duration("left", time.Until(req.Deadline)))
 	return r
