Let crashes beside a likelier cause add up to a refusal

What callers saw: servers go on ending under a content that is never refused, because at each of its crashes another content with a higher score ran.

Cause: such a crash weighs 0.25, and eight are kept: 2 of the 3 that a refusal takes. Change: it weighs 0.5, so a content that crashes each time is refused after six crashes at most; the rule allows three sends more after the third. Result: the test passes. A sound content has to meet six crashes beside likelier causes, one after the other and without an answer in between (twelve before by the weight, none by the eight that are kept).

--- a/internal/sillcrash/tracker.go
+++ b/internal/sillcrash/tracker.go
@@ -30,7 +30,7 @@
 	refuseScore = 3.0
 	// bystanderWeight is the weight of a crash for which another request is the
 	// more likely cause.
-	bystanderWeight = 0.25
+	bystanderWeight = 0.5
 	// refusePeriod is how long a request is refused after its last crash. After
 	// that it may run once more.
 	refusePeriod = 10 * time.Minute
--- a/internal/sillcrash/tracker_test.go
+++ b/internal/sillcrash/tracker_test.go
@@ -126,6 +126,20 @@
 	})
 }
 
+// TestCrashesBesideLikelierCausesAddUp guards against a request that is never refused
+// because another one with a higher score runs at each target that it crashes.
+func TestCrashesBesideLikelierCausesAddUp(t *testing.T) {
+	const crashes = 6
+	tracker := NewTracker()
+	for n := range crashes {
+		other := fmt.Sprint("other", n)
+		crash(tracker, 3*n+1, other)
+		crash(tracker, 3*n+2, other)
+		crash(tracker, 3*n+3, "culprit", other)
+	}
+	checkRefused(t, tracker, soon, "culprit", true)
+}
+
 // TestCrashesOfOneTarget guards against a request that is never refused because its pool
 // has a single target, which crashes and starts again.
 func TestCrashesOfOneTarget(t *testing.T) {
