Count an attempt that starts at the time of the last crash

What callers saw: a send ended two servers and counted as one crash, so that the content was refused two servers later.

Cause: a crash counts if the request started after the previous counted crash. Where the clock has not moved on between the crash and the next attempt, the two times are the same. TestAttemptAtTheTimeOfTheCrashCounts failed before. Change: a crash counts unless the request started before the previous one. Requests that run side by side start before, so they still count once.

--- a/internal/sillcrash/tracker.go
+++ b/internal/sillcrash/tracker.go
@@ -18,7 +18,7 @@
 
 // A request is refused once several runs of targets have crashed under it, one after
 // the other; a pool may have a single target, which starts again. A crash counts only
-// if the request started on the target after the previous counted crash. A zone that
+// if the request did not start on the target before the previous counted crash. A zone that
 // fails while many equal requests run therefore counts once.
 //
 // Of the requests that a target ran when it crashed, those with the highest
@@ -311,7 +311,7 @@
 	var counted time.Time
 	sum := 0.0
 	for _, c := range s.crashes {
-		if now.Sub(c.At) > crashExpiry || !c.Started.After(counted) {
+		if now.Sub(c.At) > crashExpiry || c.Started.Before(counted) {
 			continue
 		}
 		sum += c.Weight
--- a/internal/sillcrash/tracker_test.go
+++ b/internal/sillcrash/tracker_test.go
@@ -130,14 +130,39 @@
 // because another one with a higher score runs at each target that it crashes.
 func TestCrashesBesideLikelierCausesAddUp(t *testing.T) {
 	const crashes = 6
+	for _, alone := range []int{2, 3} {
+		t.Run(fmt.Sprint(alone, " crashes of the other one alone"), func(t *testing.T) {
+			tracker := NewTracker()
+			second := 0
+			for n := range crashes {
+				other := fmt.Sprint("other", n)
+				for range alone {
+					second++
+					crash(tracker, second, other)
+				}
+				second++
+				crash(tracker, second, "culprit", other)
+			}
+			checkRefused(t, tracker, soon, "culprit", true)
+		})
+	}
+}
+
+// crashAfter records that target n crashed at a time while it ran a request for a duration.
+func crashAfter(t *Tracker, n int, at time.Time, ran time.Duration, name string) {
+	running := []RunningRequest{{Fingerprint: fingerprint(name), Started: at.Add(-ran)}}
+	t.RecordCrash(at, sillid.TargetID(fmt.Sprint("t", n)), "r", running)
+}
+
+// TestAttemptAtTheTimeOfTheCrashCounts guards against a request that is refused late because
+// its next attempt starts at the very time, by a coarse clock, at which the last target crashed.
+func TestAttemptAtTheTimeOfTheCrashCounts(t *testing.T) {
 	tracker := NewTracker()
-	for n := range crashes {
-		other := fmt.Sprint("other", n)
-		crash(tracker, 3*n+1, other)
-		crash(tracker, 3*n+2, other)
-		crash(tracker, 3*n+3, "culprit", other)
+	for n := range 3 {
+		checkRefused(t, tracker, soon, "a", false)
+		crashAfter(tracker, n, epoch.Add(time.Duration(n)*time.Second), time.Second, "a")
 	}
-	checkRefused(t, tracker, soon, "culprit", true)
+	checkRefused(t, tracker, soon, "a", true)
 }
 
 // TestCrashesOfOneTarget guards against a request that is never refused because its pool
