Keep the crashes that count towards a refusal

What callers saw: a request that runs for a while before it crashes its servers, sent more often than that, goes on ending servers and is never refused.

Cause: the last eight crashes are kept. If more than eight overlap, those that count are pushed out by those that do not, and the score stays at one. Beside it, the first of two overlapping crashes counted, also where it weighs less than the second. Evidence: TestOverlappingCrashesDoNotPushCountedOnesOut (a crash each 0.1 s after a run of 1 s) and TestOverlapTakesTheHeavierCrash failed before. Change: the score is the highest weight of any sequence of crashes one after the other, and the oldest crash that adds to no such sequence goes first. One loop answers both, so they come in one commit.

--- a/internal/sillcrash/tracker.go
+++ b/internal/sillcrash/tracker.go
@@ -17,9 +17,10 @@
 )
 
 // A request is refused once several runs of targets have crashed under it, one after
-// the other; a pool may have a single target, which starts again. A crash counts only
-// if the request did not start on the target before the previous counted crash. A zone that
-// fails while many equal requests run therefore counts once.
+// the other; a pool may have a single target, which starts again. Crashes are one after the
+// other if the request started on the target no earlier than the previous one crashed: a
+// zone that fails while many equal requests run counts once. The score is the highest total
+// weight of such crashes.
 //
 // Of the requests that a target ran when it crashed, those with the highest
 // score before the crash are the likely cause and get the full weight; the
@@ -303,19 +304,49 @@
 	}
 	s.crashes = append(s.crashes, c)
 	slices.SortStableFunc(s.crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
-	s.crashes = s.crashes[max(0, len(s.crashes)-maxCrashes):]
+	if len(s.crashes) > maxCrashes {
+		s.dropOne()
+	}
+}
+
+// dropOne removes the oldest crash that adds nothing to the score, nor to that of crashes
+// to come: an earlier one ends a sequence of the same weight. The last crash stays. If each
+// crash adds to the score, the oldest one goes.
+func (s *suspect) dropOne() {
+	totals := totalsOf(s.lastChange(), s.crashes)
+	highest := 0.0
+	for i, total := range totals[:len(totals)-1] {
+		if total <= highest {
+			s.crashes = slices.Delete(s.crashes, i, i+1)
+			return
+		}
+		highest = total
+	}
+	s.crashes = slices.Delete(s.crashes, 0, 1)
 }
 
-// score returns the total weight of the crashes that count.
+// score returns the highest total weight of crashes that came one after the other.
 func (s *suspect) score(now time.Time) float64 {
-	var counted time.Time
-	sum := 0.0
-	for _, c := range s.crashes {
-		if now.Sub(c.At) > crashExpiry || c.Started.Before(counted) {
+	if len(s.crashes) == 0 {
+		return 0
+	}
+	return slices.Max(totalsOf(now, s.crashes))
+}
+
+// totalsOf returns, for each crash, the highest total weight of crashes that came one after
+// the other and end with it; 0 for crashes that have expired. The crashes are sorted by time.
+func totalsOf(now time.Time, crashes []Crash) []float64 {
+	totals := make([]float64, len(crashes))
+	for i, c := range crashes {
+		if now.Sub(c.At) > crashExpiry {
 			continue
 		}
-		sum += c.Weight
-		counted = c.At
+		for j, earlier := range crashes[:i] {
+			if !c.Started.Before(earlier.At) {
+				totals[i] = max(totals[i], totals[j])
+			}
+		}
+		totals[i] += c.Weight
 	}
-	return sum
+	return totals
 }
--- a/internal/sillcrash/tracker_test.go
+++ b/internal/sillcrash/tracker_test.go
@@ -165,6 +165,35 @@
 	checkRefused(t, tracker, soon, "a", true)
 }
 
+// TestOverlappingCrashesDoNotPushCountedOnesOut guards against a request that is never
+// refused because it crashes many targets at once, of whose crashes few are kept.
+func TestOverlappingCrashesDoNotPushCountedOnesOut(t *testing.T) {
+	const every, ran, duration = 100 * time.Millisecond, time.Second, 5 * time.Second
+	tracker := NewTracker()
+	for n := range int(duration / every) {
+		crashAfter(tracker, n, epoch.Add(time.Duration(n)*every), ran, "a")
+	}
+	checkRefused(t, tracker, epoch.Add(duration), "a", true)
+}
+
+// TestOverlapTakesTheHeavierCrash guards against a request that is refused late because a
+// crash beside a likelier cause hides one of its own.
+func TestOverlapTakesTheHeavierCrash(t *testing.T) {
+	tracker := NewTracker()
+	for n := range 4 {
+		other := fmt.Sprint("other", n)
+		at := epoch.Add(time.Duration(10*n) * time.Second)
+		for range 3 {
+			at = at.Add(time.Second)
+			crashAfter(tracker, int(at.Sub(epoch)/time.Second), at, time.Second, other)
+		}
+		running := []RunningRequest{{Fingerprint: fingerprint("a"), Started: at}, {Fingerprint: fingerprint(other), Started: at}}
+		tracker.RecordCrash(at.Add(time.Second), sillid.TargetID("beside"+other), "r", running)
+		crashAfter(tracker, 100+n, at.Add(1500*time.Millisecond), time.Second, "a")
+	}
+	checkRefused(t, tracker, soon, "a", true)
+}
+
 // TestCrashesOfOneTarget guards against a request that is never refused because its pool
 // has a single target, which crashes and starts again.
 func TestCrashesOfOneTarget(t *testing.T) {
