Let only answers that show a sound target clear crash evidence

What callers saw: a request that crashes its servers goes on ending them, at all gateways, if one of them answers it with an error now and then.

Cause: any complete answer cleared the evidence on its content, on both paths: also a 500 or 504, which a failing server gives without the run, a 429, and an answer that no server signed. Evidence: TestFailureClearsNoEvidence of sillforwarder, silldispatch and sillagent failed before for 500, 504, 429 and for an unsigned 404 (sillforwarder). Change: an answer clears evidence only below 500 and without 408, 421 and 429, and on the path without agents only if it is signed. Result: the tests pass; a signed 404 still clears. The stand-in signs its answers with a status, as servers do.

--- a/internal/sillagent/answer_test.go
+++ b/internal/sillagent/answer_test.go
@@ -1,10 +1,13 @@
 package sillagent
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
+	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/sillwire"
 )
 
@@ -40,3 +43,22 @@
 		checkKept(t, n)
 	})
 }
+
+// TestFailureClearsNoEvidence guards against a request that crashes its target being admitted
+// because the target fails it instead, now and then.
+func TestFailureClearsNoEvidence(t *testing.T) {
+	for status, refused := range map[int]bool{http.StatusInternalServerError: true, http.StatusGatewayTimeout: true, http.StatusOK: false} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			a := &Agent{cfg: Config{Suspects: sillcrash.NewSharedTracker(time.Now)}}
+			n := newTestRun("r", 1, true)
+			for i := range 3 {
+				running := []sillcrash.RunningRequest{{Fingerprint: n.req.Fingerprint, Started: time.Now()}}
+				a.cfg.Suspects.RecordCrash(time.Now(), "t", fmt.Sprint(i), running)
+				a.suspect(n, &outcome{status: status})
+			}
+			if got := a.cfg.Suspects.Check(n.req.Fingerprint) != nil; got != refused {
+				t.Errorf("refused: %t, want %t", got, refused)
+			}
+		})
+	}
+}
--- a/internal/sillagent/execute.go
+++ b/internal/sillagent/execute.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/sillbundle"
+	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/silllimit"
 	"github.com/wasabisill/wasabisill/internal/sillwire"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
@@ -17,6 +18,8 @@
 // outcome is the result of a run on the target.
 type outcome struct {
 	finish sillwire.Finish
+	// status is the HTTP status of a service's response; 0 without one, and for generations.
+	status int
 	// whole is a response that is sent together with its last frame.
 	whole []sillwire.Message
 	// failure is nil if the response is complete.
@@ -86,7 +89,9 @@
 // suspect records which requests ran when the target crashed.
 func (a *Agent) suspect(n *run, result *outcome) {
 	if result.failure == nil {
-		a.cfg.Suspects.RecordSuccess(n.req.Fingerprint)
+		if sillcrash.ProvesHealth(result.status) {
+			a.cfg.Suspects.RecordSuccess(n.req.Fingerprint)
+		}
 		return
 	}
 	if !result.brokeOff {
--- a/internal/sillagent/service.go
+++ b/internal/sillagent/service.go
@@ -92,14 +92,14 @@
 	head := &sillwire.Head{Status: resp.StatusCode, Header: answerHeader(resp.Header)}
 	if resp.ContentLength >= 0 && resp.ContentLength <= shortAnswerBytes {
 		result := a.shortAnswer(ctx, head, resp)
-		result.latency = latency
+		result.latency, result.status = latency, resp.StatusCode
 		return result
 	}
 	if err := n.answer.append(false, head); err != nil {
 		return outcome{failure: sillproblem.New(sillproblem.TargetFailed, "the service's header is too large").WithOutcome(sillproblem.Failed), billed: true}
 	}
 	result := a.copyAnswer(ctx, n, resp)
-	result.latency = latency
+	result.latency, result.status = latency, resp.StatusCode
 	return result
 }
 
--- a/internal/sillcrash/tracker.go
+++ b/internal/sillcrash/tracker.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"net/http"
 	"slices"
 	"time"
 
@@ -130,6 +131,17 @@
 	}
 }
 
+// ProvesHealth returns whether a complete response with an HTTP status shows that its
+// target has survived the request: it ran the request and did not fail. Generations have
+// the status 0.
+func ProvesHealth(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
+		return false
+	}
+	return status < http.StatusInternalServerError
+}
+
 // RecordSuccess clears the evidence on a request, and returns its state before.
 func (t *Tracker) RecordSuccess(now time.Time, f Fingerprint) State {
 	before := t.State(now, f)
--- a/internal/silldispatch/dispatch.go
+++ b/internal/silldispatch/dispatch.go
@@ -106,7 +106,9 @@
 		answer := &Answer{Finish: res.finish, Target: route.Choice.Target, Attempts: len(t.tried)}
 		if res.problem == nil && res.sinkErr == nil {
 			t.budget.RecordSuccess()
-			d.cfg.Suspects.RecordSuccess(r.Fingerprint)
+			if sillcrash.ProvesHealth(t.out.status) {
+				d.cfg.Suspects.RecordSuccess(r.Fingerprint)
+			}
 			return answer, nil
 		}
 		if p := d.next(ctx, t, res); p != nil {
--- a/internal/silldispatch/dispatch_test.go
+++ b/internal/silldispatch/dispatch_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -332,6 +334,32 @@
 	b.checkRuns(t, 6)
 }
 
+// TestFailureClearsNoEvidence guards against a request that crashes its targets being sent on
+// because a target fails it instead, now and then.
+func TestFailureClearsNoEvidence(t *testing.T) {
+	for status, refused := range map[int]bool{
+		http.StatusInternalServerError: true, http.StatusGatewayTimeout: true, http.StatusTooManyRequests: true,
+		http.StatusOK: false, http.StatusNotFound: false,
+	} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			failing := script{frames: []sillwire.Message{&sillwire.Head{Status: status}, whole(0, 0)}}
+			var scripts []script
+			for _, crash := range crashingScripts(4) {
+				scripts = append(scripts, crash, failing)
+			}
+			b := newBench(t, scripts...)
+			var text string
+			var p *sillproblem.Problem
+			for range 4 {
+				_, p = b.dispatcher.Do(context.Background(), plain(true), collect(&text))
+			}
+			if got := p != nil && p.Kind == sillproblem.CrashSuspect; got != refused {
+				t.Errorf("problem %v, want refused = %t", p, refused)
+			}
+		})
+	}
+}
+
 func TestDoStopsForACrashingRequest(t *testing.T) {
 	b := newBench(t, crashingScripts(6)...)
 	var text string
--- a/internal/silldispatch/output.go
+++ b/internal/silldispatch/output.go
@@ -11,6 +11,8 @@
 	sink Sink
 	// given is true once a part of the response was passed to the sink.
 	given bool
+	// status is the HTTP status of the response; 0 for generations.
+	status int
 	// ids are the tokens that were passed to the sink, after the request's prefix.
 	ids []int32
 	// spans attribute ids as the agents report them.
@@ -28,6 +30,7 @@
 
 func (o *output) head(m *sillwire.Head) error {
 	o.given = true
+	o.status = m.Status
 	return o.sink.Head(m)
 }
 
--- a/internal/sillforwarder/attempt.go
+++ b/internal/sillforwarder/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
+	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/sillheader"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
@@ -103,6 +104,9 @@
 		return f.finishRejected(a, resp, metadata, silltarget.Rejected)
 	}
 	f.cfg.OnStarted(req.Organisation, sentAt)
+	if a.run != nil {
+		a.run.survived = metadata.Signature != "" && sillcrash.ProvesHealth(resp.StatusCode)
+	}
 	if metadata.Signature == "" && isSuccess(resp.StatusCode) {
 		// Closing the body before its end closes the connection, too.
 		resp.Body.Close()
--- a/internal/sillforwarder/crash.go
+++ b/internal/sillforwarder/crash.go
@@ -29,6 +29,8 @@
 	target  sillid.TargetID
 	// targetStart is when the run of the target started.
 	targetStart time.Time
+	// survived is whether the target's response shows that it has survived the request.
+	survived bool
 	// endedAt is when the attempt broke off or was given up; zero before.
 	endedAt time.Time
 }
@@ -75,15 +77,16 @@
 	return r
 }
 
-// end records the outcome of an attempt. A target that broke off may have crashed; one
-// that answered has survived the request. A target without a connection has crashed if
+// end records the outcome of an attempt. A target that broke off may have crashed; a
+// complete response clears the request if it shows that the target survived. A target without a connection has crashed if
 // it stopped responding before.
 func (m *crashMonitor) end(r *run, o silltarget.Outcome) {
-	switch o {
-	case silltarget.Broken:
+	if o == silltarget.Broken {
 		m.recordCrash(time.Now(), m.breakOff(r))
 		return
-	case silltarget.Answered:
+	}
+	r.survived = r.survived && o == silltarget.Answered
+	if r.survived {
 		m.recordSuccess(r)
 	}
 	if silent := m.finish(r, o); len(silent) > 0 {
@@ -97,12 +100,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.removeRunning(r.target, func(other *run) bool { return other == r })
-	switch o {
-	case silltarget.Unreachable:
+	switch {
+	case o == silltarget.Unreachable:
 		return m.takeSilent(r)
-	case silltarget.Answered:
+	case r.survived:
 		m.silent = slices.DeleteFunc(m.silent, func(other *run) bool { return other.request.Fingerprint == r.request.Fingerprint })
-	case silltarget.TimedOut, silltarget.Abandoned:
+	case o == silltarget.TimedOut, o == silltarget.Abandoned:
 		r.endedAt = time.Now()
 		m.silent = append(m.silent, r)
 		m.silent = m.silent[max(0, len(m.silent)-maxSilentRuns):]
--- a/internal/sillforwarder/crash_test.go
+++ b/internal/sillforwarder/crash_test.go
@@ -1,6 +1,7 @@
 package sillforwarder
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
 	"github.com/wasabisill/wasabisill/internal/sillcrash"
+	"github.com/wasabisill/wasabisill/internal/sillstandtarget"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
@@ -193,3 +195,38 @@
 		})
 	}
 }
+
+// TestFailureClearsNoEvidence guards against a request that crashes its targets being sent on
+// because a target fails it instead, now and then.
+func TestFailureClearsNoEvidence(t *testing.T) {
+	for _, tc := range []struct {
+		status int
+		signed bool
+		want   Reason
+	}{
+		{http.StatusInternalServerError, true, CrashSuspect},
+		{http.StatusGatewayTimeout, true, CrashSuspect},
+		{http.StatusTooManyRequests, true, CrashSuspect},
+		{http.StatusNotFound, false, CrashSuspect},
+		{http.StatusNotFound, true, ResponseLost},
+	} {
+		t.Run(fmt.Sprint(tc.status, " signed ", tc.signed), func(t *testing.T) {
+			f := newFixture(t)
+			plan := &behaviour{}
+			target := sillstandtarget.Start("a", func(sillstandtarget.Call, int) behaviour { return *plan })
+			t.Cleanup(target.Close)
+			f.targets = append(f.targets, target)
+			r := route(sillcatalog.Idempotent, 1)
+			for range 3 {
+				f.restart()
+				*plan = crashing
+				checkRefusal(t, f.send(t, r, "crash", false), ResponseLost, false)
+				*plan = behaviour{Status: tc.status, Unsigned: !tc.signed}
+				_ = f.send(t, r, "crash", false)
+			}
+			*plan = crashing
+			f.restart()
+			checkRefusal(t, f.send(t, r, "crash", false), tc.want, tc.want == CrashSuspect)
+		})
+	}
+}
--- a/internal/sillstandtarget/target.go
+++ b/internal/sillstandtarget/target.go
@@ -60,6 +60,8 @@
 type Behaviour struct {
 	// Status, if not 0, is returned immediately.
 	Status int
+	// Unsigned leaves the signature of a response with Status out.
+	Unsigned bool
 	// NotRun refuses the request and promises that it did not run.
 	NotRun bool
 	// NoResponse sends nothing until the caller disconnects.
@@ -193,6 +195,9 @@
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case b.Status != 0:
+		if !b.Unsigned {
+			w.Header().Set(headerSignature, "signed-"+string(t.ID))
+		}
 		w.WriteHeader(b.Status)
 	case b.Events > 0:
 		t.respondStream(w, r, c, b)
