Send crash evidence to the other gateways at each crash

What callers saw: a request that had crashed three servers was sent on by other gateways.

Cause: gateways learned of crashes through rows alone, and directly only while the sender could not write its row. A gateway that stops writes no rows any more but still serves for seconds, and one that can't read rows hears nothing while the others can write theirs. Rows stay, for those that start later.

--- a/internal/sillcluster/members.go
+++ b/internal/sillcluster/members.go
@@ -238,6 +238,24 @@
 	return live
 }
 
+// knownTimeout is how long a row may stay unchanged before its process is not worth a call.
+const knownTimeout = time.Minute
+
+// Known returns the processes that are not leaving and renewed their rows within
+// knownTimeout, in no particular order. It is for calls that must also reach processes that
+// the table turns away.
+func (s *Members) Known(now time.Time) []Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var known []Member
+	for _, m := range s.rows {
+		if !m.Leaving && now.Sub(m.lastRenewed) < knownTimeout {
+			known = append(known, m.Member)
+		}
+	}
+	return known
+}
+
 // Rank returns the rank that an instance has or would have among the live ones for a
 // name, and whether it is live.
 func (s *Members) Rank(now time.Time, name string, self sillid.InstanceID) (int, bool) {
--- a/internal/sillcrash/evidence.go
+++ b/internal/sillcrash/evidence.go
@@ -92,6 +92,11 @@
 	Before, After State
 }
 
+// LeadsToRefusal returns whether the request has enough evidence only since the change.
+func (c Change) LeadsToRefusal() bool {
+	return c.Before.Score < refuseScore && c.After.Score >= refuseScore
+}
+
 // Merge adds the evidence of another process, and returns what it changed. It is
 // idempotent and independent of the order of the evidence.
 func (t *Tracker) Merge(now time.Time, evidence []Evidence) []Change {
--- a/internal/silldirectgateway/crashevidence.go
+++ b/internal/silldirectgateway/crashevidence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -30,17 +31,17 @@
 )
 
 // crashEvidence shares the evidence on requests that crash targets with the other
-// gateways: through the rows of the gateways, and directly while those can't be
-// written.
+// gateways: directly at each crash, and through the rows of the gateways, which also those
+// read that start later.
 type crashEvidence struct {
 	suspects *sillcrash.SharedTracker
 	pool     *silltransport.Pool
 	log      *zap.Logger
 	received *prometheus.CounterVec
 	sent     *prometheus.CounterVec
-	// urgent signals evidence that the other gateways need at once; it buffers one
-	// signal.
-	urgent chan struct{}
+	// urgent signals that a content is refused from now on, and fresh that a target
+	// crashed; each buffers one signal.
+	urgent, fresh chan struct{}
 }
 
 func newCrashEvidence(adapter *Adapter, r *prometheus.Registry, log *zap.Logger) *crashEvidence {
@@ -49,6 +50,7 @@
 		pool:     adapter.PeerPool,
 		log:      log.Named("crash-evidence"),
 		urgent:   make(chan struct{}, 1),
+		fresh:    make(chan struct{}, 1),
 		received: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "wasabisill_crash_evidence_received_total",
 			Help: "Messages with evidence on requests that crash targets, by way (row, peer, restored).",
@@ -68,10 +70,18 @@
 	return e
 }
 
-// notify signals urgent evidence without blocking.
-func (e *crashEvidence) notify() {
+// notify signals that a target crashed under a content, without blocking.
+func (e *crashEvidence) notify(refused bool) {
+	signal(e.fresh)
+	if refused {
+		signal(e.urgent)
+	}
+}
+
+// signal sends to a channel that buffers one signal, without blocking.
+func signal(c chan<- struct{}) {
 	select {
-	case e.urgent <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -98,7 +108,12 @@
 		return err
 	}
 	e.received.WithLabelValues(way).Inc()
-	sillcrash.LogChanges(e.log, time.Now(), e.suspects.Merge(evidence), way, from)
+	changes := e.suspects.Merge(evidence)
+	sillcrash.LogChanges(e.log, time.Now(), changes, way, from)
+	if way == wayPeer && slices.ContainsFunc(changes, sillcrash.Change.LeadsToRefusal) {
+		// A gateway sends to some of its peers only.
+		signal(e.fresh)
+	}
 	return nil
 }
 
--- a/internal/silldirectgateway/crashevidence_test.go
+++ b/internal/silldirectgateway/crashevidence_test.go
@@ -12,8 +12,10 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wasabisill/wasabisill/internal/sillclock"
 	"github.com/wasabisill/wasabisill/internal/sillcluster"
 	"github.com/wasabisill/wasabisill/internal/sillcrash"
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/sillmemtable"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
@@ -109,3 +111,69 @@
 		t.Errorf("%d bytes of evidence, want 1 to %d", n, rowBytes)
 	}
 }
+
+// startPeer returns the membership of a gateway that accepts crash evidence at an address.
+func startPeer(t *testing.T, instance sillid.InstanceID) (*membership, string) {
+	t.Helper()
+	peer := newTestMembership(instance)
+	server := httptest.NewServer(http.HandlerFunc(peer.evidence.serve))
+	t.Cleanup(server.Close)
+	return peer, strings.TrimPrefix(server.URL, "http://")
+}
+
+// rowOf returns the row of a gateway.
+func rowOf(t *testing.T, instance sillid.InstanceID, address string) silltable.Row {
+	t.Helper()
+	row, err := sillcluster.Encode(sillcluster.Member{Instance: instance, Run: sillcluster.Run(instance), Address: address})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return silltable.Row{Key: row.Key, Value: row.Value}
+}
+
+// TestCrashesReachGatewaysThatTheTableTurnsAway guards against a gateway that can't read the
+// rows of the others sending a request on that has crashed its targets there.
+func TestCrashesReachGatewaysThatTheTableTurnsAway(t *testing.T) {
+	peer, address := startPeer(t, "front-b")
+	m := newTestMembership("front-a")
+	// The peer renewed its row before, and only a third gateway renews its row now.
+	before := sillclock.Boot().Add(-10 * time.Second)
+	if err := m.members.Reset(before, []silltable.Row{rowOf(t, "front-b", address)}); err != nil {
+		t.Fatal(err)
+	}
+	m.apply([]silltable.Change{{Row: rowOf(t, "front-c", "127.0.0.1:1")}}, 0)
+	group := sillgroup.New(t.Context())
+	defer group.Stop()
+	group.Go(m.shareCrashes)
+	m.crashTargets(3)
+	m.evidence.notify(true)
+	waitRefused(t, peer)
+}
+
+// TestRefusalIsPassedOn guards against a request being sent on at gateways that the gateway
+// which saw its last crash does not reach.
+func TestRefusalIsPassedOn(t *testing.T) {
+	last, lastAddress := startPeer(t, "front-c")
+	middle, middleAddress := startPeer(t, "front-b")
+	first := newTestMembership("front-a")
+	first.reset([]silltable.Row{rowOf(t, "front-b", middleAddress)}, 0)
+	middle.reset([]silltable.Row{rowOf(t, "front-c", lastAddress)}, 0)
+	group := sillgroup.New(t.Context())
+	defer group.Stop()
+	group.Go(first.shareCrashes)
+	group.Go(middle.shareCrashes)
+	first.crashTargets(3)
+	first.evidence.notify(true)
+	waitRefused(t, last)
+}
+
+// waitRefused waits until a gateway refuses the crashing content.
+func waitRefused(t *testing.T, m *membership) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if m.evidence.suspects.Check(crashing) != nil {
+			return
+		}
+	}
+	checkRefuses(t, m, true)
+}
--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -166,6 +166,28 @@
 	m.leaving.send(ctx, m.lastPeers())
 }
 
+// shareInterval is the shortest time between two times that crash evidence is sent to peers.
+const shareInterval = 100 * time.Millisecond
+
+// shareCrashes sends the crash evidence to peers whenever a target has crashed, until ctx
+// ends. Rows alone would not do: a gateway may not be able to read them, and one that is
+// stopping writes none.
+func (m *membership) shareCrashes(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.evidence.fresh:
+		}
+		m.evidence.send(ctx, m.knownPeers())
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(shareInterval):
+		}
+	}
+}
+
 // restoreKnowledge merges what the last run of the process left in its row, which the first
 // renewal replaces. It returns false if the row can't be read.
 func (m *membership) restoreKnowledge(ctx context.Context, store *silltable.Store) bool {
@@ -215,6 +237,18 @@
 	return addresses
 }
 
+// knownPeers returns the addresses of the other gateways that were alive lately, also of
+// those that can't renew their rows now.
+func (m *membership) knownPeers() []string {
+	var addresses []string
+	for _, other := range m.members.Known(sillclock.Boot()) {
+		if other.Instance != m.settings.Instance {
+			addresses = append(addresses, other.Address)
+		}
+	}
+	return addresses
+}
+
 // write writes the process's row and returns whether that succeeded. Leaving marks the
 // process as stopping. It waits for another write for renewTimeout at most.
 func (m *membership) write(ctx context.Context, store *silltable.Store, leaving bool) bool {
--- a/internal/sillforwarder/forwarder.go
+++ b/internal/sillforwarder/forwarder.go
@@ -80,10 +80,10 @@
 	OnStarted func(organisation sillid.OrganisationID, at time.Time)
 	// Suspects holds the evidence on requests that crash targets.
 	Suspects *sillcrash.SharedTracker
-	// OnRefused, if not nil, is called when a crash of a target leads to the refusal of
-	// a content. It must not block.
-	OnRefused func()
-	Metrics   *Metrics
+	// OnCrash, if not nil, is called when a target crashed under a content; refused is
+	// whether the content is refused from now on. It must not block.
+	OnCrash func(refused bool)
+	Metrics *Metrics
 	// BufferBytes bounds the memory of all responses that are being read, apart from
 	// the first 64 KiB of each; 0 stands for 64 MiB.
 	BufferBytes int64
@@ -106,18 +106,17 @@
 	return f
 }
 
-// recordCrash logs that a target crashed under a content, and passes on that the content
-// is refused from now on.
+// recordCrash logs and passes on that a target crashed under a content.
 func (f *Forwarder) recordCrash(content sillcrash.Fingerprint, target sillid.TargetID) {
 	fields := f.evidenceFields(content, f.cfg.Suspects.State(content))
 	f.cfg.Log.Warn("Target crashed under a request.", append(fields, zap.String("target", string(target)))...)
-	if f.cfg.Suspects.Check(content) == nil {
-		return
+	refused := f.cfg.Suspects.Check(content) != nil
+	if refused {
+		f.cfg.Log.Warn("Targets crashed under a request; refusing its content.",
+			zap.Stringer("content", content), zap.String("target", string(target)))
 	}
-	f.cfg.Log.Warn("Targets crashed under a request; refusing its content.",
-		zap.Stringer("content", content), zap.String("target", string(target)))
-	if f.cfg.OnRefused != nil {
-		f.cfg.OnRefused()
+	if f.cfg.OnCrash != nil {
+		f.cfg.OnCrash(refused)
 	}
 }
 
