Keep evidence on a request that is about to be refused

What callers saw: a request that had crashed two servers was counted anew once the gateways had started again.

Cause: a gateway's row held evidence on a content that is not refused for 10 s after its last crash; a gateway that starts later finds nothing. Evidence: TestEvidenceOfARequestAboutToBeRefusedIsKept failed before. Change: evidence on contents that one more crash gets refused stays in the rows for the ten minutes that a refusal lasts.

--- a/internal/sillcrash/evidence.go
+++ b/internal/sillcrash/evidence.go
@@ -65,12 +65,17 @@
 	return t.evidence(t.ranked(now), limit)
 }
 
-// ExportRecent returns the evidence on at most limit requests that are refused or
-// whose evidence has changed within recentPeriod, those with the highest scores
-// first. Processes that got the evidence before keep it.
+// ExportRecent returns the evidence on at most limit requests, those with the highest
+// scores first: of all that changed within recentPeriod, and of those that are refused, or
+// are after one more crash, for refusePeriod. Processes that got the evidence before keep
+// it, but those that start need it.
 func (t *Tracker) ExportRecent(now time.Time, limit int) []Evidence {
 	recent := slices.DeleteFunc(t.ranked(now), func(r rankedRequest) bool {
-		return now.Sub(r.lastChange) > recentPeriod && t.Check(now, r.fingerprint) == nil
+		period := recentPeriod
+		if r.score >= refuseScore-1 {
+			period = refusePeriod
+		}
+		return now.Sub(r.lastChange) > period
 	})
 	return t.evidence(recent, limit)
 }
--- a/internal/sillcrash/tracker.go
+++ b/internal/sillcrash/tracker.go
@@ -42,7 +42,7 @@
 	maxCrashes = 8
 	// maxRequests is the maximum number of requests kept.
 	maxRequests = 4096
-	// recentPeriod is how long evidence on a request that is not refused is
+	// recentPeriod is how long evidence on a request that is far from being refused is
 	// exported after its last change.
 	recentPeriod = 10 * time.Second
 )
--- a/internal/sillcrash/tracker_test.go
+++ b/internal/sillcrash/tracker_test.go
@@ -300,6 +300,17 @@
 	}
 }
 
+// TestEvidenceOfARequestAboutToBeRefusedIsKept guards against a request that crashes its targets
+// being counted anew because all processes started again before the last crash.
+func TestEvidenceOfARequestAboutToBeRefusedIsKept(t *testing.T) {
+	tracker, started := NewTracker(), NewTracker()
+	crash(tracker, 1, "a")
+	crash(tracker, 2, "a")
+	started.Merge(soon, tracker.ExportRecent(soon, 10))
+	crash(started, 61, "a")
+	checkRefused(t, started, soon.Add(time.Second), "a", true)
+}
+
 func TestMergeSharesEvidence(t *testing.T) {
 	trackers := []*Tracker{NewTracker(), NewTracker(), NewTracker()}
 	for n, tracker := range trackers {
