Tell crashing requests of one host or route from equal ones of another

What callers saw (by reading, and in the tests): a sound request is refused for ten minutes, because a request with the same path and body crashed targets of another service.

Cause: the content of a request was organisation, method, path and body. Without agents two hosts share it, and behind agents two routes, as the path is taken without their prefix. Evidence: TestContentIsThatOfOneHost and TestContentIsThatOfOneRoute failed before. Change: the content holds the host of the route, or the prefix of the route. What is kept with an idempotency key stays as it was. While old and new builds run together, each counts for itself. Result: the tests of sillforwarder, sillgateway, and TestOnce and TestCrashingRequestIsStopped of sillprocess pass.

--- a/internal/sillforwarder/crash_test.go
+++ b/internal/sillforwarder/crash_test.go
@@ -73,6 +73,23 @@
 	}
 }
 
+// TestContentIsThatOfOneHost guards against a sound request being refused because an equal one
+// to another host, which other targets serve, crashes them.
+func TestContentIsThatOfOneHost(t *testing.T) {
+	request := func(host string) sillcrash.Fingerprint {
+		return (&Request{
+			Organisation: "org", Method: http.MethodPost, RequestURI: "/x", Host: "any spelling of it",
+			Route: &sillcatalog.Route{Host: host},
+		}).content()
+	}
+	if request("a.example") == request("b.example") {
+		t.Error("requests to two hosts have one content")
+	}
+	if request("a.example") != request("a.example") {
+		t.Error("equal requests have two contents")
+	}
+}
+
 func TestOwedRequestIsNotRefused(t *testing.T) {
 	f := newFixture(t, crashing, crashing, crashing, crashing, crashing)
 	for range 10 {
--- a/internal/sillforwarder/forwarder.go
+++ b/internal/sillforwarder/forwarder.go
@@ -51,9 +51,9 @@
 func (r *Request) field() zap.Field { return zap.String("request", string(r.ID)) }
 
 // content identifies what the request asks for: requests of one organisation with the
-// same method, path, query and body have the same content under any id.
+// same method, host, path, query and body have the same content under any id.
 func (r *Request) content() sillcrash.Fingerprint {
-	return sillcrash.NewFingerprint(r.Organisation, r.Method, r.RequestURI, r.Body)
+	return sillcrash.NewFingerprint(r.Organisation, r.Method, r.Route.Host+r.RequestURI, r.Body)
 }
 
 // Response is a target's response. Body is complete unless Stream is set.
--- a/internal/sillgateway/accept_test.go
+++ b/internal/sillgateway/accept_test.go
@@ -3,9 +3,12 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillbundle"
+	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
@@ -62,3 +65,24 @@
 		t.Errorf("problem %q, want %q", got, want)
 	}
 }
+
+// TestContentIsThatOfOneRoute guards against a sound request being refused because an equal one
+// on another route, which other targets serve, crashes them.
+func TestContentIsThatOfOneRoute(t *testing.T) {
+	content := func(prefix string) sillcrash.Fingerprint {
+		c := &call{
+			w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodPost, prefix+"/run", strings.NewReader("body")), began: time.Now(),
+			route: &sillbundle.Route{PathPrefix: prefix, Kind: sillbundle.ServiceRoute, TimeoutSeconds: 1, MaxBodyBytes: 100},
+		}
+		if p := (&Gateway{}).prepare(c); p != nil {
+			t.Fatal(p)
+		}
+		return c.request.Fingerprint
+	}
+	if content("/a") == content("/b") {
+		t.Error("requests on two routes have one content")
+	}
+	if content("/a") != content("/a") {
+		t.Error("equal requests have two contents")
+	}
+}
--- a/internal/sillgateway/callers.go
+++ b/internal/sillgateway/callers.go
@@ -135,7 +135,7 @@
 		c.request.Organisation = o.ID
 		c.request.Weight = o.Weight
 	}
-	c.request.Fingerprint = sillcrash.NewFingerprint(c.request.Organisation, c.r.Method, target, body)
+	c.request.Fingerprint = sillcrash.NewFingerprint(c.request.Organisation, c.r.Method, c.route.PathPrefix+target, body)
 	if c.route.Kind == sillbundle.ModelRoute {
 		return c.prepareCompletion()
 	}
--- a/internal/sillgateway/once.go
+++ b/internal/sillgateway/once.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/silldispatch"
 	"github.com/wasabisill/wasabisill/internal/sillidempotency"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
@@ -33,7 +34,7 @@
 	claim, kept, problem := o.keeper.Claim(ctx, sillidempotency.Request{
 		Organisation: o.call.request.Organisation,
 		Key:          o.key,
-		Fingerprint:  o.call.request.Fingerprint.String(),
+		Fingerprint:  o.fingerprint(),
 		Place:        place,
 	})
 	if problem != nil {
@@ -47,6 +48,13 @@
 	return nil
 }
 
+// fingerprint identifies the content of the request. It is kept with the key, so it stays
+// the same from build to build.
+func (o *onceRequest) fingerprint() string {
+	r := o.call.request
+	return sillcrash.NewFingerprint(r.Organisation, r.Method, r.Path, r.Body).String()
+}
+
 // answerOnce answers a request that carries an idempotency key.
 func (g *Gateway) answerOnce(ctx context.Context, c *call, key string) {
 	o := &onceRequest{keeper: g.cfg.Repeat, key: key, call: c}
