Keep what stopping gateways learn of crashing requests

What callers saw: a request that had crashed three servers was counted anew, up to 17 ends in all, where gateways stop together or one starts while another stops.

Cause: a gateway that stops wrote no row any more, and crash evidence did not go to gateways that are leaving. Each of those counted by itself, and those that started found nothing. TestStoppingGatewayLeavesItsCrashes and TestRowsOfALeavingProcessDoNotRenewIt failed before. Change: evidence also goes to gateways that are leaving; a stopping gateway writes its row at each crash. Such rows do not count as renewals, so its work is taken over as soon as before.

--- a/internal/sillcluster/members.go
+++ b/internal/sillcluster/members.go
@@ -144,13 +144,20 @@
 			failure = err
 			continue
 		}
-		if known, ok := s.rows[instance]; ok && known.Run == m.Run && known.Renewal > m.Renewal {
+		known, ok := s.rows[instance]
+		sameRun := ok && known.Run == m.Run
+		if sameRun && known.Renewal > m.Renewal {
 			// A transaction that was delayed has replaced a newer row.
 			continue
 		}
 		s.onRow(m)
 		m.CrashEvidence, m.LeavingTargets = nil, nil
-		s.rows[instance] = memberRow{Member: m, lastRenewed: now}
+		renewed := now
+		if sameRun && known.Leaving {
+			// A process that is stopping only tells what it has learned.
+			renewed = known.lastRenewed
+		}
+		s.rows[instance] = memberRow{Member: m, lastRenewed: renewed}
 	}
 	return failure
 }
@@ -241,15 +248,15 @@
 // knownTimeout is how long a row may stay unchanged before its process is not worth a call.
 const knownTimeout = time.Minute
 
-// Known returns the processes that are not leaving and renewed their rows within
-// knownTimeout, in no particular order. It is for calls that must also reach processes that
-// the table turns away.
+// Known returns the processes that renewed their rows within knownTimeout, in no particular
+// order. It is for calls that must also reach processes that the table turns away, and those
+// that are leaving and still serve.
 func (s *Members) Known(now time.Time) []Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var known []Member
 	for _, m := range s.rows {
-		if !m.Leaving && now.Sub(m.lastRenewed) < knownTimeout {
+		if now.Sub(m.lastRenewed) < knownTimeout {
 			known = append(known, m.Member)
 		}
 	}
--- a/internal/sillcluster/members_test.go
+++ b/internal/sillcluster/members_test.go
@@ -265,3 +265,23 @@
 		t.Errorf("an absent process has rank %d, live %t; want %d, false", rank, live, want)
 	}
 }
+
+// TestRowsOfALeavingProcessDoNotRenewIt guards against the work of a stopping process being
+// taken over late, because it still writes what it learns to its row.
+func TestRowsOfALeavingProcessDoNotRenewIt(t *testing.T) {
+	now := time.Now()
+	members := NewMembers(func(Member) {})
+	for i := range 3 {
+		write, err := Encode(Member{Instance: "a", Run: "run", Leaving: true, Renewal: uint64(i + 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		at := now.Add(time.Duration(i) * MemberTimeout / 2)
+		if err := members.Apply(at, []silltable.Change{{Row: silltable.Row{Key: write.Key, Value: write.Value}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !members.Alive(now.Add(MemberTimeout-1), "run") || members.Alive(now.Add(MemberTimeout), "run") {
+		t.Error("the process is not alive for MemberTimeout after its first row that says that it leaves")
+	}
+}
--- a/internal/silldirectgateway/crashevidence_test.go
+++ b/internal/silldirectgateway/crashevidence_test.go
@@ -112,6 +112,9 @@
 	}
 }
 
+// unavailable is a table that refuses commits.
+var unavailable = &silltable.Store{Commit: refuseCommit}
+
 // startPeer returns the membership of a gateway that accepts crash evidence at an address.
 func startPeer(t *testing.T, instance sillid.InstanceID) (*membership, string) {
 	t.Helper()
@@ -144,7 +147,7 @@
 	m.apply([]silltable.Change{{Row: rowOf(t, "front-c", "127.0.0.1:1")}}, 0)
 	group := sillgroup.New(t.Context())
 	defer group.Stop()
-	group.Go(m.shareCrashes)
+	group.Go(func(ctx context.Context) { m.shareCrashes(ctx, unavailable) })
 	m.crashTargets(3)
 	m.evidence.notify(true)
 	waitRefused(t, peer)
@@ -160,8 +163,8 @@
 	middle.reset([]silltable.Row{rowOf(t, "front-c", lastAddress)}, 0)
 	group := sillgroup.New(t.Context())
 	defer group.Stop()
-	group.Go(first.shareCrashes)
-	group.Go(middle.shareCrashes)
+	group.Go(func(ctx context.Context) { first.shareCrashes(ctx, unavailable) })
+	group.Go(func(ctx context.Context) { middle.shareCrashes(ctx, unavailable) })
 	first.crashTargets(3)
 	first.evidence.notify(true)
 	waitRefused(t, last)
@@ -177,3 +180,30 @@
 	}
 	checkRefuses(t, m, true)
 }
+
+// TestStoppingGatewayLeavesItsCrashes guards against a request that crashes its targets being
+// counted anew by gateways that start while the one that saw the crashes stops.
+func TestStoppingGatewayLeavesItsCrashes(t *testing.T) {
+	table := &sillmemtable.Table{}
+	store := table.Store()
+	stopping := newTestMembership("front-a")
+	stopping.renewOnce(t.Context(), store)
+	stopping.write(t.Context(), store, true)
+	group := sillgroup.New(t.Context())
+	defer group.Stop()
+	group.Go(func(ctx context.Context) { stopping.shareCrashes(ctx, store) })
+	stopping.crashTargets(3)
+	stopping.evidence.notify(true)
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		started := newTestMembership("front-a")
+		started.renewOnce(t.Context(), &silltable.Store{Get: store.Get, List: store.List, Commit: refuseCommit})
+		if started.evidence.suspects.Check(crashing) != nil {
+			return
+		}
+	}
+	t.Error("a gateway that starts does not refuse the content")
+}
+
+func refuseCommit(context.Context, silltable.Txn) ([]silltable.Revision, error) {
+	return nil, silltable.ErrUnavailable
+}
--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -49,7 +49,7 @@
 	// newer one.
 	writing sync.Mutex
 	// stopping is whether the process is stopping; from then on every row says so.
-	stopping bool
+	stopping atomic.Bool
 }
 
 func newMembership(s *Settings, e *crashEvidence, l *leavingTargets, r *prometheus.Registry, log *zap.Logger) *membership {
@@ -170,9 +170,9 @@
 const shareInterval = 100 * time.Millisecond
 
 // shareCrashes sends the crash evidence to peers whenever a target has crashed, until ctx
-// ends. Rows alone would not do: a gateway may not be able to read them, and one that is
-// stopping writes none.
-func (m *membership) shareCrashes(ctx context.Context) {
+// ends. Rows alone would not do: a gateway may not be able to read them. A process that is
+// stopping renews its row no more and writes it then, for processes that start.
+func (m *membership) shareCrashes(ctx context.Context, store *silltable.Store) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -180,6 +180,9 @@
 		case <-m.evidence.fresh:
 		}
 		m.evidence.send(ctx, m.knownPeers())
+		if m.stopping.Load() {
+			m.write(ctx, store, true)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -254,10 +257,12 @@
 func (m *membership) write(ctx context.Context, store *silltable.Store, leaving bool) bool {
 	m.writing.Lock()
 	defer m.writing.Unlock()
-	m.stopping = m.stopping || leaving
+	if leaving {
+		m.stopping.Store(true)
+	}
 	write, err := sillcluster.Encode(sillcluster.Member{
 		Instance: m.settings.Instance, Run: m.run, Address: m.address, Zone: m.settings.Zone,
-		Leaving: m.stopping, GroupCommit: true, Capacity: m.settings.Capacity, PoolLoads: m.poolLoads(), Renewal: m.renewals.Add(1), CrashEvidence: m.evidence.encode(),
+		Leaving: m.stopping.Load(), GroupCommit: true, Capacity: m.settings.Capacity, PoolLoads: m.poolLoads(), Renewal: m.renewals.Add(1), CrashEvidence: m.evidence.encode(),
 		LeavingTargets: m.leaving.runs(),
 	})
 	if err != nil {
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -148,7 +148,7 @@
 	}
 	s.background.Go(s.relay.Run)
 	s.background.Go(s.committer.Run)
-	s.background.Go(s.members.shareCrashes)
+	s.background.Go(func(ctx context.Context) { s.members.shareCrashes(ctx, s.tables.store) })
 	s.background.Go(s.cleanUp)
 	if s.settings.ReportsUsage {
 		s.background.Go(s.meter.Run)
