--- a/internal/sillattribution/tracker_test.go
+++ b/internal/sillattribution/tracker_test.go
@@ -1,7 +1,6 @@
 package sillattribution
 
 import (
-	"flag"
 	"os"
 	"reflect"
 	"testing"
@@ -9,13 +8,12 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/wasabisill/wasabisill/internal/sillproperty"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
+	os.Exit(sillproperty.Run(m, sillproperty.Config{}))
 }
 
 const window = 100 * time.Millisecond
--- a/internal/sillbundlestore/main_test.go
+++ b/internal/sillbundlestore/main_test.go
@@ -1,22 +1,12 @@
 package sillbundlestore
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"github.com/wasabisill/wasabisill/internal/sillproperty"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	setDefaultFlag("rapid.seed", "1")
-	setDefaultFlag("rapid.steps", "60")
-	setDefaultFlag("rapid.checks", "50")
-	os.Exit(m.Run())
-}
-
-// setDefaultFlag sets a flag that the command line left alone.
-func setDefaultFlag(name, value string) {
-	if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-		_ = flag.Set(name, value)
-	}
+	os.Exit(sillproperty.Run(m, sillproperty.Config{Checks: 50, Steps: 60}))
 }
--- a/internal/sillcrash/tracker_test.go
+++ b/internal/sillcrash/tracker_test.go
@@ -1,7 +1,6 @@
 package sillcrash
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"os"
@@ -11,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/wasabisill/wasabisill/internal/sillproperty"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
@@ -18,9 +18,7 @@
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
+	os.Exit(sillproperty.Run(m, sillproperty.Config{}))
 }
 
 func fingerprint(name string) Fingerprint {
--- a/internal/sillforwarder/crash_test.go
+++ b/internal/sillforwarder/crash_test.go
@@ -76,16 +76,15 @@
 // TestContentIsThatOfOneHost guards against a sound request being refused because an equal one
 // to another host, which other targets serve, crashes them.
 func TestContentIsThatOfOneHost(t *testing.T) {
-	request := func(host string) sillcrash.Fingerprint {
+	content := func(routeHost, host string) sillcrash.Fingerprint {
 		return (&Request{
-			Organisation: "org", Method: http.MethodPost, RequestURI: "/x", Host: "any spelling of it",
-			Route: &sillcatalog.Route{Host: host},
+			Organisation: "org", Method: http.MethodPost, RequestURI: "/x", Host: host, Route: &sillcatalog.Route{Host: routeHost},
 		}).content()
 	}
-	if request("a.example") == request("b.example") {
+	if content("a.example", "a.example") == content("b.example", "b.example") {
 		t.Error("requests to two hosts have one content")
 	}
-	if request("a.example") != request("a.example") {
+	if content("a.example", "a.example") != content("a.example", "a.example:80") {
 		t.Error("equal requests have two contents")
 	}
 }
--- a/internal/sillgateway/accept_test.go
+++ b/internal/sillgateway/accept_test.go
@@ -69,9 +69,9 @@
 // TestContentIsThatOfOneRoute guards against a sound request being refused because an equal one
 // on another route, which other targets serve, crashes them.
 func TestContentIsThatOfOneRoute(t *testing.T) {
-	content := func(prefix string) sillcrash.Fingerprint {
+	content := func(prefix, key string) sillcrash.Fingerprint {
 		c := &call{
-			w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodPost, prefix+"/run", strings.NewReader("body")), began: time.Now(),
+			w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodPost, prefix+"/run", strings.NewReader("body")), began: time.Now(), who: caller{key: key},
 			route: &sillbundle.Route{PathPrefix: prefix, Kind: sillbundle.ServiceRoute, TimeoutSeconds: 1, MaxBodyBytes: 100},
 		}
 		if p := (&Gateway{}).prepare(c); p != nil {
@@ -79,10 +79,10 @@
 		}
 		return c.request.Fingerprint
 	}
-	if content("/a") == content("/b") {
+	if content("/a", "k") == content("/b", "k") {
 		t.Error("requests on two routes have one content")
 	}
-	if content("/a") != content("/a") {
-		t.Error("equal requests have two contents")
+	if content("/a", "k") != content("/a", "another") {
+		t.Error("equal requests with two keys of an organisation have two contents")
 	}
 }
--- a/internal/sillidempotency/keeper_test.go
+++ b/internal/sillidempotency/keeper_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -12,15 +11,14 @@
 	"pgregory.net/rapid"
 
 	"github.com/wasabisill/wasabisill/internal/sillmemtable"
+	"github.com/wasabisill/wasabisill/internal/sillproperty"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
+	os.Exit(sillproperty.Run(m, sillproperty.Config{}))
 }
 
 // testEnv simulates the table, the object store, the agent and the gateways of
--- a/internal/silllease/main_test.go
+++ b/internal/silllease/main_test.go
@@ -1,22 +1,12 @@
 package silllease
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"github.com/wasabisill/wasabisill/internal/sillproperty"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	setDefaultFlag("rapid.seed", "1")
-	setDefaultFlag("rapid.steps", "150")
-	setDefaultFlag("rapid.checks", "300")
-	os.Exit(m.Run())
-}
-
-// setDefaultFlag sets a flag that the command line did not set.
-func setDefaultFlag(name, value string) {
-	if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-		_ = flag.Set(name, value)
-	}
+	os.Exit(sillproperty.Run(m, sillproperty.Config{Checks: 300, Steps: 150}))
 }
--- a/internal/silllimit/queue_property_test.go
+++ b/internal/silllimit/queue_property_test.go
@@ -1,7 +1,6 @@
 package silllimit
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"os"
@@ -10,13 +9,12 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/wasabisill/wasabisill/internal/sillproperty"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
+	os.Exit(sillproperty.Run(m, sillproperty.Config{}))
 }
 
 // model is a queue with the state that the test expects of it.
--- a/internal/sillretry/retry_test.go
+++ b/internal/sillretry/retry_test.go
@@ -1,22 +1,20 @@
 package sillretry
 
 import (
-	"flag"
 	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/wasabisill/wasabisill/internal/sillproperty"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
+	os.Exit(sillproperty.Run(m, sillproperty.Config{}))
 }
 
 func failure(kind sillproblem.Kind, outcome sillproblem.Outcome) Failure {
--- a/internal/sillrollout/once_test.go
+++ b/internal/sillrollout/once_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand"
 	"os"
@@ -22,15 +21,13 @@
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllease"
 	"github.com/wasabisill/wasabisill/internal/sillmemtable"
+	"github.com/wasabisill/wasabisill/internal/sillproperty"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "40")
-	os.Exit(m.Run())
+	os.Exit(sillproperty.Run(m, sillproperty.Config{Checks: 40}))
 }
 
 // scenario configures the faults injected into one batch.
--- a/internal/sillscaler/world_test.go
+++ b/internal/sillscaler/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -16,16 +15,13 @@
 	"github.com/wasabisill/wasabisill/internal/silllease"
 	"github.com/wasabisill/wasabisill/internal/sillmemtable"
 	"github.com/wasabisill/wasabisill/internal/sillorder"
+	"github.com/wasabisill/wasabisill/internal/sillproperty"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
+	os.Exit(sillproperty.Run(m, sillproperty.Config{}))
 }
 
 const leaseKey = "lease-epoch/scale"
--- a/internal/sillusage/world_test.go
+++ b/internal/sillusage/world_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand"
 	"os"
@@ -20,16 +19,13 @@
 	"github.com/wasabisill/wasabisill/internal/sillcall"
 	"github.com/wasabisill/wasabisill/internal/silllease"
 	"github.com/wasabisill/wasabisill/internal/sillmemtable"
+	"github.com/wasabisill/wasabisill/internal/sillproperty"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
+	os.Exit(sillproperty.Run(m, sillproperty.Config{}))
 }
 
 const (
--- a/internal/sillweight/network_test.go
+++ b/internal/sillweight/network_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand"
 	"os"
@@ -12,15 +11,12 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/wasabisill/wasabisill/internal/sillproperty"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
+	os.Exit(sillproperty.Run(m, sillproperty.Config{}))
 }
 
 // costs are the times that the steps of a rollout take.
