--- a/internal/sillcrash/evidence.go
+++ b/internal/sillcrash/evidence.go
@@ -125,15 +125,3 @@
 			zap.Float64("score-before", c.Before.Score), zap.String("way", way), zap.String("from", from))...)
 	}
 }
-
-func (s *suspect) merge(now time.Time, e Evidence) {
-	latest := now.Add(maxClockSkew)
-	if !e.Cleared.After(latest) {
-		s.clear(e.Cleared)
-	}
-	for _, c := range e.Crashes {
-		if !c.At.After(latest) {
-			s.add(c)
-		}
-	}
-}
--- a/internal/sillcrash/tracker.go
+++ b/internal/sillcrash/tracker.go
@@ -5,14 +5,10 @@
 import (
 	"bytes"
 	"cmp"
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"slices"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
@@ -47,26 +43,6 @@
 	recentPeriod = 10 * time.Second
 )
 
-// Fingerprint identifies requests of one organisation with the same content.
-type Fingerprint [16]byte
-
-// String returns the fingerprint in hexadecimal digits.
-func (f Fingerprint) String() string {
-	return hex.EncodeToString(f[:])
-}
-
-// NewFingerprint returns the fingerprint of a request: the first 16 bytes of a
-// SHA-256 hash.
-func NewFingerprint(organisation sillid.OrganisationID, method, path string, body []byte) Fingerprint {
-	h := sha256.New()
-	for _, s := range []string{string(organisation), method, path} {
-		// Writing to a hash never fails. The zero byte separates the parts.
-		_, _ = h.Write(append([]byte(s), 0))
-	}
-	_, _ = h.Write(body)
-	return Fingerprint(h.Sum(nil)[:16])
-}
-
 // RunningRequest is a request that a target was running when it crashed.
 type RunningRequest struct {
 	Fingerprint Fingerprint
@@ -104,13 +80,6 @@
 	requests map[Fingerprint]*suspect
 }
 
-// suspect is the crash evidence on one request.
-type suspect struct {
-	// crashes are sorted by time; at most maxCrashes.
-	crashes []Crash
-	cleared time.Time
-}
-
 // NewTracker returns a tracker without evidence.
 func NewTracker() *Tracker {
 	return &Tracker{requests: make(map[Fingerprint]*suspect)}
@@ -151,33 +120,6 @@
 	return before
 }
 
-// State is the evidence on one request in short.
-type State struct {
-	Score float64
-	// Crashes is the number of crashes that are kept, also of those that do not count.
-	Crashes int
-	// LastCrash is when the last of them was; zero if there is none.
-	LastCrash time.Time
-}
-
-// LogFields returns the log fields of the evidence: score, crashes and evidence-age.
-func (s State) LogFields(now time.Time) []zap.Field {
-	fields := []zap.Field{zap.Float64("score", s.Score), zap.Int("crashes", s.Crashes)}
-	if s.Crashes > 0 {
-		fields = append(fields, zap.Duration("evidence-age", now.Sub(s.LastCrash)))
-	}
-	return fields
-}
-
-// State returns the evidence on a request in short.
-func (t *Tracker) State(now time.Time, f Fingerprint) State {
-	s, ok := t.requests[f]
-	if !ok || len(s.crashes) == 0 {
-		return State{}
-	}
-	return State{Score: s.score(now), Crashes: len(s.crashes), LastCrash: s.lastChange()}
-}
-
 // Check returns a CrashSuspect problem if the request must not run now.
 func (t *Tracker) Check(now time.Time, f Fingerprint) *sillproblem.Problem {
 	s, ok := t.requests[f]
@@ -288,77 +230,3 @@
 	})
 	return all
 }
-
-func (s *suspect) lastChange() time.Time {
-	if len(s.crashes) == 0 {
-		return s.cleared
-	}
-	return s.crashes[len(s.crashes)-1].At
-}
-
-func (s *suspect) clear(now time.Time) {
-	if now.After(s.cleared) {
-		s.cleared = now
-	}
-	s.crashes = slices.DeleteFunc(s.crashes, func(c Crash) bool { return !c.At.After(s.cleared) })
-}
-
-// add records a crash. If the run's crash is already recorded, it keeps the
-// larger weight.
-func (s *suspect) add(c Crash) {
-	if !c.At.After(s.cleared) {
-		return
-	}
-	i := slices.IndexFunc(s.crashes, func(e Crash) bool { return e.Target == c.Target && e.Run == c.Run })
-	if i >= 0 {
-		s.crashes[i].Weight = max(s.crashes[i].Weight, c.Weight)
-		return
-	}
-	s.crashes = append(s.crashes, c)
-	slices.SortStableFunc(s.crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
-	if len(s.crashes) > maxCrashes {
-		s.dropOne()
-	}
-}
-
-// dropOne removes the oldest crash that adds nothing to the score, nor to that of crashes
-// to come: an earlier one ends a sequence of the same weight. The last crash stays. If each
-// crash adds to the score, the oldest one goes.
-func (s *suspect) dropOne() {
-	totals := totalsOf(s.lastChange(), s.crashes)
-	highest := 0.0
-	for i, total := range totals[:len(totals)-1] {
-		if total <= highest {
-			s.crashes = slices.Delete(s.crashes, i, i+1)
-			return
-		}
-		highest = total
-	}
-	s.crashes = slices.Delete(s.crashes, 0, 1)
-}
-
-// score returns the highest total weight of crashes that came one after the other.
-func (s *suspect) score(now time.Time) float64 {
-	if len(s.crashes) == 0 {
-		return 0
-	}
-	return slices.Max(totalsOf(now, s.crashes))
-}
-
-// totalsOf returns, for each crash, the highest total weight of crashes that came one after
-// the other and end with it; 0 for crashes that have expired. The crashes are sorted by time.
-func totalsOf(now time.Time, crashes []Crash) []float64 {
-	totals := make([]float64, len(crashes))
-	for i, c := range crashes {
-		if now.Sub(c.At) > crashExpiry {
-			continue
-		}
-		for j, earlier := range crashes[:i] {
-			if !c.Started.Before(earlier.At) {
-				totals[i] = max(totals[i], totals[j])
-			}
-		}
-		totals[i] += c.Weight
-	}
-	return totals
-}
