--- a/internal/silldirectgateway/crashevidence.go
+++ b/internal/silldirectgateway/crashevidence.go
@@ -12,6 +12,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillcluster"
 	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/silllog"
+	"github.com/wasabisill/wasabisill/internal/sillmetric"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
 )
 
@@ -51,14 +52,10 @@
 		log:      log.Named("crash-evidence"),
 		urgent:   make(chan struct{}, 1),
 		fresh:    make(chan struct{}, 1),
-		received: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_crash_evidence_received_total",
-			Help: "Messages with evidence on requests that crash targets, by way (row, peer, restored).",
-		}, []string{"way"}),
-		sent: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wasabisill_crash_evidence_sent_total",
-			Help: "Evidence sent to peers directly, by outcome (done, failed).",
-		}, []string{"outcome"}),
+		received: sillmetric.CounterVec("wasabisill_crash_evidence_received_total",
+			"Messages with evidence on requests that crash targets, by way (row, peer, restored).", "way"),
+		sent: sillmetric.CounterVec("wasabisill_crash_evidence_sent_total",
+			"Evidence sent to peers directly, by outcome (done, failed).", "outcome"),
 	}
 	known := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "wasabisill_crash_suspects", Help: "Contents of requests with evidence that they crash targets.",
--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -107,23 +106,6 @@
 	return sillgroupcommit.Leader{Address: leader.Address}
 }
 
-// peers returns the addresses of the other live gateways: first those of this
-// availability zone, then the others in random order.
-func (m *membership) peers() []string {
-	var near, far []string
-	for _, other := range m.members.Live(sillclock.Boot()) {
-		switch {
-		case other.Instance == m.settings.Instance:
-		case other.Zone == m.settings.Zone:
-			near = append(near, other.Address)
-		default:
-			far = append(far, other.Address)
-		}
-	}
-	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	return append(near, far...)
-}
-
 func (m *membership) reset(rows []silltable.Row, _ time.Duration) {
 	if err := m.members.Reset(sillclock.Boot(), rows); err != nil {
 		m.log.Error("Row of a gateway can't be decoded; skipping it.", silllog.Err(err))
@@ -166,31 +148,6 @@
 	m.leaving.send(ctx, m.lastPeers())
 }
 
-// shareInterval is the shortest time between two times that crash evidence is sent to peers.
-const shareInterval = 100 * time.Millisecond
-
-// shareCrashes sends the crash evidence to peers whenever a target has crashed, until ctx
-// ends. Rows alone would not do: a gateway may not be able to read them. A process that is
-// stopping renews its row no more and writes it then, for processes that start.
-func (m *membership) shareCrashes(ctx context.Context, store *silltable.Store) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-m.evidence.fresh:
-		}
-		m.evidence.send(ctx, m.knownPeers())
-		if m.stopping.Load() {
-			m.write(ctx, store, true)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(shareInterval):
-		}
-	}
-}
-
 // restoreKnowledge merges what the last run of the process left in its row, which the first
 // renewal replaces. It returns false if the row can't be read.
 func (m *membership) restoreKnowledge(ctx context.Context, store *silltable.Store) bool {
@@ -228,30 +185,6 @@
 	return store.GetOrAbsent(ctx, sillcluster.Key("", m.settings.Instance))
 }
 
-// lastPeers returns the addresses of the other gateways that were alive when the table
-// was last read.
-func (m *membership) lastPeers() []string {
-	var addresses []string
-	for _, other := range m.members.LastLive() {
-		if other.Instance != m.settings.Instance {
-			addresses = append(addresses, other.Address)
-		}
-	}
-	return addresses
-}
-
-// knownPeers returns the addresses of the other gateways that were alive lately, also of
-// those that can't renew their rows now.
-func (m *membership) knownPeers() []string {
-	var addresses []string
-	for _, other := range m.members.Known(sillclock.Boot()) {
-		if other.Instance != m.settings.Instance {
-			addresses = append(addresses, other.Address)
-		}
-	}
-	return addresses
-}
-
 // write writes the process's row and returns whether that succeeded. Leaving marks the
 // process as stopping. It waits for another write for renewTimeout at most.
 func (m *membership) write(ctx context.Context, store *silltable.Store, leaving bool) bool {
--- /dev/null
+++ b/internal/silldirectgateway/peers.go
@@ -0,0 +1,45 @@
+package silldirectgateway
+
+import (
+	"math/rand/v2"
+
+	"github.com/wasabisill/wasabisill/internal/sillclock"
+	"github.com/wasabisill/wasabisill/internal/sillcluster"
+)
+
+// peers returns the addresses of the other live gateways: first those of this
+// availability zone, then the others in random order.
+func (m *membership) peers() []string {
+	var near, far []string
+	for _, other := range m.members.Live(sillclock.Boot()) {
+		switch {
+		case other.Instance == m.settings.Instance:
+		case other.Zone == m.settings.Zone:
+			near = append(near, other.Address)
+		default:
+			far = append(far, other.Address)
+		}
+	}
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	return append(near, far...)
+}
+
+// lastPeers returns the addresses of the other gateways that were alive when the table
+// was last read.
+func (m *membership) lastPeers() []string { return m.addressesOfOthers(m.members.LastLive()) }
+
+// knownPeers returns the addresses of the other gateways that were alive lately, also of
+// those that can't renew their rows now.
+func (m *membership) knownPeers() []string {
+	return m.addressesOfOthers(m.members.Known(sillclock.Boot()))
+}
+
+func (m *membership) addressesOfOthers(members []sillcluster.Member) []string {
+	var addresses []string
+	for _, other := range members {
+		if other.Instance != m.settings.Instance {
+			addresses = append(addresses, other.Address)
+		}
+	}
+	return addresses
+}
