Reword silltimeline, sillgateway and silllog in plain terms

Readers met stories that are told, marks and shifts of clocks, and whole answers. silltimeline builds timelines from shared changes and clock offsets now, and comments say complete responses and closed connections. The tests of the three packages, cmd, and TestExplain pass.

--- a/cmd/wasabisill/log.go
+++ b/cmd/wasabisill/log.go
@@ -68,7 +68,7 @@
 			return err
 		}
 	}
-	timeline, err := silltimeline.Tell(&logs, id)
+	timeline, err := silltimeline.Build(&logs, id)
 	if err != nil {
 		return fmt.Errorf("explain %s: %w", id, err)
 	}
--- a/internal/sillgateway/active.go
+++ b/internal/sillgateway/active.go
@@ -24,8 +24,8 @@
 	return &activeRequests{keys: make(map[sillbundle.KeyHash]map[*activeRequest]struct{})}
 }
 
-// enter returns a context that ends when the key is withdrawn, and the function
-// that takes the request out again.
+// enter registers a request. It returns a context that ends when the key is withdrawn, and
+// the function that removes the request.
 func (a *activeRequests) enter(ctx context.Context, hash sillbundle.KeyHash) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	r := &activeRequest{hash: hash, cancel: cancel}
--- a/internal/sillgateway/callers.go
+++ b/internal/sillgateway/callers.go
@@ -31,7 +31,7 @@
 	idempotencyHeader = "Idempotency-Key"
 )
 
-// call is one request of a caller on its way.
+// call is one request of a caller while it is handled.
 type call struct {
 	w       http.ResponseWriter
 	r       *http.Request
@@ -195,7 +195,7 @@
 	return timeout, nil
 }
 
-// admit bounds what the organisation runs at once.
+// admit bounds the running requests of the organisation.
 func (g *Gateway) admit(c *call) (func(time.Duration), *sillproblem.Problem) {
 	limit := openMaxConcurrent
 	if o := c.who.organisation; o != nil {
@@ -204,7 +204,7 @@
 	return g.cfg.Admission.Admit(c.request.Organisation, limit)
 }
 
-// answer runs the request and gives the caller its answer.
+// answer runs the request and writes the response to the caller.
 func (g *Gateway) answer(ctx context.Context, c *call) {
 	if c.completion != nil {
 		g.answerCompletion(ctx, c)
--- a/internal/sillgateway/completion.go
+++ b/internal/sillgateway/completion.go
@@ -204,7 +204,7 @@
 	return http.NewResponseController(c.w).Flush()
 }
 
-// finish ends a whole answer.
+// finish ends a complete response.
 func (c *completionWriter) finish(f *sillwire.Finish) error {
 	reason := f.FinishReason
 	usage := &completionUsage{
@@ -230,8 +230,8 @@
 	Error json.RawMessage `json:"error"`
 }
 
-// fail ends an answer that is not whole. A stream that has begun gets an error
-// event and no end mark, and its connection is cut.
+// fail ends an incomplete response. A stream that has begun gets an error event
+// and no end marker, and its connection is closed.
 func (c *completionWriter) fail(p *sillproblem.Problem) {
 	if !c.begun {
 		p.Write(c.w, string(c.id))
--- a/internal/sillgateway/gateway.go
+++ b/internal/sillgateway/gateway.go
@@ -1,6 +1,6 @@
-// Package sillgateway is the program that callers and trainers talk to. It
-// knows the organisations by their keys, bounds what each runs at once, and has
-// every request answered in full by a target or refused with the reason.
+// Package sillgateway serves the HTTP API for callers and trainers. It
+// authenticates organisations by their keys, bounds the running requests of each,
+// and either returns the complete response of a target or a refusal with its reason.
 package sillgateway
 
 import (
--- a/internal/sillgateway/metrics.go
+++ b/internal/sillgateway/metrics.go
@@ -9,15 +9,15 @@
 
 // Metrics are the counters of the callers' side.
 type Metrics struct {
-	// Refused counts requests without a whole answer, by kind and outcome.
+	// Refused counts requests without a complete response, by kind and outcome.
 	Refused *prometheus.CounterVec
-	// Answered counts whole answers, by organisation and route.
+	// Answered counts complete responses, by organisation and route.
 	Answered *prometheus.CounterVec
-	// Duration is the time to the last byte of a whole answer, in seconds.
+	// Duration is the time to the last byte of a complete response, in seconds.
 	Duration *prometheus.HistogramVec
 	// EndedWithdrawn counts requests that ended because their key was withdrawn.
 	EndedWithdrawn prometheus.Counter
-	// Replayed counts kept answers given to repeated requests.
+	// Replayed counts repeated requests that got the stored response of the first.
 	Replayed prometheus.Counter
 }
 
--- a/internal/sillgateway/middleware.go
+++ b/internal/sillgateway/middleware.go
@@ -17,7 +17,7 @@
 	callerKey
 )
 
-// withRequestID names the request; the answer's header carries the name.
+// withRequestID assigns an id to the request; the response header carries it.
 func (g *Gateway) withRequestID(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		id := newRequestID()
@@ -41,7 +41,7 @@
 	// organisation is nil on open routes without a key.
 	organisation *sillbundle.Organisation
 	hash         sillbundle.KeyHash
-	// key is the presented key. It leaves this package in no form.
+	// key is the presented key. It is not passed on to other packages.
 	key string
 }
 
--- a/internal/sillgateway/plain.go
+++ b/internal/sillgateway/plain.go
@@ -66,8 +66,8 @@
 	return err
 }
 
-// fail ends an answer that is not whole: a caller that has got a part sees its
-// connection cut, never a short answer that looks whole.
+// fail ends an incomplete response: the connection of a caller that has received a part
+// is closed, so that the response does not look complete.
 func (p *plainWriter) fail(problem *sillproblem.Problem) {
 	if !p.begun {
 		problem.Write(p.w, string(p.id))
@@ -83,6 +83,6 @@
 	}
 	w.Header().Set("Idempotency-Replayed", "true")
 	w.WriteHeader(a.Status)
-	// The caller may be gone; there is nobody left to tell.
+	// An error means that the caller has disconnected.
 	_, _ = w.Write(a.Body)
 }
--- a/internal/sillgateway/scrub.go
+++ b/internal/sillgateway/scrub.go
@@ -10,9 +10,9 @@
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
 
-// A caller's key reaches no target. The key is taken out wherever it stands in
-// the header, the cookies or the query. A body is passed on as it came, so a
-// body that holds the key is refused.
+// A caller's key must not reach targets. It is removed from the header, the cookies
+// and the query. A body is passed on unchanged, so a body that contains the key is
+// refused.
 
 // credentialHeaders carry credentials of the caller in common use.
 var credentialHeaders = map[string]bool{
--- a/internal/silllog/queue.go
+++ b/internal/silllog/queue.go
@@ -14,8 +14,8 @@
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 )
 
-// Queue writes lines in the background, so that a reader of the log who stops
-// reading stops nothing else. Lines that find the queue full are dropped.
+// Queue writes lines in the background, so that a reader of the log that stops reading
+// does not block the process. Lines are dropped while the queue is full.
 type Queue struct {
 	out     io.Writer
 	lines   chan []byte
@@ -30,7 +30,7 @@
 	total   int64
 }
 
-// summaryEvery is the time between two lines that tell what was left out.
+// summaryEvery is the time between two lines with the numbers of lines left out.
 const summaryEvery = 10 * time.Second
 
 func newQueue(out io.Writer, size int) *Queue {
@@ -101,7 +101,7 @@
 		}
 		break
 	}
-	// Nobody is left to be told of a log that can't be written.
+	// There is no other place to report that the log can't be written.
 	_, _ = q.out.Write(b)
 }
 
--- a/internal/silllog/volume.go
+++ b/internal/silllog/volume.go
@@ -16,8 +16,8 @@
 const volumeSpan = time.Second
 
 var (
-	// routine bounds what goes as it should: lines below the level warn. A gateway
-	// serves some hundred requests a second.
+	// routine bounds lines below the level warn. A gateway serves some hundred
+	// requests a second.
 	routine = volume{first: 200, then: 50}
 	// notable bounds failures, refusals and retries. An instance answers a few
 	// thousand requests a second at most, so in practice these lines are complete.
--- a/internal/silltimeline/clock.go
+++ b/internal/silltimeline/clock.go
@@ -7,45 +7,45 @@
 )
 
 const (
-	// readingAfterStart is the time after a start in which a process reads what
-	// had changed long before, so that its lines tell nothing of its clock.
+	// readingAfterStart is the time after a start in which a process reads older
+	// changes, which are not used to compare clocks.
 	readingAfterStart = 3 * time.Second
-	// fewestMarks is the number of changes that two processes must have seen
-	// before their clocks are compared: one of them may have come late.
-	fewestMarks = 3
-	// clockNoise is the difference that the way of a change to two processes
-	// makes by itself.
+	// minSharedChanges is the number of changes that two processes must have seen
+	// for their clocks to be compared, since a single change may have come late.
+	minSharedChanges = 3
+	// clockNoise is the difference between the times at which two processes with
+	// equal clocks learn of a change.
 	clockNoise = 50 * time.Millisecond
 )
 
-// mark is a change that every process learns of at nearly the same moment.
-type mark struct {
+// sharedChange is a change that every process learns of at nearly the same moment.
+type sharedChange struct {
 	message string
 	subject string
 	version string
 }
 
-func markOf(l *Line) (mark, bool) {
+func sharedChangeOf(l *Line) (sharedChange, bool) {
 	switch l.Message {
 	case "Configuration in force.", "Version named.":
-		return mark{l.Message, l.text("model"), l.text("version")}, true
+		return sharedChange{l.Message, l.text("model"), l.text("version")}, true
 	case "Target registered.":
-		return mark{l.Message, l.text("target"), l.text("revision")}, true
+		return sharedChange{l.Message, l.text("target"), l.text("revision")}, true
 	}
-	return mark{}, false
+	return sharedChange{}, false
 }
 
-// marks returns when a process first learned of each change.
-func (l *Log) marks() map[mark]time.Time {
-	seen := make(map[mark]time.Time)
-	var begun time.Time
+// changes returns when the process first learned of each shared change.
+func (l *Log) changes() map[sharedChange]time.Time {
+	seen := make(map[sharedChange]time.Time)
+	var startedAt time.Time
 	for i := range l.Lines {
 		line := &l.Lines[i]
 		if line.Message == started {
-			begun = line.At
+			startedAt = line.At
 		}
-		m, ok := markOf(line)
-		if !ok || line.At.Sub(begun) < readingAfterStart {
+		m, ok := sharedChangeOf(line)
+		if !ok || line.At.Sub(startedAt) < readingAfterStart {
 			continue
 		}
 		if _, known := seen[m]; !known {
@@ -55,33 +55,33 @@
 	return seen
 }
 
-// shifts returns how far the clock of each log is ahead of the clock of the log
-// that learned of the most changes. A log with too few of them counts as right.
-func shifts(logs []*Log) []time.Duration {
-	marks := make([]map[mark]time.Time, len(logs))
+// clockOffsets returns how far the clock of each log is ahead of the clock of the log
+// that learned of the most changes. A log with too few of them has the offset 0.
+func clockOffsets(logs []*Log) []time.Duration {
+	changes := make([]map[sharedChange]time.Time, len(logs))
 	for i, l := range logs {
-		marks[i] = l.marks()
+		changes[i] = l.changes()
 	}
 	list := make([]time.Duration, len(logs))
 	if len(logs) == 0 {
 		return list
 	}
-	reference := slices.MaxFunc(marks, func(a, b map[mark]time.Time) int { return cmp.Compare(len(a), len(b)) })
+	reference := slices.MaxFunc(changes, func(a, b map[sharedChange]time.Time) int { return cmp.Compare(len(a), len(b)) })
 	for i := range logs {
-		list[i] = ahead(marks[i], reference)
+		list[i] = ahead(changes[i], reference)
 	}
 	return list
 }
 
 // ahead returns the median difference over the changes that both learned of.
-func ahead(own, reference map[mark]time.Time) time.Duration {
+func ahead(own, reference map[sharedChange]time.Time) time.Duration {
 	var differences []time.Duration
 	for m, at := range own {
 		if other, ok := reference[m]; ok {
 			differences = append(differences, at.Sub(other))
 		}
 	}
-	if len(differences) < fewestMarks {
+	if len(differences) < minSharedChanges {
 		return 0
 	}
 	slices.Sort(differences)
--- a/internal/silltimeline/read.go
+++ b/internal/silltimeline/read.go
@@ -22,11 +22,11 @@
 	Level   string
 	Part    string
 	Message string
-	// Fields holds what the line tells beside the above; numbers are json.Number.
+	// Fields holds the other fields of the line; numbers are json.Number.
 	Fields map[string]any
 }
 
-// text returns a field as text; "" if it is not there.
+// text returns a field as text, or "" if the line has no such field.
 func (l *Line) text(field string) string {
 	switch v := l.Fields[field].(type) {
 	case string:
@@ -39,7 +39,7 @@
 
 // Log is what one process wrote, in the order in which it wrote it.
 type Log struct {
-	// Name is the instance's, or the source's if no line tells the instance.
+	// Name is the name of the instance, or of the source if no line names the instance.
 	Name  string
 	Lines []Line
 }
@@ -54,8 +54,8 @@
 // maxLine bounds the bytes of one line. Lines of the product have a few hundred.
 const maxLine = 1 << 20
 
-// Read adds the lines of a source. A collector of logs may have put words before
-// each line; those with the same last word are of one process.
+// Read adds the lines of a source. A log collector may have put words before each
+// line; lines with the same last word belong to one process.
 func (all *Logs) Read(source string, r io.Reader) error {
 	byWriter := make(map[string]*Log)
 	in := bufio.NewReaderSize(r, 64<<10)
@@ -113,7 +113,7 @@
 	return words[len(words)-1]
 }
 
-// decode reads one line; false if it is none of the product's.
+// decode decodes one line, and returns false if it is not a line of the product.
 func decode(raw []byte) (Line, bool) {
 	var fields map[string]any
 	d := json.NewDecoder(bytes.NewReader(raw))
--- a/internal/silltimeline/timeline.go
+++ b/internal/silltimeline/timeline.go
@@ -17,12 +17,12 @@
 
 const (
 	// leadTime and trailTime are how long before the first and after the last
-	// line of a request the state of its processes and targets is told.
+	// line of a request the lines of its processes and targets are shown.
 	leadTime  = 5 * time.Second
 	trailTime = time.Second
 )
 
-// processMessages tell what a process is able to do.
+// processMessages are about the state of a process.
 var processMessages = map[string]bool{
 	started: true, "Stopping.": true, "Closing the listener of callers.": true, "Stopped.": true, "Requests were cut at the end of the grace.": true,
 	"Read the settings again.": true, "Configuration in force.": true, "Configuration can't be read.": true,
@@ -31,29 +31,29 @@
 	"Row of this gateway not renewed.": true, "Left lines out.": true,
 }
 
-// targetMessages tell what becomes of a target.
+// targetMessages are about the state of a target.
 var targetMessages = map[string]bool{
 	"Target registered.": true, "Target left the registry.": true, "Target did not register again.": true,
 	"Ordered weights.": true, "Engine did not report.": true,
 }
 
-// progressMessages tell how far a job is. They come many times a second.
+// progressMessages are about the progress of a job. They are written many times a second.
 var progressMessages = map[string]bool{"Listed results.": true, "Results read.": true}
 
-// Entry is one line of a story.
+// Entry is one line of a timeline.
 type Entry struct {
 	*Line
 	// Log is the name of the process that wrote the line.
 	Log string
 	// When is the line's time by the clock that all entries share.
 	When time.Time
-	// Around tells that the line does not name the request, but its process or
-	// its target.
-	Around bool
+	// Context is whether the line names only a process or a target of the request, and
+	// not the request itself.
+	Context bool
 }
 
-// Story is what happened to one request or job.
-type Story struct {
+// Timeline is what happened to one request or job.
+type Timeline struct {
 	Entries []Entry
 	// Ahead holds the clocks that differ, by name of the log.
 	Ahead map[string]time.Duration
@@ -70,53 +70,53 @@
 	return fmt.Sprintf("none of %d lines names %s: look at the logs of the other gateways, or see whether they left lines out", e.Lines, e.ID)
 }
 
-// Tell finds the story of a request, an item, a job or the content of requests. The
-// story of an item holds the lines of its job that name no other item.
-func Tell(all *Logs, id string) (*Story, error) {
-	s := &teller{shift: shifts(all.Logs), logs: all.Logs, jobs: make(map[string]bool), targets: make(map[string]bool)}
-	s.collect(func(_ int, l *Line) bool {
+// Build returns the timeline of a request, an item, a job or the content of requests. The
+// timeline of an item holds the lines of its job that name no other item.
+func Build(all *Logs, id string) (*Timeline, error) {
+	b := &builder{offset: clockOffsets(all.Logs), logs: all.Logs, jobs: make(map[string]bool), targets: make(map[string]bool)}
+	b.collect(func(_ int, l *Line) bool {
 		return l.text("request") == id || l.text("job") == id || l.text("content") == id
 	}, false)
-	if len(s.entries) == 0 {
-		return nil, eris.Wrap(&NotFoundError{ID: id, Lines: s.lines()}, "silltimeline.Tell")
+	if len(b.entries) == 0 {
+		return nil, eris.Wrap(&NotFoundError{ID: id, Lines: b.lines()}, "silltimeline.Build")
 	}
-	first, last := s.span()
-	s.follow(id, last)
-	s.surround(first.Add(-leadTime), last.Add(trailTime))
-	story := &Story{Entries: s.entries, Ahead: make(map[string]time.Duration), Bad: all.Bad}
+	first, last := b.span()
+	b.follow(id, last)
+	b.addContext(first.Add(-leadTime), last.Add(trailTime))
+	timeline := &Timeline{Entries: b.entries, Ahead: make(map[string]time.Duration), Bad: all.Bad}
 	for i, l := range all.Logs {
-		if s.shift[i] != 0 {
-			story.Ahead[l.Name] = s.shift[i]
+		if b.offset[i] != 0 {
+			timeline.Ahead[l.Name] = b.offset[i]
 		}
 	}
-	slices.SortStableFunc(story.Entries, func(a, b Entry) int { return a.When.Compare(b.When) })
-	return story, nil
+	slices.SortStableFunc(timeline.Entries, func(a, b Entry) int { return a.When.Compare(b.When) })
+	return timeline, nil
 }
 
-// teller collects the entries of one story.
-type teller struct {
+// builder collects the entries of one timeline.
+type builder struct {
 	logs    []*Log
-	shift   []time.Duration
+	offset  []time.Duration
 	entries []Entry
 	jobs    map[string]bool
 	targets map[string]bool
 }
 
-func (s *teller) lines() int {
+func (b *builder) lines() int {
 	n := 0
-	for _, l := range s.logs {
+	for _, l := range b.logs {
 		n += len(l.Lines)
 	}
 	return n
 }
 
 // collect adds the lines that are wanted; log is the index of the line's log.
-func (s *teller) collect(wanted func(log int, l *Line) bool, around bool) {
-	for i, l := range s.logs {
+func (b *builder) collect(wanted func(log int, l *Line) bool, context bool) {
+	for i, l := range b.logs {
 		for k := range l.Lines {
 			line := &l.Lines[k]
 			if wanted(i, line) {
-				s.entries = append(s.entries, Entry{Line: line, Log: l.Name, When: line.At.Add(-s.shift[i]), Around: around})
+				b.entries = append(b.entries, Entry{Line: line, Log: l.Name, When: line.At.Add(-b.offset[i]), Context: context})
 			}
 		}
 	}
@@ -124,57 +124,56 @@
 
 // follow notes the targets, and adds the lines of the job if the id is an item's,
 // whose own last line came at last.
-func (s *teller) follow(id string, last time.Time) {
-	for _, e := range s.entries {
-		s.targets[e.text("target")] = true
+func (b *builder) follow(id string, last time.Time) {
+	for _, e := range b.entries {
+		b.targets[e.text("target")] = true
 		if job := e.text("job"); job != "" && job != id {
-			s.jobs[job] = true
+			b.jobs[job] = true
 		}
 	}
-	delete(s.targets, "")
-	s.collect(func(log int, l *Line) bool {
-		if !s.jobs[l.text("job")] || l.text("request") != "" {
+	delete(b.targets, "")
+	b.collect(func(log int, l *Line) bool {
+		if !b.jobs[l.text("job")] || l.text("request") != "" {
 			return false
 		}
-		after := l.At.Add(-s.shift[log]).Sub(last)
+		after := l.At.Add(-b.offset[log]).Sub(last)
 		return !progressMessages[l.Message] || (after >= 0 && after <= trailTime)
 	}, true)
 }
 
 // span returns the times of the first and the last entry.
-func (s *teller) span() (first, last time.Time) {
+func (b *builder) span() (first, last time.Time) {
 	byTime := func(a, b Entry) int { return a.When.Compare(b.When) }
-	return slices.MinFunc(s.entries, byTime).When, slices.MaxFunc(s.entries, byTime).When
+	return slices.MinFunc(b.entries, byTime).When, slices.MaxFunc(b.entries, byTime).When
 }
 
-// surround adds what the processes and the targets of the story told meanwhile.
-func (s *teller) surround(from, to time.Time) {
+// addContext adds the lines of the processes and targets of the timeline from one time to another.
+func (b *builder) addContext(from, to time.Time) {
 	involved := make(map[string]bool)
-	for _, e := range s.entries {
-		involved[e.Log] = involved[e.Log] || !e.Around
+	for _, e := range b.entries {
+		involved[e.Log] = involved[e.Log] || !e.Context
 	}
-	told := make(map[mark]bool)
-	s.collect(func(log int, l *Line) bool {
-		when := l.At.Add(-s.shift[log])
+	seen := make(map[sharedChange]bool)
+	b.collect(func(log int, l *Line) bool {
+		when := l.At.Add(-b.offset[log])
 		if when.Before(from) || when.After(to) {
 			return false
 		}
-		if targetMessages[l.Message] && s.targets[l.text("target")] {
-			m, isMark := markOf(l)
-			repeated := isMark && told[m]
-			told[m] = true
-			return !repeated && (involved[s.logs[log].Name] || l.Message == "Ordered weights.")
+		if targetMessages[l.Message] && b.targets[l.text("target")] {
+			m, shared := sharedChangeOf(l)
+			repeated := shared && seen[m]
+			seen[m] = true
+			return !repeated && (involved[b.logs[log].Name] || l.Message == "Ordered weights.")
 		}
-		return processMessages[l.Message] && involved[s.logs[log].Name]
+		return processMessages[l.Message] && involved[b.logs[log].Name]
 	}, true)
 }
 
-// timeFormat is the time of day: a story is short.
+// timeFormat has no date: a timeline covers seconds or minutes.
 const timeFormat = "15:04:05.000"
 
-// Write prints the story, one line an entry; lines around the request are marked
-// with a bar.
-func (s *Story) Write(w io.Writer) error {
+// Write prints the timeline, one line for each entry; context lines are marked with a bar.
+func (s *Timeline) Write(w io.Writer) error {
 	var b strings.Builder
 	width := 0
 	for _, e := range s.Entries {
@@ -182,7 +181,7 @@
 	}
 	for _, e := range s.Entries {
 		bar := " "
-		if e.Around {
+		if e.Context {
 			bar = "|"
 		}
 		fmt.Fprintf(&b, "%s %-*s %s %s%s\n", e.When.UTC().Format(timeFormat), width, e.Log, bar, e.Message, e.fields())
--- a/internal/silltimeline/timeline_test.go
+++ b/internal/silltimeline/timeline_test.go
@@ -40,23 +40,23 @@
 	return &all
 }
 
-func assertStory(t *testing.T, all *Logs, id string, want ...string) *Story {
+func assertTimeline(t *testing.T, all *Logs, id string, want ...string) *Timeline {
 	t.Helper()
-	story, err := Tell(all, id)
+	timeline, err := Build(all, id)
 	if err != nil {
 		t.Fatal(err)
 	}
 	var got []string
-	for _, e := range story.Entries {
+	for _, e := range timeline.Entries {
 		got = append(got, e.Log+": "+e.Message+e.fields())
 	}
 	if strings.Join(got, "\n") != strings.Join(want, "\n") {
-		t.Errorf("story of %s:\n%s\nwant:\n%s", id, strings.Join(got, "\n"), strings.Join(want, "\n"))
+		t.Errorf("timeline of %s:\n%s\nwant:\n%s", id, strings.Join(got, "\n"), strings.Join(want, "\n"))
 	}
-	return story
+	return timeline
 }
 
-func TestStory(t *testing.T) {
+func TestTimeline(t *testing.T) {
 	t.Run("the clocks of processes differ", func(t *testing.T) {
 		a, b := &writer{}, &writer{ahead: 2 * time.Second}
 		a.at(0, started, `,"instance":"front-a"`)
@@ -66,9 +66,9 @@
 		b.at(30_000, "Job accepted.", `,"job":"j"`)
 		a.at(30_500, "Took a job over.", `,"job":"j"`)
 		b.at(31_000, "Stopped running a job.", `,"job":"j"`)
-		story := assertStory(t, read(t, a, b), "j",
+		timeline := assertTimeline(t, read(t, a, b), "j",
 			"front-b: Job accepted. job=j", "front-a: Took a job over. job=j", "front-b: Stopped running a job. job=j")
-		if d := story.Ahead["front-b"]; (d - 2*time.Second).Abs() > 20*time.Millisecond {
+		if d := timeline.Ahead["front-b"]; (d - 2*time.Second).Abs() > 20*time.Millisecond {
 			t.Errorf("front-b is %v ahead, want 2 s", d)
 		}
 	})
@@ -81,12 +81,12 @@
 			b.at(40_100, "Configuration in force.", fmt.Sprintf(`,"version":%d`, 10+v))
 		}
 		a.at(60_000, "Answered.", `,"request":"q"`)
-		story := assertStory(t, read(t, a, b), "q", "front-a: Answered. request=q")
-		if len(story.Ahead) > 0 {
-			t.Errorf("clocks %v, want none that differ", story.Ahead)
+		timeline := assertTimeline(t, read(t, a, b), "q", "front-a: Answered. request=q")
+		if len(timeline.Ahead) > 0 {
+			t.Errorf("clocks %v, want none that differ", timeline.Ahead)
 		}
 	})
-	t.Run("an item's story has the lines of its job, process and target", func(t *testing.T) {
+	t.Run("an item's timeline has the lines of its job, process and target", func(t *testing.T) {
 		a, b := &writer{}, &writer{}
 		a.at(0, started, `,"instance":"front-a"`)
 		b.at(0, started, `,"instance":"front-b"`)
@@ -99,7 +99,7 @@
 		b.at(20_300, "Table is away.", ``)
 		b.at(20_400, "Ordered weights.", `,"target":"t-1","version":4`)
 		a.at(20_500, "Item done.", `,"request":"i","job":"j"`)
-		assertStory(t, read(t, a, b), "i",
+		assertTimeline(t, read(t, a, b), "i",
 			"front-a: Job accepted. job=j", "front-a: Item sent. request=i job=j target=t-1",
 			"front-a: Target left the registry. target=t-1", "front-a: Table is away.",
 			"front-b: Ordered weights. target=t-1 version=4", "front-a: Item done. request=i job=j")
@@ -109,14 +109,14 @@
 		w.at(0, "Attempt failed.", `,"request":"q"`)
 		w.before = "12.4 front-b "
 		w.at(1, "Answered.", `,"request":"q"`)
-		assertStory(t, read(t, w), "q", "front-a: Attempt failed. request=q", "front-b: Answered. request=q")
+		assertTimeline(t, read(t, w), "q", "front-a: Attempt failed. request=q", "front-b: Answered. request=q")
 	})
 	t.Run("the content of requests with different ids", func(t *testing.T) {
 		a, b := &writer{}, &writer{}
 		a.at(0, "Attempt failed.", `,"request":"q1","content":"c"`)
 		a.at(1, "Attempt failed.", `,"request":"q2","content":"other"`)
 		b.at(2, "Gave a request up.", `,"request":"q3","content":"c"`)
-		assertStory(t, read(t, a, b), "c",
+		assertTimeline(t, read(t, a, b), "c",
 			"file-0: Attempt failed. request=q1 content=c", "file-1: Gave a request up. request=q3 content=c")
 	})
 	t.Run("lines that can't be read are counted", func(t *testing.T) {
@@ -124,15 +124,15 @@
 		w.b.WriteString("panic: something\n{\"message\":\"no time\"}\n{broken\n\n[1]\n")
 		w.at(0, "Answered.", `,"request":"q"`)
 		w.b.WriteString(`{"level":"info","time":"2027-01-15T08:00:00Z","mess`)
-		if story := assertStory(t, read(t, w), "q", "file-0: Answered. request=q"); story.Bad != 5 {
-			t.Errorf("%d bad lines, want 5", story.Bad)
+		if timeline := assertTimeline(t, read(t, w), "q", "file-0: Answered. request=q"); timeline.Bad != 5 {
+			t.Errorf("%d bad lines, want 5", timeline.Bad)
 		}
 	})
 	t.Run("an id that nobody names", func(t *testing.T) {
 		w := &writer{}
 		w.at(0, "Answered.", `,"request":"q"`)
 		var missing *NotFoundError
-		if _, err := Tell(read(t, w), "q2"); !errors.As(err, &missing) || missing.Lines != 1 {
+		if _, err := Build(read(t, w), "q2"); !errors.As(err, &missing) || missing.Lines != 1 {
 			t.Errorf("error %v, want one of 1 line", err)
 		}
 	})
@@ -146,8 +146,8 @@
 		if err := all.Read("f", strings.NewReader(string(b))); err != nil {
 			t.Fatal(err)
 		}
-		if story, err := Tell(&all, "q"); err == nil && len(story.Entries) == 0 {
-			t.Error("an empty story")
+		if timeline, err := Build(&all, "q"); err == nil && len(timeline.Entries) == 0 {
+			t.Error("an empty timeline")
 		}
 	})
 }
