Tell the other gateways at once that an answer cleared crash evidence

Cause: since crashes are sent to peers at once, the others hear of them up to 0.7 s sooner than of the answers that clear them, which came with the rows. Change: an answer that clears evidence is passed on as a crash is, and if the content was refused, with the row at once. TestClearedEvidenceIsPassedOn failed before.

--- a/internal/sillcrash/evidence.go
+++ b/internal/sillcrash/evidence.go
@@ -99,7 +99,7 @@
 
 // LeadsToRefusal returns whether the request has enough evidence only since the change.
 func (c Change) LeadsToRefusal() bool {
-	return c.Before.Score < refuseScore && c.After.Score >= refuseScore
+	return !c.Before.Refused() && c.After.Refused()
 }
 
 // Merge adds the evidence of another process, and returns what it changed. It is
--- a/internal/sillcrash/state.go
+++ b/internal/sillcrash/state.go
@@ -15,6 +15,9 @@
 	LastCrash time.Time
 }
 
+// Refused returns whether the score is high enough for a refusal.
+func (s State) Refused() bool { return s.Score >= refuseScore }
+
 // LogFields returns the log fields of the evidence: score, crashes and evidence-age.
 func (s State) LogFields(now time.Time) []zap.Field {
 	fields := []zap.Field{zap.Float64("score", s.Score), zap.Int("crashes", s.Crashes)}
--- a/internal/silldirectgateway/crashevidence.go
+++ b/internal/silldirectgateway/crashevidence.go
@@ -32,7 +32,7 @@
 )
 
 // crashEvidence shares the evidence on requests that crash targets with the other
-// gateways: directly at each crash, and through the rows of the gateways, which also those
+// gateways: directly at each change, and through the rows of the gateways, which also those
 // read that start later.
 type crashEvidence struct {
 	suspects *sillcrash.SharedTracker
@@ -40,9 +40,9 @@
 	log      *zap.Logger
 	received *prometheus.CounterVec
 	sent     *prometheus.CounterVec
-	// urgent signals that a content is refused from now on, and fresh that a target
-	// crashed; each buffers one signal.
-	urgent, fresh chan struct{}
+	// changed signals that the evidence on a content changed, and urgent that the row must
+	// tell it at once; each buffers one signal.
+	changed, urgent chan struct{}
 }
 
 func newCrashEvidence(adapter *Adapter, r *prometheus.Registry, log *zap.Logger) *crashEvidence {
@@ -51,7 +51,7 @@
 		pool:     adapter.PeerPool,
 		log:      log.Named("crash-evidence"),
 		urgent:   make(chan struct{}, 1),
-		fresh:    make(chan struct{}, 1),
+		changed:  make(chan struct{}, 1),
 		received: sillmetric.CounterVec("wasabisill_crash_evidence_received_total",
 			"Messages with evidence on requests that crash targets, by way (row, peer, restored).", "way"),
 		sent: sillmetric.CounterVec("wasabisill_crash_evidence_sent_total",
@@ -67,10 +67,12 @@
 	return e
 }
 
-// notify signals that a target crashed under a content, without blocking.
-func (e *crashEvidence) notify(refused bool) {
-	signal(e.fresh)
-	if refused {
+// notify signals that the evidence on a content changed, without blocking. Urgent is whether
+// the content is refused from now on, or no more. Answers that clear evidence are told as fast
+// as crashes: other gateways would refuse sound contents otherwise.
+func (e *crashEvidence) notify(urgent bool) {
+	signal(e.changed)
+	if urgent {
 		signal(e.urgent)
 	}
 }
@@ -109,7 +111,7 @@
 	sillcrash.LogChanges(e.log, time.Now(), changes, way, from)
 	if way == wayPeer && slices.ContainsFunc(changes, sillcrash.Change.LeadsToRefusal) {
 		// A gateway sends to some of its peers only.
-		signal(e.fresh)
+		signal(e.changed)
 	}
 	return nil
 }
--- a/internal/silldirectgateway/crashsharing.go
+++ b/internal/silldirectgateway/crashsharing.go
@@ -10,15 +10,15 @@
 // shareInterval is the shortest time between two times that crash evidence is sent to peers.
 const shareInterval = 100 * time.Millisecond
 
-// shareCrashes sends the crash evidence to peers whenever a target has crashed, until ctx
-// ends. Rows alone would not do: a gateway may not be able to read them. A process that is
-// stopping renews its row no more and writes it then, for processes that start.
+// shareCrashes sends the crash evidence to peers whenever it has changed, until ctx ends. Rows
+// alone would not do: a gateway may not be able to read them. A process that is stopping renews
+// its row no more and writes it then, for processes that start.
 func (m *membership) shareCrashes(ctx context.Context, store *silltable.Store) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-m.evidence.fresh:
+		case <-m.evidence.changed:
 		}
 		m.evidence.send(ctx, m.knownPeers())
 		if m.stopping.Load() {
--- a/internal/silldirectgateway/providers.go
+++ b/internal/silldirectgateway/providers.go
@@ -76,7 +76,7 @@
 	}
 	return sillforwarder.New(sillforwarder.Config{
 		Directory: v.directory, Pool: adapter.TargetPool, Codec: adapter.Codec, Zone: s.Zone,
-		OnStarted: recordStarted, Suspects: e.suspects, OnCrash: e.notify,
+		OnStarted: recordStarted, Suspects: e.suspects, OnEvidence: e.notify,
 		BufferBytes: int64(bufferShare * float64(s.MemoryBytes)), Metrics: sillforwarder.NewMetrics(r), Log: log,
 	})
 }
--- a/internal/sillforwarder/crash_test.go
+++ b/internal/sillforwarder/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -228,21 +229,35 @@
 	} {
 		t.Run(fmt.Sprint(tc.status, " signed ", tc.signed), func(t *testing.T) {
 			f := newFixture(t)
-			plan := &behaviour{}
-			target := sillstandtarget.Start("a", func(sillstandtarget.Call, int) behaviour { return *plan })
+			var plan atomic.Pointer[behaviour]
+			target := sillstandtarget.Start("a", func(sillstandtarget.Call, int) behaviour { return *plan.Load() })
 			t.Cleanup(target.Close)
 			f.targets = append(f.targets, target)
 			r := route(sillcatalog.Idempotent, 1)
 			for range 3 {
 				f.restart()
-				*plan = crashing
+				plan.Store(&crashing)
 				checkRefusal(t, f.send(t, r, "crash", false), ResponseLost, false)
-				*plan = behaviour{Status: tc.status, Unsigned: !tc.signed}
+				plan.Store(&behaviour{Status: tc.status, Unsigned: !tc.signed})
 				_ = f.send(t, r, "crash", false)
 			}
-			*plan = crashing
+			plan.Store(&crashing)
 			f.restart()
 			checkRefusal(t, f.send(t, r, "crash", false), tc.want, tc.want == CrashSuspect)
 		})
 	}
 }
+
+// TestClearedEvidenceIsPassedOn guards against sound requests being refused because the other
+// gateways hear of crashes sooner than of the answers that clear them.
+func TestClearedEvidenceIsPassedOn(t *testing.T) {
+	f := newFixture(t, crashing, behaviour{})
+	passedOn := 0
+	f.forwarder.cfg.OnEvidence = func(bool) { passedOn++ }
+	if err := f.send(t, route(sillcatalog.Idempotent, 2), "sound", false); err != nil {
+		t.Fatal(err)
+	}
+	if passedOn != 2 {
+		t.Errorf("evidence was passed on %d times, want once for the crash and once for the answer", passedOn)
+	}
+}
--- a/internal/sillforwarder/forwarder.go
+++ b/internal/sillforwarder/forwarder.go
@@ -80,10 +80,11 @@
 	OnStarted func(organisation sillid.OrganisationID, at time.Time)
 	// Suspects holds the evidence on requests that crash targets.
 	Suspects *sillcrash.SharedTracker
-	// OnCrash, if not nil, is called when a target crashed under a content; refused is
-	// whether the content is refused from now on. It must not block.
-	OnCrash func(refused bool)
-	Metrics *Metrics
+	// OnEvidence, if not nil, is called when a target crashed under a content, or an answer
+	// cleared the evidence on one; urgent is whether the content is refused from now on, or
+	// was until now. It must not block.
+	OnEvidence func(urgent bool)
+	Metrics    *Metrics
 	// BufferBytes bounds the memory of all responses that are being read, apart from
 	// the first 64 KiB of each; 0 stands for 64 MiB.
 	BufferBytes int64
@@ -115,14 +116,20 @@
 		f.cfg.Log.Warn("Targets crashed under a request; refusing its content.",
 			zap.Stringer("content", content), zap.String("target", string(target)))
 	}
-	if f.cfg.OnCrash != nil {
-		f.cfg.OnCrash(refused)
+	f.notifyEvidence(refused)
+}
+
+func (f *Forwarder) notifyEvidence(urgent bool) {
+	if f.cfg.OnEvidence != nil {
+		f.cfg.OnEvidence(urgent)
 	}
 }
 
-// recordCleared logs that an answer of a target cleared the evidence on a content.
+// recordCleared logs and passes on that an answer of a target cleared the evidence on a
+// content.
 func (f *Forwarder) recordCleared(content sillcrash.Fingerprint, target sillid.TargetID, before sillcrash.State) {
 	f.cfg.Log.Info("Answer cleared the crash evidence on a request.", append(f.evidenceFields(content, before), zap.String("target", string(target)))...)
+	f.notifyEvidence(before.Refused())
 }
 
 // evidenceFields returns the log fields of the crash evidence on a content.
