--- a/internal/sillcluster/members.go
+++ b/internal/sillcluster/members.go
@@ -154,7 +154,7 @@
 		m.CrashEvidence, m.LeavingTargets = nil, nil
 		renewed := now
 		if sameRun && known.Leaving {
-			// A process that is stopping only tells what it has learned.
+			// A process that is stopping still writes what it learns of targets.
 			renewed = known.lastRenewed
 		}
 		s.rows[instance] = memberRow{Member: m, lastRenewed: renewed}
@@ -245,7 +245,7 @@
 	return live
 }
 
-// knownTimeout is how long a row may stay unchanged before its process is not worth a call.
+// knownTimeout is how long a row may stay unchanged before its process counts as gone.
 const knownTimeout = time.Minute
 
 // Known returns the processes that renewed their rows within knownTimeout, in no particular
--- a/internal/silldirectgateway/crashevidence.go
+++ b/internal/silldirectgateway/crashevidence.go
@@ -40,8 +40,8 @@
 	log      *zap.Logger
 	received *prometheus.CounterVec
 	sent     *prometheus.CounterVec
-	// changed signals that the evidence on a content changed, and urgent that the row must
-	// tell it at once; each buffers one signal.
+	// changed signals that the evidence on a content changed, and urgent that the row must be
+	// written at once; each buffers one signal.
 	changed, urgent chan struct{}
 }
 
@@ -68,8 +68,8 @@
 }
 
 // notify signals that the evidence on a content changed, without blocking. Urgent is whether
-// the content is refused from now on, or no more. Answers that clear evidence are told as fast
-// as crashes: other gateways would refuse sound contents otherwise.
+// the content is refused from now on, or no more. Answers that clear evidence are passed on as
+// fast as crashes, or other gateways would refuse sound contents.
 func (e *crashEvidence) notify(urgent bool) {
 	signal(e.changed)
 	if urgent {
--- a/internal/sillforwarder/crash.go
+++ b/internal/sillforwarder/crash.go
@@ -77,9 +77,9 @@
 	return r
 }
 
-// end records the outcome of an attempt. A target that broke off may have crashed; a
-// complete response clears the request if it shows that the target survived. A target without a connection has crashed if
-// it stopped responding before.
+// end records the outcome of an attempt. A target that broke off may have crashed. A complete
+// response clears the request if it shows that the target survived. A target without a
+// connection has crashed if it stopped responding before.
 func (m *crashMonitor) end(r *run, o silltarget.Outcome) {
 	if o == silltarget.Broken {
 		m.recordCrash(time.Now(), m.breakOff(r))
