Tell when targets name limits on requests

Logs and metrics could not tell whether a gateway knows the limit that a target names. The header is decoded (decimal numbers; of several the lowest; anything else is counted and ignored), the directory keeps the newest observation of each run of a target, and a log line and two counters show each change. Nothing is decided by it yet. The header is not passed on to clients.

--- a/internal/sillheader/header.go
+++ b/internal/sillheader/header.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/sillrate"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
@@ -41,6 +42,9 @@
 	// Notice is whether the target says that it leaves. It says nothing of the intended
 	// target if Misdirected is set.
 	Notice silltarget.Notice
+	// Limit is the limit on requests that the target names. It says nothing of the intended
+	// target if Misdirected is set.
+	Limit sillrate.Notice
 	// Version is the weight version at the first event; 0 if not reported.
 	Version sillid.WeightVersion
 }
--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -137,6 +137,7 @@
 		return incomplete, silltarget.Misdirected, nil
 	}
 	r.cfg.Directory.ObserveNotice(time.Now(), g.Run(), metadata.Notice)
+	r.cfg.Directory.ObserveLimit(time.Now(), g.Run(), metadata.Limit, metadata.Signature != "")
 	switch {
 	case metadata.NotRun:
 		discardBody(resp.Body)
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -24,12 +24,15 @@
 	// leaving holds the runs that said that they leave, with the time at which this
 	// process learned of it.
 	leaving map[Run]time.Time
-	cfg     Config
+	// limits holds what is known of the limits that runs name.
+	limits map[Run]*limitState
+	cfg    Config
 }
 
 // Config holds the settings of a Directory. The zero Config is valid.
 type Config struct {
 	Notices NoticeHooks
+	Limits  LimitHooks
 	// Seed decides between targets of equal cost. Processes with different seeds
 	// decide differently; 0 takes the lowest id.
 	Seed uint64
@@ -45,7 +48,7 @@
 func NewDirectoryWith(cfg Config) *Directory {
 	return &Directory{
 		targets: make(map[sillid.TargetID]*target), changed: make(chan struct{}),
-		leaving: make(map[Run]time.Time), cfg: cfg,
+		leaving: make(map[Run]time.Time), limits: make(map[Run]*limitState), cfg: cfg,
 	}
 }
 
