Keep the limits that targets name, over all gateways

What callers saw: nothing; targets in need got far more requests than they had said they take (850 in 4 s at 8 a second, 53 allowed).

Cause: nothing read the limit. The class: a bound on what all gateways send together, of which each knows its own part only; keeping it at each gateway alone breaks it as soon as two send.

Change: for each run of a target one gateway grants permits from a token bucket, and the others ask it for each request that they would send there. Gateways that don't reach it send in time slots, a quarter of the limit together.

--- a/internal/sillcluster/members.go
+++ b/internal/sillcluster/members.go
@@ -57,6 +57,10 @@
 	CrashEvidence []byte `cbor:"crash-evidence,omitempty"`
 	// LeavingTargets are runs of targets that said in a response that they leave.
 	LeavingTargets []silltarget.Run `cbor:"leaving-targets,omitempty"`
+	// GrantsPermits is whether the process grants permits for targets that name a limit on
+	// requests. TargetLimits are the limits of those for which it does.
+	GrantsPermits bool                  `cbor:"grants-permits,omitempty"`
+	TargetLimits  []silltarget.RunLimit `cbor:"target-limits,omitempty"`
 }
 
 // PoolLoad is the number of running requests of one process at the targets of a
@@ -151,7 +155,7 @@
 			continue
 		}
 		s.onRow(m)
-		m.CrashEvidence, m.LeavingTargets = nil, nil
+		m.CrashEvidence, m.LeavingTargets, m.TargetLimits = nil, nil, nil
 		renewed := now
 		if sameRun && known.Leaving {
 			// A process that is stopping still writes what it learns of targets.
--- a/internal/silldirectgateway/controltasks.go
+++ b/internal/silldirectgateway/controltasks.go
@@ -14,8 +14,11 @@
 	"github.com/wasabisill/wasabisill/internal/silljob"
 	"github.com/wasabisill/wasabisill/internal/silllease"
 	"github.com/wasabisill/wasabisill/internal/sillmeter"
+	"github.com/wasabisill/wasabisill/internal/sillpermit"
 	"github.com/wasabisill/wasabisill/internal/sillscaler"
+	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/internal/sillweightcontroller"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
 // Parameters of the lease of the control tasks. A holder's term ends
@@ -50,12 +53,13 @@
 	members  *membership
 	view     *view
 	store    *silljob.Store
+	broker   *sillpermit.Broker
 	registry *prometheus.Registry
 	log      *zap.Logger
 }
 
-func newControlTasks(s *Settings, adapter *Adapter, t tables, m *membership, v *view, st *silljob.Store, r *prometheus.Registry, log *zap.Logger) *controlTasks {
-	return &controlTasks{settings: s, adapter: adapter, tables: t, members: m, view: v, store: st, registry: r, log: log}
+func newControlTasks(s *Settings, adapter *Adapter, t tables, m *membership, v *view, st *silljob.Store, b *sillpermit.Broker, r *prometheus.Registry, log *zap.Logger) *controlTasks {
+	return &controlTasks{settings: s, adapter: adapter, tables: t, members: m, view: v, store: st, broker: b, registry: r, log: log}
 }
 
 // run competes for the lease and runs the control tasks while it holds it, until
@@ -80,7 +84,7 @@
 	defer group.Stop()
 	controller := sillweightcontroller.NewController(sillweightcontroller.Config{
 		Engines: c.view.engines, Desired: c.view.desiredVersions,
-		Order: c.adapter.SendOrder, Report: c.adapter.FetchReport, OnNotice: c.view.observeNotice, Now: sillclock.Boot, Log: c.log,
+		Order: c.sendOrder, Report: c.adapter.FetchReport, OnNotice: c.view.observeNotice, Now: sillclock.Boot, Log: c.log,
 	})
 	group.Go(func(ctx context.Context) { controller.Run(ctx, guard) })
 	retention := &silljob.Retention{Store: c.store, Board: c.view.board, Period: c.settings.JobRetention, Log: c.log}
@@ -101,6 +105,17 @@
 	<-ctx.Done()
 }
 
+// sendOrder sends an order to an engine. Orders count towards the limit that their engine
+// names, but don't wait for it: they are few, and items wait for them.
+func (c *controlTasks) sendOrder(ctx context.Context, l sillweightcontroller.LoadOrder, fence sillid.Epoch) (sillweightcontroller.Reply, silltarget.Notice) {
+	reply, notice := c.adapter.SendOrder(ctx, l, fence)
+	run := l.Target.Run()
+	if known, ok := c.view.directory.Limit(time.Now(), run); ok && known.Limit > 0 {
+		c.broker.Acquire(ctx, sillpermit.Ask{Run: run, Forced: true})
+	}
+	return reply, notice
+}
+
 // errNotHolder is returned for a call that the lease doesn't cover to its end.
 var errNotHolder = errors.New("the lease of the control tasks is not held long enough for the call")
 
--- a/internal/silldirectgateway/crashevidence_test.go
+++ b/internal/silldirectgateway/crashevidence_test.go
@@ -29,8 +29,9 @@
 	pool := silltransport.NewPool(silltransport.Config{ConnectTimeout: time.Second, TCPUserTimeout: time.Second, IdleTimeout: time.Minute})
 	adapter, log := &Adapter{PeerPool: pool, TargetPool: pool}, zap.NewNop()
 	evidence := newCrashEvidence(adapter, newRegistry(), log)
-	leaving := newLeavingTargets(newDirectory(adapter, newRegistry(), log), adapter, log)
-	m := newMembership(&Settings{Instance: instance}, evidence, leaving, newRegistry(), log)
+	directory := newDirectory(adapter, newRegistry(), log)
+	m := newMembership(&Settings{Instance: instance}, evidence, newLeavingTargets(directory, adapter, log), newTargetLimits(directory, adapter, log), newRegistry(), log)
+	newBroker(adapter, directory, m, newRegistry())
 	m.poolLoads = func() []sillcluster.PoolLoad { return nil }
 	return m
 }
--- a/internal/silldirectgateway/leaving.go
+++ b/internal/silldirectgateway/leaving.go
@@ -1,19 +1,13 @@
 package silldirectgateway
 
 import (
-	"context"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
-	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
-	"github.com/wasabisill/wasabisill/internal/silltransport"
 )
 
 const (
@@ -57,49 +51,13 @@
 	}
 }
 
-// leavingTargets shares the targets that leave with the other gateways: through the rows
-// of the gateways, and directly while those can't be written.
-type leavingTargets struct {
-	directory *silltarget.Directory
-	pool      *silltransport.Pool
-	log       *zap.Logger
-}
+// leavingTargets shares the targets that leave.
+type leavingTargets = sharedList[silltarget.Run]
 
 func newLeavingTargets(d *silltarget.Directory, adapter *Adapter, log *zap.Logger) *leavingTargets {
-	return &leavingTargets{directory: d, pool: adapter.PeerPool, log: log.Named("targets")}
-}
-
-// runs returns the leaving targets to share.
-func (l *leavingTargets) runs() []silltarget.Run { return l.directory.LeavingRuns(maxSharedLeaving) }
-
-// merge adds leaving targets that a peer shared.
-func (l *leavingTargets) merge(runs []silltarget.Run) { l.directory.MergeLeaving(time.Now(), runs) }
-
-// send sends the leaving targets to some of the peers directly.
-func (l *leavingTargets) send(ctx context.Context, peers []string) {
-	runs := l.runs()
-	if len(runs) == 0 {
-		return
-	}
-	body, err := cbor.Marshal(runs)
-	if err != nil {
-		l.log.Error("Leaving targets can't be encoded.", silllog.Err(err))
-		return
-	}
-	sendToPeers(ctx, l.pool, peers, leavingPath, body, func(bool) {})
-}
-
-// serve accepts the leaving targets of a peer.
-func (l *leavingTargets) serve(w http.ResponseWriter, r *http.Request) {
-	err := servePeerMessage(w, r, func(body []byte) error {
-		var runs []silltarget.Run
-		if err := cbor.Unmarshal(body, &runs); err != nil {
-			return eris.Wrap(err, "silldirectgateway.leavingTargets.serve")
-		}
-		l.merge(runs[:min(len(runs), maxSharedLeaving)])
-		return nil
-	})
-	if err != nil {
-		l.log.Warn("Leaving targets of a peer can't be read.", zap.String("peer", r.RemoteAddr), silllog.Err(err))
+	return &leavingTargets{
+		name: "leaving targets", path: leavingPath, max: maxSharedLeaving, pool: adapter.PeerPool, log: log.Named("targets"),
+		list:  func() []silltarget.Run { return d.LeavingRuns(maxSharedLeaving) },
+		merge: func(runs []silltarget.Run) { d.MergeLeaving(time.Now(), runs) },
 	}
 }
--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -41,6 +41,7 @@
 	committer *sillgroupcommit.Committer
 	evidence  *crashEvidence
 	leaving   *leavingTargets
+	limits    *targetLimits
 	// restored is whether what the row of the process's last run tells is merged.
 	restored bool
 
@@ -51,8 +52,8 @@
 	stopping atomic.Bool
 }
 
-func newMembership(s *Settings, e *crashEvidence, l *leavingTargets, r *prometheus.Registry, log *zap.Logger) *membership {
-	m := &membership{settings: s, log: log.Named("members"), run: sillcluster.Run(sillid.Fresh("run")), evidence: e, leaving: l}
+func newMembership(s *Settings, e *crashEvidence, l *leavingTargets, limits *targetLimits, r *prometheus.Registry, log *zap.Logger) *membership {
+	m := &membership{settings: s, log: log.Named("members"), run: sillcluster.Run(sillid.Fresh("run")), evidence: e, leaving: l, limits: limits}
 	m.members = sillcluster.NewMembers(m.mergeKnowledge)
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "wasabisill_live_gateways", Help: "Gateways that this process knows to be alive.",
@@ -67,6 +68,7 @@
 	if other.Run != m.run {
 		m.evidence.mergeRow(other, wayRow)
 		m.leaving.merge(other.LeavingTargets)
+		m.limits.merge(other.TargetLimits)
 	}
 }
 
@@ -138,14 +140,15 @@
 	}
 }
 
-// renewOnce writes the process's row. It sends the crash evidence and the leaving targets
-// to peers directly if the row can't be written.
+// renewOnce writes the process's row. It sends the crash evidence, the leaving targets and
+// the limits of targets to peers directly if the row can't be written.
 func (m *membership) renewOnce(ctx context.Context, store *silltable.Store) {
 	if m.restoreKnowledge(ctx, store) && m.write(ctx, store, false) {
 		return
 	}
 	m.evidence.send(ctx, m.lastPeers())
 	m.leaving.send(ctx, m.lastPeers())
+	m.limits.send(ctx, m.lastPeers())
 }
 
 // restoreKnowledge merges what the last run of the process left in its row, which the first
@@ -172,6 +175,7 @@
 	}
 	m.evidence.mergeRow(last, wayRestored)
 	m.leaving.merge(last.LeavingTargets)
+	m.limits.merge(last.TargetLimits)
 	return true
 }
 
@@ -196,7 +200,7 @@
 	write, err := sillcluster.Encode(sillcluster.Member{
 		Instance: m.settings.Instance, Run: m.run, Address: m.address, Zone: m.settings.Zone,
 		Leaving: m.stopping.Load(), GroupCommit: true, Capacity: m.settings.Capacity, PoolLoads: m.poolLoads(), Renewal: m.renewals.Add(1), CrashEvidence: m.evidence.encode(),
-		LeavingTargets: m.leaving.runs(),
+		LeavingTargets: m.leaving.list(), GrantsPermits: true, TargetLimits: m.limits.list(),
 	})
 	if err != nil {
 		m.log.Error("Row of this gateway can't be encoded.", silllog.Err(err))
--- a/internal/silldirectgateway/peers.go
+++ b/internal/silldirectgateway/peers.go
@@ -1,10 +1,13 @@
 package silldirectgateway
 
 import (
+	"fmt"
 	"math/rand/v2"
 
 	"github.com/wasabisill/wasabisill/internal/sillclock"
 	"github.com/wasabisill/wasabisill/internal/sillcluster"
+	"github.com/wasabisill/wasabisill/internal/sillpermit"
+	"github.com/wasabisill/wasabisill/internal/silltarget"
 )
 
 // peers returns the addresses of the other live gateways: first those of this
@@ -24,6 +27,22 @@
 	return append(near, far...)
 }
 
+// permitPlace returns the gateway that grants the permits of a run. All gateways that read
+// the same rows compute the same one; during an outage of the table it stays.
+func (m *membership) permitPlace(run silltarget.Run) sillpermit.Place {
+	first, ok := m.members.FirstGranter(fmt.Sprintf("permits/%s/%d", run.Target, run.StartedAtMS))
+	if !ok {
+		return sillpermit.Place{}
+	}
+	return sillpermit.Place{Self: first.Run == m.run, Address: first.Address}
+}
+
+// permitPosition returns the position of this process among the gateways that ask for permits.
+func (m *membership) permitPosition() sillpermit.Position {
+	index, count := m.members.GranterIndex(m.settings.Instance)
+	return sillpermit.Position{Index: index, Count: count}
+}
+
 // lastPeers returns the addresses of the other gateways that were alive when the table
 // was last read.
 func (m *membership) lastPeers() []string { return m.addressesOfOthers(m.members.LastLive()) }
--- a/internal/silldirectgateway/providers.go
+++ b/internal/silldirectgateway/providers.go
@@ -13,6 +13,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillgroupcommit"
 	"github.com/wasabisill/wasabisill/internal/silljob"
 	"github.com/wasabisill/wasabisill/internal/sillmeter"
+	"github.com/wasabisill/wasabisill/internal/sillpermit"
 	"github.com/wasabisill/wasabisill/internal/sillrelay"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
@@ -69,14 +70,14 @@
 	return sillmeter.NewMeter(sillmeter.MeterConfig{Commit: commitUsage(c), WindowLength: s.UsageWindow, RunID: string(m.run), Log: log})
 }
 
-func newForwarder(s *Settings, adapter *Adapter, v *view, m *sillmeter.Meter, e *crashEvidence, r *prometheus.Registry, log *zap.Logger) *sillforwarder.Forwarder {
+func newForwarder(s *Settings, adapter *Adapter, v *view, m *sillmeter.Meter, e *crashEvidence, b *sillpermit.Broker, r *prometheus.Registry, log *zap.Logger) *sillforwarder.Forwarder {
 	recordStarted := m.RecordStarted
 	if !s.ReportsUsage {
 		recordStarted = func(sillid.OrganisationID, time.Time) {}
 	}
 	return sillforwarder.New(sillforwarder.Config{
 		Directory: v.directory, Pool: adapter.TargetPool, Codec: adapter.Codec, Zone: s.Zone,
-		OnStarted: recordStarted, Suspects: e.suspects, OnEvidence: e.notify,
+		OnStarted: recordStarted, Suspects: e.suspects, OnEvidence: e.notify, AcquirePermit: b.Acquire,
 		BufferBytes: int64(bufferShare * float64(s.MemoryBytes)), Metrics: sillforwarder.NewMetrics(r), Log: log,
 	})
 }
@@ -98,17 +99,18 @@
 	store     *silljob.Store
 	cache     *silljob.Cache
 	forwarder *sillforwarder.Forwarder
+	broker    *sillpermit.Broker
 }
 
-func newRunnerParts(s *Settings, adapter *Adapter, m *membership, v *view, st *silljob.Store, c *silljob.Cache, f *sillforwarder.Forwarder) runnerParts {
-	return runnerParts{settings: s, adapter: adapter, members: m, view: v, store: st, cache: c, forwarder: f}
+func newRunnerParts(s *Settings, adapter *Adapter, m *membership, v *view, st *silljob.Store, c *silljob.Cache, f *sillforwarder.Forwarder, b *sillpermit.Broker) runnerParts {
+	return runnerParts{settings: s, adapter: adapter, members: m, view: v, store: st, cache: c, forwarder: f, broker: b}
 }
 
 func newRunner(p runnerParts, r *prometheus.Registry, log *zap.Logger) *silljob.Runner {
 	return silljob.NewRunner(silljob.RunnerConfig{
 		Self: silljob.GatewayRun(p.members.run), Store: p.store, Board: p.view.board, Cache: p.cache,
 		Directory: p.view.directory, Pool: p.adapter.TargetPool, Codec: p.adapter.Codec,
-		Forwarder: p.forwarder, Catalog: p.view.catalog, Zone: p.settings.Zone,
+		Forwarder: p.forwarder, AcquirePermit: p.broker.Acquire, Catalog: p.view.catalog, Zone: p.settings.Zone,
 		Owner: p.members.owner, TakeoverRank: p.members.rank, Alive: p.members.alive, HandoverTime: jobHandoverTime,
 		Metrics: silljob.NewMetrics(r), Log: log,
 	})
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -18,6 +18,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillgroupcommit"
 	"github.com/wasabisill/wasabisill/internal/silljob"
 	"github.com/wasabisill/wasabisill/internal/sillmeter"
+	"github.com/wasabisill/wasabisill/internal/sillpermit"
 	"github.com/wasabisill/wasabisill/internal/sillrelay"
 )
 
@@ -66,6 +67,8 @@
 	relay        *sillrelay.Relay
 	evidence     *crashEvidence
 	leaving      *leavingTargets
+	limits       *targetLimits
+	broker       *sillpermit.Broker
 	tables       tables
 	committer    *sillgroupcommit.Committer
 	followers    *followers
@@ -87,11 +90,11 @@
 		fx.StopTimeout(settings.GracePeriod),
 		fx.Supply(settings, adapter, log),
 		fx.Provide(
-			newRegistry, newCrashEvidence, newDirectory, newLeavingTargets, newMembership, newRelay, newTables, newCommitter, newView, newMeter, newFollowers,
+			newRegistry, newCrashEvidence, newDirectory, newLeavingTargets, newTargetLimits, newMembership, newBroker, newRelay, newTables, newCommitter, newView, newMeter, newFollowers,
 			newForwarder, silljob.NewCache, newStore, newReader, newRunnerParts, newRunner, newControlTasks,
 		),
 		fx.Populate(
-			&s.registry, &s.evidence, &s.leaving, &s.members, &s.relay, &s.tables, &s.committer, &s.view, &s.meter, &s.followers,
+			&s.registry, &s.evidence, &s.leaving, &s.limits, &s.broker, &s.members, &s.relay, &s.tables, &s.committer, &s.view, &s.meter, &s.followers,
 			&s.Forwarder, &s.cache, &s.Reader, &s.Runner, &s.controlTasks,
 		),
 		fx.Invoke(func(lc fx.Lifecycle) { lc.Append(fx.Hook{OnStart: s.start, OnStop: s.stop}) }),
@@ -194,6 +197,7 @@
 		s.cache.Expire()
 		s.Forwarder.ResolveSilentTargets(now)
 		s.evidence.suspects.RemoveExpired()
+		s.broker.Forget()
 		s.adapter.TargetPool.CloseExpired(now)
 		s.adapter.PeerPool.CloseExpired(now)
 		for _, id := range s.view.directory.Expire(now) {
@@ -228,5 +232,7 @@
 	mux.HandleFunc("POST "+evidencePath, s.evidence.serve)
 	mux.Handle("POST "+sillgroupcommit.Path, s.committer)
 	mux.HandleFunc("POST "+leavingPath, s.leaving.serve)
+	mux.HandleFunc("POST "+limitsPath, s.limits.serve)
+	mux.Handle("POST "+sillpermit.Path, s.broker)
 	return mux
 }
--- a/internal/sillforwarder/forwarder.go
+++ b/internal/sillforwarder/forwarder.go
@@ -14,6 +14,8 @@
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
 	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/sillheader"
+	"github.com/wasabisill/wasabisill/internal/sillpermit"
+	"github.com/wasabisill/wasabisill/internal/sillrate"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
@@ -56,6 +58,14 @@
 	return sillcrash.NewFingerprint(r.Organisation, r.Method, r.Route.Host+r.RequestURI, r.Body)
 }
 
+// class returns the class of the request for limits of targets: whether a caller waits for it.
+func (r *Request) class() sillrate.Class {
+	if r.Owed {
+		return sillrate.Background
+	}
+	return sillrate.Interactive
+}
+
 // Response is a target's response. Body is complete unless Stream is set.
 type Response struct {
 	Status int
@@ -84,7 +94,9 @@
 	// cleared the evidence on one; urgent is whether the content is refused from now on, or
 	// was until now. It must not block.
 	OnEvidence func(urgent bool)
-	Metrics    *Metrics
+	// AcquirePermit gets a permit for an attempt at a target that names a limit on requests.
+	AcquirePermit func(ctx context.Context, a sillpermit.Ask) sillpermit.Verdict
+	Metrics       *Metrics
 	// BufferBytes bounds the memory of all responses that are being read, apart from
 	// the first 64 KiB of each; 0 stands for 64 MiB.
 	BufferBytes int64
@@ -194,7 +206,12 @@
 // for the load is likely to be served in time.
 func (f *Forwarder) setRetryAfter(req *Request, r *Refusal) *Refusal {
 	if r.Reason == AllFull || r.Reason == NoTarget {
-		earliest := f.cfg.Directory.EarliestResponse(time.Now(), silltarget.Query{Pool: req.Pool})
+		now := time.Now()
+		if until, limited := f.cfg.Directory.LimitedUntil(now, silltarget.Query{Pool: req.Pool, Class: req.class()}); limited {
+			r.applyLimit(until.Sub(now))
+			return r
+		}
+		earliest := f.cfg.Directory.EarliestResponse(now, silltarget.Query{Pool: req.Pool})
 		r.applyOverload(earliest, req.Route.LatencyObjective)
 	}
 	return r
@@ -212,38 +229,3 @@
 		zap.Int("attempts", p.attempts), zap.Int("unreachable", p.unreachable), zap.Duration("left", time.Until(req.Deadline)))
 	return r
 }
-
-// pick waits for a target, for a share of the latency objective at most. It prefers
-// a target with a free slot to one that queues but is expected to respond in time.
-// At the end of the wait it also accepts one in backoff. It does not wait if all targets
-// of the pool leave: none of them will accept the request.
-func (f *Forwarder) pick(ctx context.Context, req *Request, tried map[sillid.TargetID]bool, p progress) (silltarget.Grant, bool) {
-	query := silltarget.Query{Pool: req.Pool, Zone: f.cfg.Zone, Exclude: tried, MaxResponseTime: maxResponseTime(req, p, time.Now())}
-	wait := time.NewTimer(min(time.Duration(pickWaitShare*float64(req.Route.LatencyObjective)), time.Until(req.Deadline)))
-	defer wait.Stop()
-	for {
-		changed := f.cfg.Directory.Changed()
-		now := time.Now()
-		for _, q := range [...]silltarget.Query{freeOnly(query), query} {
-			if g, ok := f.cfg.Directory.Pick(now, q); ok {
-				return g, true
-			}
-		}
-		if f.cfg.Directory.AllLeaving(req.Pool) {
-			return silltarget.Grant{}, false
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return silltarget.Grant{}, false
-		case <-wait.C:
-			query.IncludeBackingOff = true
-			return f.cfg.Directory.Pick(time.Now(), query)
-		}
-	}
-}
-
-func freeOnly(q silltarget.Query) silltarget.Query {
-	q.FreeOnly, q.MaxResponseTime = true, 0
-	return q
-}
--- a/internal/sillforwarder/plan.go
+++ b/internal/sillforwarder/plan.go
@@ -24,6 +24,12 @@
 	// pickWaitShare is the share of the latency objective for which a request waits
 	// for a target before it is refused.
 	pickWaitShare = 0.2
+	// limitWaitShare is the share of the latency objective until which a request waits for
+	// a permit if all targets are at their limits. The rest is for the response.
+	limitWaitShare = 0.5
+	// backgroundPoll is the time between two looks for a target of a request for which no
+	// caller waits. Many of them may wait; they are not all woken by each change.
+	backgroundPoll = 50 * time.Millisecond
 	// responseTimeShare is the share of the latency objective within which a target
 	// must be expected to respond; the rest is a margin for requests that take
 	// longer than the mean.
@@ -49,6 +55,8 @@
 	// AllFull is for requests that the targets rejected, or for which no target
 	// was expected to respond in time.
 	AllFull Reason = "all-full"
+	// RateLimited is for requests that the limits of all targets did not allow in time.
+	RateLimited Reason = "rate-limited"
 	// TooLate is for requests that did not run before their deadline.
 	TooLate Reason = "too-late"
 	// ResponseLost is for requests that may have run and may not be retried.
@@ -158,6 +166,13 @@
 	}
 }
 
+// applyLimit turns the refusal into one for the limits of the targets, the first of which
+// may take a request after the delay.
+func (r *Refusal) applyLimit(delay time.Duration) {
+	r.Reason = RateLimited
+	r.RetryAfter = min(max(delay, retryAfterFull), maxRetryAfter)
+}
+
 // newRefusal returns the refusal of a request that was abandoned.
 func newRefusal(p progress, remaining time.Duration) *Refusal {
 	switch {
--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -48,6 +48,7 @@
 
 // attempt sends an item to a target once, then scores, retries or abandons it.
 func (r *Runner) attempt(ctx context.Context, it *itemRun, g silltarget.Grant) {
+	r.logSend(it, g)
 	started := time.Now()
 	before := len(it.events)
 	result, outcome, err := r.generate(ctx, it, g)
--- a/internal/silljob/dispatch.go
+++ b/internal/silljob/dispatch.go
@@ -8,6 +8,8 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/wasabisill/wasabisill/internal/sillpermit"
+	"github.com/wasabisill/wasabisill/internal/sillrate"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
@@ -131,6 +133,7 @@
 	q := silltarget.Query{
 		Pool: required.pool, Zone: r.cfg.Zone, Model: required.model, MinVersion: required.min, ExactVersion: required.exact,
 		Prefer: it.job.groupTarget[it.item.Group], Exclude: it.avoid, FreeOnly: true, PreferNewest: it.job.sub.SingleVersion,
+		Class: sillrate.Background,
 	}
 	if len(q.Exclude) > 0 && !r.cfg.Directory.AnyEligible(now, q) {
 		q.Exclude = nil
@@ -141,7 +144,7 @@
 // jobQuery selects the targets with a free slot that may run a job's items from their
 // beginning.
 func (r *Runner) jobQuery(j *ownedJob) silltarget.Query {
-	return silltarget.Query{Pool: j.pool, Model: j.sub.Model, MinVersion: j.sub.MinVersion, FreeOnly: true}
+	return silltarget.Query{Pool: j.pool, Model: j.sub.Model, MinVersion: j.sub.MinVersion, FreeOnly: true, Class: sillrate.Background}
 }
 
 // waitingItems returns the items that may be sent now, in the order of byUrgency.
@@ -167,8 +170,31 @@
 	if !it.meetsMinVersion(it.job.sub) {
 		it.discard()
 	}
-	r.logSend(it, grant)
-	it.job.group.Go(func(ctx context.Context) { r.attempt(ctx, it, grant) })
+	it.job.group.Go(func(ctx context.Context) {
+		if r.acquirePermit(ctx, it, grant) {
+			r.attempt(ctx, it, grant)
+		}
+	})
+}
+
+// acquirePermit gets a permit for an item if its target names a limit on requests. If there
+// is none, it returns the grant and requeues the item.
+func (r *Runner) acquirePermit(ctx context.Context, it *itemRun, g silltarget.Grant) bool {
+	if !g.Limited {
+		return true
+	}
+	v := r.cfg.AcquirePermit(ctx, sillpermit.Ask{Run: g.Run(), Class: sillrate.Background, Organisation: it.job.sub.Organisation})
+	if v.Granted {
+		return true
+	}
+	now := time.Now()
+	r.cfg.Directory.Release(now, g, silltarget.Abandoned)
+	if ctx.Err() != nil {
+		return false
+	}
+	r.cfg.Directory.Deny(now, g.Run(), sillrate.Background, v.RetryAfter)
+	r.requeue(it, now)
+	return false
 }
 
 // logSend logs the target of an attempt, at warning level if the attempt is a retry or
--- a/internal/silljob/move.go
+++ b/internal/silljob/move.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/wasabisill/wasabisill/internal/silltarget"
 )
 
 // Slow items migrate to faster targets. A few long generations decide when a job is
@@ -72,7 +74,7 @@
 	r.cfg.Log.Warn("Moving an item.", zap.String("request", string(it.item.ID)), zap.String("job", string(it.job.sub.Job)),
 		zap.String("target", string(it.target)), zap.Int("events", len(it.events)),
 		zap.Duration("pace", unitLatency), zap.Duration("usual-pace", mean))
-	it.avoid = excluding(it.avoid, it.target)
+	it.avoid = silltarget.Excluding(it.avoid, it.target)
 	it.cancelAttempt()
 	it.cancelAttempt = nil
 }
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -11,6 +11,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillforwarder"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/sillheader"
+	"github.com/wasabisill/wasabisill/internal/sillpermit"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
@@ -27,7 +28,9 @@
 	Pool      *silltransport.Pool
 	Codec     sillheader.Codec
 	Forwarder *sillforwarder.Forwarder
-	Catalog   *sillcatalog.Holder
+	// AcquirePermit gets a permit for an item at a target that names a limit on requests.
+	AcquirePermit func(ctx context.Context, a sillpermit.Ask) sillpermit.Verdict
+	Catalog       *sillcatalog.Holder
 	// Zone is the availability zone of this process.
 	Zone sillid.ZoneID
 	// Owner returns the process that becomes the owner of new jobs of a model.
--- a/internal/silljob/stall.go
+++ b/internal/silljob/stall.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -92,7 +93,7 @@
 func (r *Runner) avoidTarget(it *itemRun, target sillid.TargetID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	it.avoid = excluding(it.avoid, target)
+	it.avoid = silltarget.Excluding(it.avoid, target)
 }
 
 // shouldWait returns whether an item without an event should stay at its engine: the
@@ -104,15 +105,6 @@
 	r.mu.Lock()
 	q := r.query(now, it)
 	r.mu.Unlock()
-	q.Exclude = excluding(q.Exclude, target)
+	q.Exclude = silltarget.Excluding(q.Exclude, target)
 	return r.cfg.Directory.FreeSlots(now, q) == 0
 }
-
-// excluding returns a set with one more target.
-func excluding(set map[sillid.TargetID]bool, target sillid.TargetID) map[sillid.TargetID]bool {
-	larger := map[sillid.TargetID]bool{target: true}
-	for id := range set {
-		larger[id] = true
-	}
-	return larger
-}
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -79,7 +79,7 @@
 	}
 	t := d.targets[e.ID]
 	if t == nil || !t.entry.StartedAt.Equal(e.StartedAt) || t.entry.Address != e.Address {
-		d.targets[e.ID] = &target{entry: e, registered: registered, tieBreak: d.tieBreak(e.ID)}
+		d.targets[e.ID] = &target{entry: e, registered: registered, tieBreak: d.tieBreak(e.ID), limit: d.limits[e.Run()]}
 		d.signalChange()
 		return true
 	}
--- a/internal/silltarget/limit.go
+++ b/internal/silltarget/limit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillrate"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
 const (
@@ -24,6 +25,16 @@
 	// observedAt is when the run said so, by this process's clock, and ownAt when it last
 	// said something of its limit to this process.
 	observedAt, ownAt time.Time
+	// deniedUntil is the time until which requests of a class get no permit.
+	deniedUntil [sillrate.Classes]time.Time
+}
+
+// limited returns whether the target's run names a limit.
+func (t *target) limited() bool { return t.limit != nil && t.limit.limit > 0 }
+
+// denies returns whether requests of a class get no permit for the target now.
+func (t *target) denies(now time.Time, c sillrate.Class) bool {
+	return t.limited() && now.Before(t.limit.deniedUntil[c])
 }
 
 // LimitHooks receive what targets name as their limits. They are called with the directory
@@ -46,26 +57,88 @@
 			d.cfg.Limits.OnInvalid(run)
 		}
 	case n.Kind == sillrate.Named:
-		d.setLimit(run, limitState{limit: n.Limit, observedAt: now, ownAt: now}, FromResponse)
+		d.setLimit(run, n.Limit, now, FromResponse)
+		d.limits[run].ownAt = now
 	case signed && d.limits[run] != nil:
-		d.setLimit(run, limitState{observedAt: now, ownAt: now}, FromResponse)
+		d.setLimit(run, 0, now, FromResponse)
+		d.limits[run].ownAt = now
 	}
 }
 
-// setLimit replaces what is known of the limit of a run. The caller holds d.mu.
-func (d *Directory) setLimit(run Run, s limitState, from NoticeSource) {
-	before := d.limits[run]
-	d.limits[run] = &s
-	d.trimLimits(s.observedAt)
-	if before != nil && before.limit == s.limit || before == nil && s.limit == 0 {
+// setLimit records the limit of a run; 0 stands for none. The caller holds d.mu.
+func (d *Directory) setLimit(run Run, limit sillrate.PerSecond, observedAt time.Time, from NoticeSource) {
+	s := d.limits[run]
+	if s == nil {
+		d.trimLimits(observedAt)
+		s = &limitState{}
+		d.limits[run] = s
+		if t := d.targets[run.Target]; t != nil && t.entry.Run() == run {
+			t.limit = s
+		}
+	}
+	s.observedAt = observedAt
+	if s.limit == limit {
 		return
 	}
+	s.limit = limit
+	s.deniedUntil = [sillrate.Classes]time.Time{}
 	if d.cfg.Limits.OnChange != nil {
-		d.cfg.Limits.OnChange(run, s.limit, from)
+		d.cfg.Limits.OnChange(run, limit, from)
 	}
 	d.signalChange()
 }
 
+// Deny records that requests of a class get no permit for a run for some time, and
+// notifies the holders of the channel that Changed returned at its end.
+func (d *Directory) Deny(now time.Time, run Run, c sillrate.Class, retryAfter time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.limits[run]; s != nil {
+		s.deniedUntil[c] = now.Add(retryAfter)
+		time.AfterFunc(retryAfter, d.notifyChange)
+	}
+}
+
+func (d *Directory) notifyChange() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.signalChange()
+}
+
+// AnyLimited returns whether a target of a pool names a limit.
+func (d *Directory) AnyLimited(pool sillid.PoolID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for run, s := range d.limits {
+		if t := d.targets[run.Target]; s.limit > 0 && t != nil && t.limit == s && t.entry.Pool == pool {
+			return true
+		}
+	}
+	return false
+}
+
+// LimitedUntil returns whether the query's requests could be served but for the limits of
+// targets, and the time at which the first of these may take a request again. It ignores
+// free slots and response times.
+func (d *Directory) LimitedUntil(now time.Time, q Query) (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q.FreeOnly, q.MaxResponseTime, q.IncludeBackingOff, q.IgnoreLimits = false, 0, true, true
+	var earliest time.Time
+	for _, t := range d.targets {
+		if !t.isEligible(now, &q, 0) {
+			continue
+		}
+		if !t.denies(now, q.Class) {
+			return time.Time{}, false
+		}
+		if until := t.limit.deniedUntil[q.Class]; earliest.IsZero() || until.Before(earliest) {
+			earliest = until
+		}
+	}
+	return earliest, !earliest.IsZero()
+}
+
 // trimLimits drops what is known of runs that are gone or have had no limit for a while.
 // The caller holds d.mu.
 func (d *Directory) trimLimits(now time.Time) {
@@ -74,6 +147,9 @@
 		current := t != nil && t.entry.Run() == run
 		if (!current || s.limit == 0) && now.Sub(s.observedAt) >= limitRetention {
 			delete(d.limits, run)
+			if current {
+				t.limit = nil
+			}
 		}
 	}
 }
@@ -128,10 +204,6 @@
 		if known != nil && (observedAt.Before(known.observedAt) || now.Sub(known.ownAt) < ownObservationPrecedence) {
 			continue
 		}
-		next := limitState{limit: l.Limit, observedAt: observedAt}
-		if known != nil {
-			next.ownAt = known.ownAt
-		}
-		d.setLimit(l.Run, next, FromPeer)
+		d.setLimit(l.Run, l.Limit, observedAt, FromPeer)
 	}
 }
--- a/internal/silltarget/pick.go
+++ b/internal/silltarget/pick.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/sillrate"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -36,6 +37,19 @@
 	// MaxUnitLatency, if not 0, excludes targets whose unit latency is unknown or
 	// not below it.
 	MaxUnitLatency time.Duration
+	// Class is the class of the requests.
+	Class sillrate.Class
+	// IgnoreLimits also accepts targets for which requests get no permit now.
+	IgnoreLimits bool
+}
+
+// Excluding returns a copy of a set of targets with one more.
+func Excluding(set map[sillid.TargetID]bool, id sillid.TargetID) map[sillid.TargetID]bool {
+	larger := map[sillid.TargetID]bool{id: true}
+	for other := range set {
+		larger[other] = true
+	}
+	return larger
 }
 
 // Grant is a target picked for one attempt. The caller returns it with Release.
@@ -46,6 +60,9 @@
 	StartedAt time.Time
 	// Versions are the weight versions of the target when it was picked.
 	Versions map[sillid.ModelID]sillid.WeightVersion
+	// Limited is whether the target names a limit on requests, so that the attempt needs a
+	// permit.
+	Limited bool
 
 	target *target
 	// utilisation is the utilisation of the target with this attempt counted.
@@ -85,7 +102,7 @@
 	best.running++
 	return Grant{
 		ID: best.entry.ID, Address: best.entry.Address, StartedAt: best.entry.StartedAt, Versions: best.entry.Versions,
-		target: best, utilisation: best.utilisation(now, 0),
+		Limited: best.limited(), target: best, utilisation: best.utilisation(now, 0),
 	}, true
 }
 
@@ -109,11 +126,11 @@
 }
 
 // AnyEligible returns whether some target may serve the query's requests, now or
-// once it has a free slot and its backoff has ended.
+// once it has a free slot, its backoff has ended and its limit allows it.
 func (d *Directory) AnyEligible(now time.Time, q Query) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	q.FreeOnly, q.IncludeBackingOff = false, true
+	q.FreeOnly, q.IncludeBackingOff, q.IgnoreLimits = false, true, true
 	for _, t := range d.targets {
 		if t.isEligible(now, &q, 0) {
 			return true
@@ -169,6 +186,8 @@
 	switch {
 	case e.Pool != q.Pool, e.State != Ready, q.Exclude[e.ID], t.backingOff(now) && !q.IncludeBackingOff:
 		return false
+	case !q.IgnoreLimits && t.denies(now, q.Class):
+		return false
 	case q.FreeOnly && t.load(now) >= max(e.Slots, 1):
 		return false
 	case q.MaxResponseTime > 0 && t.expectedResponseTime(now, meanServiceTime) > q.MaxResponseTime:
--- a/internal/silltarget/target.go
+++ b/internal/silltarget/target.go
@@ -118,6 +118,8 @@
 	// missingSince is when the entry disappeared from the registry during a time
 	// in which the registry was not reliable; zero for a registered target.
 	missingSince time.Time
+	// limit is what is known of the limit of the target's run; nil if nothing is.
+	limit *limitState
 }
 
 // load returns the number of requests at the target, as far as known.
