Keep the limits that targets behind agents name

What callers saw: nothing; a target behind an agent has no way to say how many requests a second it takes. With agents every request to a target passes its agent, so the agent keeps the limit alone: Request-Limit in an answer sets a token bucket of its queue. An entry starts only with a token, rollouts leave one for callers' requests, and a request that would wait for more than a sixth of its time is refused as overload at once, which other targets may take. A restart of the engine ends the limit. The header is not passed on to callers.

Evidence: sillprocess.TestTargetWithALimitGetsNoMore, two gateways and three targets, one with a limit of 2 a second (17 requests allowed in 4 s).

--- a/internal/sillagent/control.go
+++ b/internal/sillagent/control.go
@@ -239,6 +239,8 @@
 	if c.current.engine != "" && e.load.Engine != c.current.engine {
 		c.agent.cfg.Log.Warn("the engine restarted", zap.String("engine", string(e.load.Engine)))
 		c.agent.generations.restarted()
+		// The limit was that of the run that has ended.
+		c.agent.setLimit(0)
 	}
 	c.current.engine = e.load.Engine
 	c.current.model = e.load.Model
--- a/internal/sillagent/generation.go
+++ b/internal/sillagent/generation.go
@@ -96,6 +96,7 @@
 		RequestID:    string(n.req.RequestID),
 		Priority:     n.req.Priority,
 		PrefixTokens: n.req.PrefixTokens,
+		OnHeader:     a.observeLimit,
 	}, g.part)
 	if err != nil {
 		a.stopGeneration(ctx, n)
--- a/internal/sillagent/metrics.go
+++ b/internal/sillagent/metrics.go
@@ -1,6 +1,10 @@
 package sillagent
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/wasabisill/wasabisill/internal/sillmetric"
+)
 
 // Metrics are the agent's counters.
 type Metrics struct {
@@ -16,6 +20,11 @@
 	Tokens prometheus.Counter
 	// Running is the number of requests that the target has now.
 	Running prometheus.Gauge
+	// TargetLimit is the requests a second that the target takes by its own word; 0 if it
+	// names no limit.
+	TargetLimit prometheus.Gauge
+	// InvalidLimits counts answers with a limit in a form that is not defined.
+	InvalidLimits prometheus.Counter
 }
 
 // NewMetrics registers the agent's counters.
@@ -45,7 +54,11 @@
 			Name: "wasabisill_agent_running_requests",
 			Help: "Requests that the target has now.",
 		}),
+		TargetLimit: sillmetric.Gauge("wasabisill_agent_target_limit",
+			"Requests a second that the target takes by its own word; 0 if it names no limit."),
+		InvalidLimits: sillmetric.Counter("wasabisill_agent_invalid_limits_total",
+			"Answers of the target with a limit on requests in a form that is not defined."),
 	}
-	r.MustRegister(m.Refused, m.Failed, m.Unattributable, m.MalformedFrames, m.Tokens, m.Running)
+	r.MustRegister(m.Refused, m.Failed, m.Unattributable, m.MalformedFrames, m.Tokens, m.Running, m.TargetLimit, m.InvalidLimits)
 	return m
 }
--- a/internal/sillagent/service.go
+++ b/internal/sillagent/service.go
@@ -88,6 +88,7 @@
 		return outcome{failure: p, brokeOff: p.Kind == sillproblem.TargetFailed}
 	}
 	defer resp.Body.Close()
+	a.observeLimit(resp.Header)
 	latency := a.cfg.Now().Sub(began)
 	head := &sillwire.Head{Status: resp.StatusCode, Header: answerHeader(resp.Header)}
 	if resp.ContentLength >= 0 && resp.ContentLength <= shortAnswerBytes {
@@ -186,7 +187,7 @@
 func answerHeader(h http.Header) []sillwire.Field {
 	var fields []sillwire.Field
 	for name, values := range h {
-		if hopHeaders[name] {
+		if hopHeaders[name] || name == LimitHeader {
 			continue
 		}
 		for _, v := range values {
--- a/internal/sillengine/client.go
+++ b/internal/sillengine/client.go
@@ -249,9 +249,18 @@
 
 // send returns the answer if its status tells success; the caller closes it.
 func (c *Client) send(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	resp, err := c.exchange(ctx, method, path, body)
+	if err != nil {
+		return nil, err
+	}
+	return checkStatus(resp)
+}
+
+// exchange returns the answer with any status; the caller closes it.
+func (c *Client) exchange(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.cfg.BaseURL+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, eris.Wrap(err, "sillengine.send: request")
+		return nil, eris.Wrap(err, "sillengine.exchange: request")
 	}
 	if method != http.MethodGet {
 		// The transport must not send the call twice on its own.
@@ -262,6 +271,11 @@
 	if err != nil {
 		return nil, sendError(err)
 	}
+	return resp, nil
+}
+
+// checkStatus returns the answer if its status tells success, and closes it otherwise.
+func checkStatus(resp *http.Response) (*http.Response, error) {
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		defer resp.Body.Close()
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, errorTextBytes))
--- a/internal/sillengine/generate.go
+++ b/internal/sillengine/generate.go
@@ -23,6 +23,9 @@
 	RequestID    string
 	Priority     int
 	PrefixTokens []int32
+	// OnHeader, if not nil, is called with the header of the engine's answer, also of one
+	// that refuses the request.
+	OnHeader func(h http.Header)
 }
 
 // Part is a part of a generation.
@@ -79,7 +82,14 @@
 	if err != nil {
 		return err
 	}
-	resp, err := c.send(ctx, http.MethodPost, g.Path, body)
+	resp, err := c.exchange(ctx, http.MethodPost, g.Path, body)
+	if err != nil {
+		return err
+	}
+	if g.OnHeader != nil {
+		g.OnHeader(resp.Header)
+	}
+	resp, err = checkStatus(resp)
 	var status *statusError
 	if errors.As(err, &status) && status.code < http.StatusInternalServerError && status.code != http.StatusTooManyRequests {
 		return eris.Wrapf(ErrRejected, "sillengine.Generate: %v", err)
--- a/internal/silllimit/gate.go
+++ b/internal/silllimit/gate.go
@@ -33,6 +33,9 @@
 	// waiters holds a channel of capacity 1 for each waiting entry. It receives
 	// nil when the entry starts, or the problem if the entry is refused.
 	waiters map[sillid.AttemptID]chan *sillproblem.Problem
+	// tokenTimer starts waiting entries once the target's limit allows it; nil before the
+	// first one has waited for that.
+	tokenTimer *time.Timer
 }
 
 // NewGate returns a Gate with an empty queue.
@@ -115,12 +118,14 @@
 	g.startWaiting()
 }
 
-// startWaiting starts waiting entries until no slot is free or none waits.
+// startWaiting starts waiting entries until no slot is free, the target's limit allows no
+// more, or none waits.
 func (g *Gate) startWaiting() {
 	for {
 		e, dropped, ok := g.queue.Next(g.now())
 		g.refuse(dropped)
 		if !ok {
+			g.awaitToken()
 			return
 		}
 		g.notify(e.ID, nil)
--- a/internal/silllimit/queue.go
+++ b/internal/silllimit/queue.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/sillrate"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
@@ -37,6 +38,8 @@
 	// mean is the mean service time in seconds over all entries.
 	mean            movingAverage
 	lastInteractive time.Time
+	// rate keeps the limit on requests that the target names; nil if it names none.
+	rate *sillrate.Bucket
 }
 
 // runningEntry is a running entry and its charge.
@@ -77,6 +80,9 @@
 	if p := q.checkServiceTime(now, e, f.organisation); p != nil {
 		return []Refusal{{Entry: e, Problem: p}}
 	}
+	if p := q.checkRate(now, e); p != nil {
+		return []Refusal{{Entry: e, Problem: p}}
+	}
 	if p := q.checkBacklog(now, e, f.organisation); p != nil {
 		return []Refusal{{Entry: e, Problem: p}}
 	}
@@ -137,6 +143,9 @@
 		return Entry{}, dropped, false
 	}
 	c := q.pickClass(now)
+	if c != nil {
+		c = q.takeToken(now, c)
+	}
 	if c == nil {
 		return Entry{}, dropped, false
 	}
--- a/internal/sillstandin/faults.go
+++ b/internal/sillstandin/faults.go
@@ -44,6 +44,9 @@
 	Silent bool `json:"silent,omitempty"`
 	// FailLoad makes weight loads fail without effect.
 	FailLoad bool `json:"fail-load,omitempty"`
+	// RequestLimit is named in every answer as the requests a second that the stand-in takes;
+	// "" names none. It refuses none beyond it.
+	RequestLimit string `json:"request-limit,omitempty"`
 	// HalfLoad makes weight loads take effect and answer as failed.
 	HalfLoad bool `json:"half-load,omitempty"`
 }
@@ -185,6 +188,9 @@
 			Refuse(w, http.StatusServiceUnavailable, "refused by a fault of the stand-in")
 			return
 		}
+		if v.RequestLimit != "" {
+			w.Header().Set("Request-Limit", v.RequestLimit)
+		}
 		r = r.WithContext(ctx)
 		if v.CrashOnBody != "" && bodyHolds(r, v.CrashOnBody) {
 			p.Crash()
