Skip odd entries of the instance list behind agents

What callers saw (a report from another operator): one odd entry among those of the servers kept the machines from following the list. Here: the list of instances is one document, and an entry of another type, or nested too deeply, made the whole document unreadable, so gateways, scaler and weight plans stopped following it.

Change: entries are decoded one by one; one that is not valid (type, address that is no IP with a port, unknown state, missing id, target or pool) is skipped, counted and logged, and values nested deeper than 32 are dropped before.

--- a/internal/sillapp/gatewaystore.go
+++ b/internal/sillapp/gatewaystore.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/sillbundlestore"
 	"github.com/wasabisill/wasabisill/internal/sillcall"
 	"github.com/wasabisill/wasabisill/internal/sillinstance"
+	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/sillmembership"
+	"github.com/wasabisill/wasabisill/internal/sillmetric"
 	"github.com/wasabisill/wasabisill/internal/sillobject"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
 	"github.com/wasabisill/wasabisill/internal/silltable"
@@ -33,8 +37,22 @@
 	})
 }
 
-func newInstances(s *sillsettings.Gateway) *sillinstance.Client {
-	return sillinstance.Dial(sillcall.Config{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Duration()})
+func newInstances(s *sillsettings.Gateway, r prometheus.Registerer, log *zap.Logger) *sillinstance.Client {
+	skipped := sillmetric.Counter("wasabisill_instance_entries_skipped_total",
+		"Entries of the platform's instance list that are not valid, at each read.")
+	r.MustRegister(skipped)
+	var last atomic.Pointer[string]
+	return sillinstance.Dial(sillinstance.Config{
+		Call: sillcall.Config{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Duration()},
+		OnSkipped: func(err error) {
+			skipped.Inc()
+			// The list is read about once a second.
+			if text := err.Error(); last.Load() == nil || *last.Load() != text {
+				last.Store(&text)
+				log.Warn("entry of the instance list is not valid; skipping it", silllog.Err(err))
+			}
+		},
+	})
 }
 
 // listInstances returns a function that reads the instance list and converts it for
--- a/internal/sillinstance/instance.go
+++ b/internal/sillinstance/instance.go
@@ -47,18 +47,23 @@
 	List func(ctx context.Context) (List, error)
 }
 
-type listResponse struct {
-	AsOf      int64      `json:"as-of"`
-	Instances []Instance `json:"instances"`
+// Config holds what a client needs.
+type Config struct {
+	Call sillcall.Config
+	// OnSkipped, if not nil, is called for each entry that is not valid. The others hold.
+	OnSkipped func(err error)
 }
 
 // Dial returns a client of the list at an HTTP address. It makes no call.
-func Dial(cfg sillcall.Config) *Client {
-	caller := sillcall.New(cfg)
-	return &Client{List: func(ctx context.Context) (List, error) { return list(ctx, caller) }}
+func Dial(cfg Config) *Client {
+	caller := sillcall.New(cfg.Call)
+	if cfg.OnSkipped == nil {
+		cfg.OnSkipped = func(error) {}
+	}
+	return &Client{List: func(ctx context.Context) (List, error) { return list(ctx, caller, cfg.OnSkipped) }}
 }
 
-func list(ctx context.Context, caller *sillcall.Caller) (List, error) {
+func list(ctx context.Context, caller *sillcall.Caller, onSkipped func(error)) (List, error) {
 	resp, err := caller.Get(ctx, "/instances")
 	if err != nil {
 		return List{}, eris.Wrap(err, "sillinstance.list")
@@ -66,9 +71,6 @@
 	if resp.Status != http.StatusOK {
 		return List{}, eris.Errorf("sillinstance.list: status %d", resp.Status)
 	}
-	var l listResponse
-	if err := resp.Decode(&l); err != nil {
-		return List{}, eris.Wrap(err, "sillinstance.list")
-	}
-	return List{AsOf: time.UnixMilli(l.AsOf), Instances: l.Instances}, nil
+	l, err := decodeList(resp.Body, onSkipped)
+	return l, eris.Wrap(err, "sillinstance.list")
 }
--- a/internal/sillinstance/instance_test.go
+++ b/internal/sillinstance/instance_test.go
@@ -17,7 +17,7 @@
 		_, _ = w.Write([]byte(body))
 	}))
 	defer s.Close()
-	list, err := Dial(sillcall.Config{BaseURL: s.URL, Timeout: 5 * time.Second}).List(context.Background())
+	list, err := Dial(Config{Call: sillcall.Config{BaseURL: s.URL, Timeout: 5 * time.Second}}).List(context.Background())
 	if err != nil {
 		t.Fatal(err)
 	}
