--- /dev/null
+++ b/internal/sillagent/cuthead_test.go
@@ -0,0 +1,86 @@
+package sillagent
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/wasabisill/wasabisill/internal/sillengine"
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/silllimit"
+)
+
+// startRaw starts a target that sends the same bytes to each connection that has sent
+// something, closes it, and returns its URL.
+func startRaw(t *testing.T, response string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	group := sillgroup.New(t.Context())
+	t.Cleanup(func() {
+		_ = listener.Close()
+		group.Stop()
+	})
+	group.Go(func(context.Context) {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 4<<10))
+			_, _ = io.WriteString(conn, response)
+			_ = conn.Close()
+		}
+	})
+	return "http://" + listener.Addr().String()
+}
+
+// callRaw sends a request to a service that sends some bytes and closes.
+func callRaw(t *testing.T, sent string) outcome {
+	t.Helper()
+	a := &Agent{service: newServiceClient(startRaw(t, sent)), cfg: Config{
+		Now: time.Now, Log: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()),
+		Gate: silllimit.NewGate(silllimit.GateConfig{Queue: silllimit.Config{MaxConcurrent: 1, MaxWaiting: 1}, Now: time.Now}),
+	}}
+	n := newTestRun("r", 1, true)
+	n.req.Method, n.req.Path = "POST", "/x"
+	return a.callService(t.Context(), n)
+}
+
+// TestCutHeads guards against a response whose target stopped in the middle of its head
+// being passed on as a complete one.
+func TestCutHeads(t *testing.T) {
+	for name, head := range map[string]string{
+		"with a length":    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 120\r\n\r\n",
+		"without a length": "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n",
+		"chunked":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.0":         "HTTP/1.0 200 OK\r\nContent-Type: text/plain\r\n\r\n",
+		"bare line feeds":  "HTTP/1.1 200 OK\nContent-Type: text/plain\nContent-Length: 0\n\n",
+	} {
+		t.Run("service "+name, func(t *testing.T) {
+			t.Parallel()
+			for cut := range len(head) - 1 {
+				if result := callRaw(t, head[:cut]); result.failure == nil || len(result.whole) > 0 {
+					t.Errorf("after %q: result %+v, want a failure", head[:cut], result)
+				}
+			}
+		})
+		t.Run("engine "+name, func(t *testing.T) {
+			t.Parallel()
+			for cut := range len(head) - 1 {
+				engine := sillengine.New(sillengine.Config{BaseURL: startRaw(t, head[:cut]), CallTimeout: time.Second})
+				generate := sillengine.Generate{Path: "/v1/completions", Body: []byte("{}"), RequestID: "r"}
+				if err := engine.Generate(t.Context(), generate, func(sillengine.Part) error { return nil }); err == nil {
+					t.Errorf("after %q: the generation is complete", head[:cut])
+				}
+			}
+		})
+	}
+}
