Take no item's events from a response that nobody signed

What callers saw: nothing so far; a success without a signature counts as no answer of a server for plain requests and streams, but items took its events as their text.

Change: such a response breaks the attempt off as malformed.

Evidence: TestUnsignedStreamIsNotTaken failed before (text "wrong") and passes.

--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -152,6 +152,9 @@
 	case resp.StatusCode >= http.StatusMultipleChoices:
 		discardBody(resp.Body)
 		return unexpectedStatus, silltarget.Answered, nil
+	case metadata.Signature == "":
+		// Closing the body before its end closes the connection, too.
+		return incomplete, silltarget.Malformed, errors.New("success is not signed")
 	}
 	return r.readEvents(ctx, it, g, resp, metadata, watch)
 }
--- a/internal/silljob/runner_test.go
+++ b/internal/silljob/runner_test.go
@@ -117,6 +117,21 @@
 	}
 }
 
+// TestUnsignedStreamIsNotTaken guards against a generation made of events that no engine signed.
+func TestUnsignedStreamIsNotTaken(t *testing.T) {
+	c := newCluster(t, 1, func(_ int, ca call, n int) behaviour {
+		if n == 1 {
+			return behaviour{Status: http.StatusOK, Unsigned: true, Version: 1, Text: "id: 0\ndata: wrong\n\n"}
+		}
+		return completeStream(0, ca, n)
+	})
+	a := c.start("a")
+	sub := submission("job", 1)
+	sub.MinVersion = 0
+	a.submit(t, sub)
+	checkComplete(t, sub, a.results(t, "job", 1), testEvents)
+}
+
 // TestStreamWithoutItsEndIsComplete checks that a generation of which all events have come, but
 // not the end of its stream, is complete once engines agree that nothing follows.
 func TestStreamWithoutItsEndIsComplete(t *testing.T) {
