Read limits without a lock that the members' rows also need

Cause: writing the own row reads the limits with the directory locked and asks who grants each, which locks the members; reading rows locks the members and merges their limits into the directory. Two goroutines that do both wait for each other.

Change: the directory copies the limits and filters them without its lock.

--- a/internal/silltarget/limit.go
+++ b/internal/silltarget/limit.go
@@ -179,19 +179,22 @@
 }
 
 // Limits returns what is known of the limits of the runs that keep selects, sorted, limit
-// at most.
+// at most. It calls keep without a lock.
 func (d *Directory) Limits(now time.Time, limit int, keep func(Run) bool) []RunLimit {
+	list := slices.DeleteFunc(d.allLimits(now), func(l RunLimit) bool { return !keep(l.Run) })
+	slices.SortFunc(list, func(a, b RunLimit) int { return cmp.Compare(a.Run.Target, b.Run.Target) })
+	return list[:min(len(list), limit)]
+}
+
+func (d *Directory) allLimits(now time.Time) []RunLimit {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.trimLimits(now)
-	var list []RunLimit
+	list := make([]RunLimit, 0, len(d.limits))
 	for run, s := range d.limits {
-		if keep(run) {
-			list = append(list, s.export(now, run))
-		}
+		list = append(list, s.export(now, run))
 	}
-	slices.SortFunc(list, func(a, b RunLimit) int { return cmp.Compare(a.Run.Target, b.Run.Target) })
-	return list[:min(len(list), limit)]
+	return list
 }
 
 // MergeLimits records what another process knows of limits. The newest observation counts.
