Let buckets hold half a second of their limit

Denied background requests were told to return one after the other, up to a second later, while few gateways ask and a bucket of two tokens holds one for them; so a token a second was used.

Free slots of an engine count no more than its limit keeps in use when a job is found to be late.

--- a/internal/silljob/crowd.go
+++ b/internal/silljob/crowd.go
@@ -108,7 +108,9 @@
 	if due.IsZero() || r.attemptTime == 0 || load.waiting == 0 {
 		return 0
 	}
-	slots := running + r.cfg.Directory.FreeSlots(now, r.jobQuery(j))
+	q := r.jobQuery(j)
+	q.IgnoreLimits, q.AttemptTime = true, r.attemptTime
+	slots := running + r.cfg.Directory.FreeSlots(now, q)
 	left := max(due.Sub(now), time.Duration(minHorizonShare*float64(j.sub.DueAfterMS))*time.Millisecond)
 	return timeToComplete(load, slots, r.attemptTime).Seconds() / left.Seconds()
 }
--- a/internal/sillrate/bucket.go
+++ b/internal/sillrate/bucket.go
@@ -20,7 +20,7 @@
 	// those of burstTime. A target is not to get more than half of its limit on top within
 	// some seconds.
 	baseBurst = 2
-	burstTime = 100 * time.Millisecond
+	burstTime = 500 * time.Millisecond
 	// interactiveReserve is the number of tokens that background requests leave.
 	interactiveReserve = 1
 	// maxRetryAfter bounds how long a refused request is told to wait. The limit may end
@@ -34,9 +34,6 @@
 	rate    PerSecond
 	tokens  float64
 	updated time.Time
-	// promised is the time up to which tokens are promised to background requests that
-	// were refused, so that they don't all return for the same token.
-	promised time.Time
 }
 
 // NewBucket returns an empty bucket. It starts empty because requests may have been sent
@@ -77,7 +74,7 @@
 		b.tokens--
 		return true, 0
 	}
-	return false, b.retryAfter(now, c)
+	return false, min(max(b.timeFor(needed(c)-b.tokens), time.Millisecond), maxRetryAfter)
 }
 
 // Debit takes a token for a request that is sent in any case.
@@ -104,21 +101,3 @@
 func (b *Bucket) timeFor(tokens float64) time.Duration {
 	return time.Duration(max(tokens, 0) / float64(b.rate) * float64(time.Second))
 }
-
-// retryAfter returns the delay after which a refused request may return. Background
-// requests get delays one after the other.
-func (b *Bucket) retryAfter(now time.Time, c Class) time.Duration {
-	delay := b.timeFor(needed(c) - b.tokens)
-	if c == Background {
-		next := b.promised.Add(b.timeFor(1))
-		if at := now.Add(delay); next.Before(at) {
-			next = at
-		}
-		b.promised = next
-		if limit := now.Add(maxRetryAfter); b.promised.After(limit) {
-			b.promised = limit
-		}
-		delay = b.promised.Sub(now)
-	}
-	return min(max(delay, time.Millisecond), maxRetryAfter)
-}
--- a/internal/silltarget/pick.go
+++ b/internal/silltarget/pick.go
@@ -1,6 +1,7 @@
 package silltarget
 
 import (
+	"math"
 	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillrate"
@@ -41,6 +42,9 @@
 	Class sillrate.Class
 	// IgnoreLimits also accepts targets for which requests get no permit now.
 	IgnoreLimits bool
+	// AttemptTime, if not 0, is how long an attempt takes. FreeSlots then counts no more
+	// slots of a target than its limit can keep in use.
+	AttemptTime time.Duration
 }
 
 // Excluding returns a copy of a set of targets with one more.
@@ -147,12 +151,22 @@
 	free := 0
 	for _, t := range d.targets {
 		if t.isEligible(now, &q, 0) {
-			free += t.entry.Slots - t.load(now)
+			free += max(t.usableSlots(q.AttemptTime)-t.load(now), 0)
 		}
 	}
 	return free
 }
 
+// usableSlots returns the number of slots that attempts of some length can use: all, or those
+// that the target's limit keeps in use.
+func (t *target) usableSlots(attemptTime time.Duration) int {
+	if !t.limited() || attemptTime == 0 {
+		return t.entry.Slots
+	}
+	inUse := float64(t.limit.limit) * attemptTime.Seconds()
+	return max(int(math.Ceil(min(inUse, float64(t.entry.Slots)))), t.running)
+}
+
 // meanUnitLatency returns the mean of the known unit latencies of a pool, or 0.
 func (d *Directory) meanUnitLatency(pool sillid.PoolID) time.Duration {
 	return d.mean(pool, func(t *target) time.Duration { return t.unitLatency })
