--- a/internal/sillagent/cuthead_test.go
+++ b/internal/sillagent/cuthead_test.go
@@ -1,9 +1,6 @@
 package sillagent
 
 import (
-	"context"
-	"io"
-	"net"
 	"testing"
 	"time"
 
@@ -11,35 +8,20 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/sillengine"
-	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllimit"
+	"github.com/wasabisill/wasabisill/internal/sillstandtarget"
 )
 
 // startRaw starts a target that sends the same bytes to each connection that has sent
 // something, closes it, and returns its URL.
 func startRaw(t *testing.T, response string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	target, err := sillstandtarget.StartRaw(response)
 	if err != nil {
 		t.Fatal(err)
 	}
-	group := sillgroup.New(t.Context())
-	t.Cleanup(func() {
-		_ = listener.Close()
-		group.Stop()
-	})
-	group.Go(func(context.Context) {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = conn.Read(make([]byte, 4<<10))
-			_, _ = io.WriteString(conn, response)
-			_ = conn.Close()
-		}
-	})
-	return "http://" + listener.Addr().String()
+	t.Cleanup(target.Close)
+	return "http://" + target.Address()
 }
 
 // callRaw sends a request to a service that sends some bytes and closes.
--- a/internal/sillforwarder/forwarder_test.go
+++ b/internal/sillforwarder/forwarder_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -87,27 +85,12 @@
 // something, closes it, and returns its address.
 func startRaw(t *testing.T, response string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	target, err := sillstandtarget.StartRaw(response)
 	if err != nil {
 		t.Fatal(err)
 	}
-	group := sillgroup.New(t.Context())
-	t.Cleanup(func() {
-		_ = listener.Close()
-		group.Stop()
-	})
-	group.Go(func(context.Context) {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = c.Read(make([]byte, 4<<10))
-			_, _ = io.WriteString(c, response)
-			_ = c.Close()
-		}
-	})
-	return listener.Addr().String()
+	t.Cleanup(target.Close)
+	return target.Address()
 }
 
 func checkResponse(t *testing.T, resp *Response, err error) {
--- a/internal/sillpermit/design_test.go
+++ b/internal/sillpermit/design_test.go
@@ -5,8 +5,12 @@
 	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillrate"
+	"github.com/wasabisill/wasabisill/internal/sillsoak"
 )
 
+// limitBound is the users' bound on requests to a target that names a limit.
+var limitBound = sillsoak.LimitBound{Window: 4 * time.Second}
+
 // design decides whether a gateway may send a request now.
 type design func(now time.Time, gateway int) bool
 
@@ -36,7 +40,6 @@
 func TestDesigns(t *testing.T) {
 	const (
 		length = 5 * time.Minute
-		window = 4 * time.Second
 		tick   = 10 * time.Millisecond
 	)
 	for _, tc := range []struct {
@@ -61,8 +64,8 @@
 					}
 				}
 				used := float64(len(sent)) / (float64(tc.limit) * length.Seconds())
-				most, allowed := mostWithin(sent, window), int(1.5*float64(tc.limit)*window.Seconds()+5)
-				t.Logf("%s: %.2f of the limit used; at most %d requests in %v, %d allowed", name, used, most, window, allowed)
+				most, allowed := limitBound.Most(sent, start), limitBound.Allowed(float64(tc.limit))
+				t.Logf("%s: %.2f of the limit used; at most %d requests in %v, %d allowed", name, used, most, limitBound.Window, allowed)
 				if name == "one granter" && (used < 0.95 || most > allowed) {
 					t.Errorf("the granter used %.2f of the limit, and %d of %d allowed requests", used, most, allowed)
 				}
@@ -70,14 +73,3 @@
 		})
 	}
 }
-
-func mostWithin(sent []time.Time, window time.Duration) int {
-	most, first := 0, 0
-	for i, at := range sent {
-		for at.Sub(sent[first]) >= window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
--- a/internal/sillprocess/limit_test.go
+++ b/internal/sillprocess/limit_test.go
@@ -9,15 +9,11 @@
 	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/sillsoak"
 )
 
-// The bound on requests to a target that names a limit: from limitStable after it first did,
-// in limitWindow, one and a half times what the limit allows, and limitSlack.
-const (
-	limitStable = 3 * time.Second
-	limitWindow = 4 * time.Second
-	limitSlack  = 5
-)
+// limitBound is the bound on requests to a target that names a limit.
+var limitBound = sillsoak.LimitBound{Stable: 3 * time.Second, Window: 4 * time.Second}
 
 // loadGateways sends a request through all gateways for some time, some at a time at each,
 // and returns how many got each status.
@@ -44,25 +40,14 @@
 	return statuses
 }
 
-// mostStarted returns the most runs at a stand-in that started in a window of limitWindow
-// that begins later than a time.
-func (c *cluster) mostStarted(tg *target, later time.Time) int {
+// mostStarted returns the most runs at a stand-in that started in a window of the bound.
+func (c *cluster) mostStarted(tg *target, named time.Time) int {
 	c.t.Helper()
-	var starts []int64
+	var starts []time.Time
 	for _, run := range c.record(tg, "") {
-		if at := int64(run["start"].(float64)); at >= later.UnixMilli() {
-			starts = append(starts, at)
-		}
-	}
-	slices.Sort(starts)
-	most, first := 0, 0
-	for i, at := range starts {
-		for at-starts[first] >= limitWindow.Milliseconds() {
-			first++
-		}
-		most = max(most, i-first+1)
+		starts = append(starts, time.UnixMilli(int64(run["start"].(float64))))
 	}
-	return most
+	return limitBound.Most(starts, named)
 }
 
 // TestTargetWithALimitGetsNoMore guards against targets behind agents that get more requests
@@ -85,10 +70,10 @@
 			limited := c.targets[slices.IndexFunc(c.targets, func(tg *target) bool { return string(tg.pool) == tc.pool })]
 			c.faults(limited, tc.area, map[string]any{"request-limit": "2"})
 			named := time.Now()
-			statuses := c.loadGateways(tc.request, 4, limitStable+6*time.Second)
-			allowed := int(1.5*perSecond*limitWindow.Seconds()) + limitSlack
-			if most := c.mostStarted(limited, named.Add(limitStable)); most > allowed || most == 0 {
-				t.Errorf("a target with a limit of %d a second ran %d requests in %v, want 1 to %d", perSecond, most, limitWindow, allowed)
+			statuses := c.loadGateways(tc.request, 4, limitBound.Stable+6*time.Second)
+			allowed := limitBound.Allowed(perSecond)
+			if most := c.mostStarted(limited, named); most > allowed || most == 0 {
+				t.Errorf("a target with a limit of %d a second ran %d requests in %v, want 1 to %d", perSecond, most, limitBound.Window, allowed)
 			}
 			if len(statuses) != 1 || statuses[tc.served] == 0 {
 				t.Errorf("requests by status: %v, want %d alone: they fit on the other targets", statuses, tc.served)
--- a/internal/sillrate/bucket_test.go
+++ b/internal/sillrate/bucket_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wasabisill/wasabisill/internal/sillproperty"
+	"github.com/wasabisill/wasabisill/internal/sillsoak"
 )
 
 func TestMain(m *testing.M) { os.Exit(sillproperty.Run(m, sillproperty.Config{})) }
@@ -58,7 +59,6 @@
 // TestBucketKeepsTheLimit checks that no window of 4 s has more than one and a half times
 // what the limit allows, and 5 requests.
 func TestBucketKeepsTheLimit(t *testing.T) {
-	const window = 4 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
 		rate := PerSecond(rapid.Float64Range(0.1, 500).Draw(t, "rate"))
 		b := NewBucket(start, rate)
@@ -70,14 +70,9 @@
 				taken = append(taken, now)
 			}
 		}
-		first := 0
-		for i, at := range taken {
-			for at.Sub(taken[first]) >= window {
-				first++
-			}
-			if n, allowed := i-first+1, 1.5*float64(rate)*window.Seconds()+5; float64(n) > allowed {
-				t.Fatalf("%d requests in %v at %g a second; allowed %.1f", n, window, rate, allowed)
-			}
+		bound := sillsoak.LimitBound{Window: 4 * time.Second}
+		if n, allowed := bound.Most(taken, start), bound.Allowed(float64(rate)); n > allowed {
+			t.Fatalf("%d requests in %v at %g a second; allowed %d", n, bound.Window, rate, allowed)
 		}
 	})
 }
