Ask once for a request whose organisation is over its share

A caller's request that was denied for the share of its organisation asked the granter again at each change of the directory while it waited, some hundred times a second. It passes such a target over for the rest of its wait now.

--- a/internal/sillforwarder/pick.go
+++ b/internal/sillforwarder/pick.go
@@ -10,36 +10,50 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
+// picker picks a target for one attempt of a request.
+type picker struct {
+	*Forwarder
+	request *Request
+	query   silltarget.Query
+}
+
 // pick waits for a target, for a share of the latency objective at most. It prefers
 // a target with a free slot to one that queues but is expected to respond in time.
 // At the end of the wait it also accepts one in backoff. It does not wait if all targets
 // of the pool leave, or if their limits allow none of them the request in time: none of
 // them will accept the request.
 func (f *Forwarder) pick(ctx context.Context, req *Request, tried map[sillid.TargetID]bool, p progress) (silltarget.Grant, bool) {
-	query := silltarget.Query{
+	picker := &picker{Forwarder: f, request: req, query: silltarget.Query{
 		Pool: req.Pool, Zone: f.cfg.Zone, Exclude: tried, MaxResponseTime: maxResponseTime(req, p, time.Now()), Class: req.class(),
-	}
+	}}
 	if req.class() == sillrate.Background && f.cfg.Directory.AnyLimited(req.Pool) {
-		return f.pickInBackground(ctx, req, query)
+		return picker.inBackground(ctx)
 	}
+	return picker.forCaller(ctx)
+}
+
+// forCaller waits as pick says.
+func (p *picker) forCaller(ctx context.Context) (silltarget.Grant, bool) {
+	d, req := p.cfg.Directory, p.request
 	end := time.Now().Add(min(time.Duration(pickWaitShare*float64(req.Route.LatencyObjective)), time.Until(req.Deadline)))
 	for {
-		changed := f.cfg.Directory.Changed()
-		for _, q := range [...]silltarget.Query{freeOnly(query), query} {
-			if g, ok := f.pickPermitted(ctx, req, q); ok {
-				return g, true
-			}
+		changed := d.Changed()
+		if g, ok := p.permitted(ctx, freeOnly(p.query)); ok {
+			return g, true
+		}
+		if g, ok := p.permitted(ctx, p.query); ok {
+			return g, true
 		}
-		until, limited := f.cfg.Directory.LimitedUntil(time.Now(), query)
-		if limited && until.Before(f.limitDeadline(req)) && until.After(end) {
+		until, limited := d.LimitedUntil(time.Now(), p.query)
+		if limited && until.Before(p.limitDeadline()) && until.After(end) {
 			end = until
 		}
-		if f.cfg.Directory.AllLeaving(req.Pool) || (limited && until.After(end)) {
+		if d.AllLeaving(req.Pool) || (limited && until.After(end)) {
 			return silltarget.Grant{}, false
 		}
 		if !time.Now().Before(end) {
-			query.IncludeBackingOff = true
-			return f.pickPermitted(ctx, req, query)
+			p.query.IncludeBackingOff = true
+			return p.permitted(ctx, p.query)
 		}
 		if !awaitChange(ctx, changed, end) {
 			return silltarget.Grant{}, false
@@ -47,37 +61,24 @@
 	}
 }
 
-// awaitChange waits until a channel is closed, or for a time. It returns false if ctx ends
-// before.
-func awaitChange(ctx context.Context, changed <-chan struct{}, end time.Time) bool {
-	timer := time.NewTimer(time.Until(end))
-	defer timer.Stop()
-	select {
-	case <-changed:
-		return true
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// limitDeadline returns the time until which a request waits for the limits of targets.
-func (f *Forwarder) limitDeadline(req *Request) time.Time {
-	return req.Arrived.Add(time.Duration(limitWaitShare * float64(req.Route.LatencyObjective)))
+// limitDeadline returns the time until which a caller's request waits for the limits of
+// targets.
+func (p *picker) limitDeadline() time.Time {
+	return p.request.Arrived.Add(time.Duration(limitWaitShare * float64(p.request.Route.LatencyObjective)))
 }
 
-// pickInBackground waits until the deadline for a target with a free slot whose limit allows
-// the request. It does not let the request queue at a target, where those of callers would
-// wait behind it.
-func (f *Forwarder) pickInBackground(ctx context.Context, req *Request, query silltarget.Query) (silltarget.Grant, bool) {
+// inBackground waits until the deadline for a target with a free slot whose limit allows the
+// request. It does not let the request queue at a target, where those of callers would wait
+// behind it.
+func (p *picker) inBackground(ctx context.Context) (silltarget.Grant, bool) {
+	d := p.cfg.Directory
 	for {
-		if g, ok := f.pickPermitted(ctx, req, freeOnly(query)); ok {
+		if g, ok := p.permitted(ctx, freeOnly(p.query)); ok {
 			return g, true
 		}
 		now := time.Now()
-		left := req.Deadline.Sub(now) - minRemaining
-		if left <= 0 || f.cfg.Directory.AllLeaving(req.Pool) || !f.cfg.Directory.AnyEligible(now, query) {
+		left := p.request.Deadline.Sub(now) - minRemaining
+		if left <= 0 || d.AllLeaving(p.request.Pool) || !d.AnyEligible(now, p.query) {
 			return silltarget.Grant{}, false
 		}
 		if !awaitChange(ctx, nil, now.Add(min(left, backgroundPoll))) {
@@ -86,28 +87,44 @@
 	}
 }
 
-// pickPermitted picks a target and gets a permit if it names a limit. It passes over the
+// permitted picks a target and gets a permit if it names a limit. It passes over the
 // targets for which there is none.
-func (f *Forwarder) pickPermitted(ctx context.Context, req *Request, q silltarget.Query) (silltarget.Grant, bool) {
+func (p *picker) permitted(ctx context.Context, q silltarget.Query) (silltarget.Grant, bool) {
 	for {
-		g, ok := f.cfg.Directory.Pick(time.Now(), q)
+		g, ok := p.cfg.Directory.Pick(time.Now(), q)
 		if !ok || !g.Limited {
 			return g, ok
 		}
-		v := f.cfg.AcquirePermit(ctx, sillpermit.Ask{Run: g.Run(), Class: q.Class, Organisation: req.Organisation})
+		v := p.cfg.AcquirePermit(ctx, sillpermit.Ask{Run: g.Run(), Class: q.Class, Organisation: p.request.Organisation})
 		if v.Granted {
 			return g, true
 		}
 		now := time.Now()
-		f.cfg.Directory.Release(now, g, silltarget.Abandoned)
+		p.cfg.Directory.Release(now, g, silltarget.Abandoned)
 		if ctx.Err() != nil {
 			return silltarget.Grant{}, false
 		}
 		if v.OverShare {
-			q.Exclude = silltarget.Excluding(q.Exclude, g.ID)
+			p.query.Exclude = silltarget.Excluding(p.query.Exclude, g.ID)
+			q.Exclude = p.query.Exclude
 			continue
 		}
-		f.cfg.Directory.Deny(now, g.Run(), q.Class, v.RetryAfter)
+		p.cfg.Directory.Deny(now, g.Run(), q.Class, v.RetryAfter)
+	}
+}
+
+// awaitChange waits until a channel is closed, or for a time. It returns false if ctx ends
+// before.
+func awaitChange(ctx context.Context, changed <-chan struct{}, end time.Time) bool {
+	timer := time.NewTimer(time.Until(end))
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/internal/silltarget/limit.go
+++ b/internal/silltarget/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -202,6 +203,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, l := range limits {
+		if l.Limit < 0 || math.IsNaN(float64(l.Limit)) {
+			continue
+		}
 		observedAt := now.Add(-time.Duration(max(l.AgeMS, 0)) * time.Millisecond)
 		known := d.limits[l.Run]
 		if known != nil && (observedAt.Before(known.observedAt) || now.Sub(known.ownAt) < ownObservationPrecedence) {
