Run agent and gateway through one function

runAgent and runGateway had the same body but for the settings' type. runProcess loads the settings, follows SIGHUPs and starts the log for both. Behaviour is the same: messages, exit codes and the order of steps.

--- a/cmd/wasabisill/agent.go
+++ b/cmd/wasabisill/agent.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 
+	"go.uber.org/zap"
+
 	"github.com/wasabisill/wasabisill/internal/sillapp"
 	"github.com/wasabisill/wasabisill/internal/sillcommand"
-	"github.com/wasabisill/wasabisill/internal/sillgroup"
-	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
 )
 
@@ -19,26 +19,12 @@
 }
 
 func runAgent(ctx context.Context, file string) error {
-	outliveLogReader()
-	received := receiveHangups()
-	settings, err := loadAgent(file)
-	if err != nil {
-		return err
-	}
-	log, err := silllog.New(settings.Log.Level)
-	if err != nil {
-		return err
-	}
-	group := sillgroup.New(ctx)
-	defer group.Stop()
-	group.Go(func(ctx context.Context) {
-		received.follow(ctx, log, func() error {
-			_, err := loadAgent(file)
-			return err
-		})
+	load := func() (*sillsettings.Agent, error) { return loadAgent(file) }
+	level := func(s *sillsettings.Agent) string { return s.Log.Level }
+	return runProcess(ctx, load, level, func(settings *sillsettings.Agent, log *zap.Logger) error {
+		a := sillapp.NewAgent(settings, log)
+		return a.Run(ctx, func() error { return printReady(a.Addresses) })
 	})
-	a := sillapp.NewAgent(settings, log)
-	return a.Run(ctx, func() error { return printReady(a.Addresses) })
 }
 
 func loadAgent(file string) (*sillsettings.Agent, error) {
--- a/cmd/wasabisill/gateway.go
+++ b/cmd/wasabisill/gateway.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 
+	"go.uber.org/zap"
+
 	"github.com/wasabisill/wasabisill/internal/sillapp"
 	"github.com/wasabisill/wasabisill/internal/sillcommand"
-	"github.com/wasabisill/wasabisill/internal/sillgroup"
-	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
 )
 
@@ -19,26 +19,12 @@
 }
 
 func runGateway(ctx context.Context, file string) error {
-	outliveLogReader()
-	received := receiveHangups()
-	settings, err := loadGateway(file)
-	if err != nil {
-		return err
-	}
-	log, err := silllog.New(settings.Log.Level)
-	if err != nil {
-		return err
-	}
-	group := sillgroup.New(ctx)
-	defer group.Stop()
-	group.Go(func(ctx context.Context) {
-		received.follow(ctx, log, func() error {
-			_, err := loadGateway(file)
-			return err
-		})
+	load := func() (*sillsettings.Gateway, error) { return loadGateway(file) }
+	level := func(s *sillsettings.Gateway) string { return s.Log.Level }
+	return runProcess(ctx, load, level, func(settings *sillsettings.Gateway, log *zap.Logger) error {
+		g := sillapp.NewGateway(settings, log)
+		return g.Run(ctx, func() error { return printReady(g.Addresses) })
 	})
-	g := sillapp.NewGateway(settings, log)
-	return g.Run(ctx, func() error { return printReady(g.Addresses) })
 }
 
 func loadGateway(file string) (*sillsettings.Gateway, error) {
