Word stand-ins and load tool in the field's terms

Comments that told, gave and let, and the life of an engine or a stand-in, say now what a field holds or a function returns; life is run (unexported names of sillstandin alone). No exported name, wire name or message changes.

--- a/internal/sillload/caller.go
+++ b/internal/sillload/caller.go
@@ -59,7 +59,7 @@
 	}
 }
 
-// mayRepeat tells whether a caller with care sends the call again: after a
+// mayRepeat returns whether a careful caller sends the call again: after a
 // refusal that says that it did not run, or if a repeat does no harm.
 func mayRepeat(a Arrival, call *sillreport.Call) bool {
 	if call.Served() || (call.Status >= 400 && call.Status < 500 && call.Status != http.StatusTooManyRequests &&
--- a/internal/sillload/client.go
+++ b/internal/sillload/client.go
@@ -19,7 +19,7 @@
 // requestIDHeader names the request in answers.
 const requestIDHeader = "X-Request-Id"
 
-// Deployment tells where the parts of a running deployment are.
+// Deployment holds the addresses of the parts of a running deployment.
 type Deployment struct {
 	// Gateways are the base URLs of the callers' side.
 	Gateways []string `json:"gateways"`
@@ -92,7 +92,7 @@
 	}}
 }
 
-// isDialError tells a call that reached nobody.
+// isDialError returns whether no connection was established.
 func isDialError(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
--- a/internal/sillload/gather.go
+++ b/internal/sillload/gather.go
@@ -24,7 +24,7 @@
 	deployment *Deployment
 	client     *http.Client
 	evidence   *sillreport.Evidence
-	// organisations tells whose each call of the plan was.
+	// organisations holds the organisation of each call of the plan.
 	organisations map[sillreport.CallID]sillid.OrganisationID
 }
 
@@ -130,7 +130,7 @@
 	return "", false
 }
 
-// mark gives a run its call; a mark that is not in the plan stays out.
+// mark assigns a run to its call, unless the plan does not hold it.
 func (g *gatherer) mark(t *sillreport.TargetRun, id sillreport.CallID) {
 	org, ok := g.organisations[id]
 	if !ok {
--- a/internal/sillload/run.go
+++ b/internal/sillload/run.go
@@ -30,7 +30,7 @@
 	// BeforeGather is called once the load is over and before the records are
 	// read, so that stopped processes can go on. It may be nil.
 	BeforeGather func()
-	// Uses tells what the processes used so far; nil if none was started.
+	// Uses returns what the processes have used so far; nil if none was started.
 	Uses func() []sillreport.ProcessUse
 	// Progress takes a line a second. It may be nil.
 	Progress io.Writer
--- a/internal/sillload/scenario.go
+++ b/internal/sillload/scenario.go
@@ -84,7 +84,7 @@
 	return r.Bookings + r.Availability + r.Streams + r.Completions
 }
 
-// Trainer asks for batches of samples.
+// Trainer requests batches of samples.
 type Trainer struct {
 	ID           sillid.TrainerID      `json:"id"`
 	Organisation sillid.OrganisationID `json:"organisation"`
--- a/internal/sillload/trainer.go
+++ b/internal/sillload/trainer.go
@@ -21,7 +21,7 @@
 	atomic.Uint64
 }
 
-// trainer asks for batches, trains on the samples and publishes weights.
+// trainer requests batches, trains on the samples and publishes weights.
 type trainer struct {
 	Trainer
 	deployment *Deployment
@@ -89,7 +89,7 @@
 	Done     bool              `json:"done"`
 }
 
-// work asks for batch after batch until the time until, then finishes the last.
+// work requests one batch after the other until a time, and finishes the last one.
 func (t *trainer) work(ctx context.Context, until time.Time) {
 	t.seen = map[string]bool{}
 	t.busyUntil = time.Now()
@@ -112,7 +112,7 @@
 	return fmt.Sprintf("%s%s-%d group-%d", samplePromptPrefix(t.ID), t.run, number, group)
 }
 
-// batch asks for one batch and takes its samples until it is done. The time of
+// batch requests one batch and takes its samples until it is done. The time of
 // a batch that was refused counts as idle.
 func (t *trainer) batch(ctx context.Context, number int) sillreport.Batch {
 	id := sillid.BatchID(fmt.Sprintf("%s-%s-%d", t.ID, t.run, number))
--- a/internal/sillloadprocess/process.go
+++ b/internal/sillloadprocess/process.go
@@ -27,7 +27,7 @@
 	// Path is the program, Args its arguments.
 	Path string   `json:"path"`
 	Args []string `json:"args"`
-	// Ready tells that the program prints a JSON object on a line of stdout once
+	// Ready is whether the program prints a JSON object on a line of stdout once
 	// it listens; the start waits for it.
 	Ready bool `json:"ready"`
 }
@@ -199,7 +199,7 @@
 	<-p.ended
 }
 
-// Continue lets every frozen process go on.
+// Continue resumes every suspended process.
 func (s *Set) Continue() {
 	for _, p := range s.all() {
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
--- a/internal/sillstandengine/batch.go
+++ b/internal/sillstandengine/batch.go
@@ -24,7 +24,7 @@
 type Run struct {
 	// RequestID is the request's name; requests without one have none.
 	RequestID sillid.RequestID `json:"request-id"`
-	// EngineID names the life of the engine that ran it.
+	// EngineID identifies the run of the engine that generated the tokens.
 	EngineID sillid.EngineID `json:"engine-id"`
 	// Prompt and Seed determine the tokens, with the versions.
 	Prompt string `json:"prompt"`
@@ -37,16 +37,16 @@
 	CachedTokens int `json:"cached-tokens"`
 	// Tokens are the tokens made here, after the prefix.
 	Tokens []int `json:"tokens"`
-	// Spans tell which version truly made each token.
+	// Spans hold the version that generated each token.
 	Spans []Span `json:"weight-spans"`
 	// Start is the time of arrival, Begin that of the first step and End that
 	// of the end, in Unix milliseconds; 0 if not reached.
 	Start int64 `json:"start"`
 	Begin int64 `json:"begin"`
 	End   int64 `json:"end"`
-	// Complete tells that the generation reached its end.
+	// Complete is whether the generation reached its end.
 	Complete bool `json:"complete"`
-	// AnswerLost tells that a fault of the stand-in kept the answer back.
+	// AnswerLost is whether a fault of the stand-in dropped the answer.
 	AnswerLost bool `json:"answer-lost"`
 	// Reason is "stop", "length", "cancel", "gone" (caller left) or "crash".
 	Reason string `json:"reason"`
--- a/internal/sillstandengine/completion.go
+++ b/internal/sillstandengine/completion.go
@@ -184,7 +184,7 @@
 	}
 }
 
-// broken tells a reason that cuts the answer off.
+// broken returns whether a generation that ended for a reason has its answer cut off.
 func broken(reason string) bool {
 	return reason != "" && reason != reasonStop && reason != reasonLength && reason != reasonCancel
 }
--- a/internal/sillstandengine/engine.go
+++ b/internal/sillstandengine/engine.go
@@ -97,7 +97,7 @@
 	group  *sillgroup.Group
 	// wake holds at most one signal that work arrived.
 	wake chan struct{}
-	// orderMu lets one order run at a time.
+	// orderMu is held while an order runs.
 	orderMu sync.Mutex
 
 	mu      sync.Mutex
@@ -164,7 +164,7 @@
 	e.group.Stop()
 }
 
-// ID returns the id of the engine's present life.
+// ID returns the id of the engine's current run.
 func (e *Engine) ID() sillid.EngineID {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/sillstandengine/load.go
+++ b/internal/sillstandengine/load.go
@@ -10,7 +10,7 @@
 
 // Load is the state of the engine at one time.
 type Load struct {
-	// EngineID names the engine's life.
+	// EngineID identifies the run of the engine.
 	EngineID sillid.EngineID `json:"engine-id"`
 	// Model and Version tell the loaded weights.
 	Model   sillid.ModelID       `json:"model"`
--- a/internal/sillstandengine/requests.go
+++ b/internal/sillstandengine/requests.go
@@ -20,7 +20,7 @@
 	Version sillid.WeightVersion `json:"version"`
 }
 
-// covers tells that the cache belongs to the request's prompt and prefix.
+// covers returns whether the cache belongs to the request's prompt and prefix.
 func (k kvState) covers(req *generationRequest) bool {
 	return k.Prompt == req.prompt && k.Seed == req.seed && len(k.Tokens) >= len(req.prefix)
 }
--- a/internal/sillstandin/faults.go
+++ b/internal/sillstandin/faults.go
@@ -26,7 +26,7 @@
 	Down bool `json:"down,omitempty"`
 	// SlowMS delays every call by this many milliseconds before it takes effect.
 	SlowMS int `json:"slow-ms,omitempty"`
-	// AnswerLost lets every call take effect and closes its connection unanswered.
+	// AnswerLost closes the connection of every call without an answer after the call has taken effect.
 	AnswerLost bool `json:"answer-lost,omitempty"`
 	// AnswerLostNext does the same to the next calls only.
 	AnswerLostNext int `json:"answer-lost-next,omitempty"`
@@ -61,7 +61,7 @@
 	// Seed seeds the choice of the calls that FailShare refuses.
 	Seed uint64
 	// OnCrash is called at each simulated crash, before the running calls lose
-	// their context, so that it can tell them from calls whose caller left. It may
+	// their context, so that it can distinguish them from calls whose caller disconnected. It may
 	// be nil.
 	OnCrash func()
 }
@@ -74,9 +74,9 @@
 	mu     sync.Mutex
 	faults map[string]Faults
 	rng    *rand.Rand
-	// life ends at a crash; every running call holds it.
-	life context.Context
-	end  context.CancelFunc
+	// runCtx ends at a crash; running calls end with it.
+	runCtx context.Context
+	endRun context.CancelFunc
 	// closers close the idle connections of the servers at a crash.
 	closers []func()
 }
@@ -84,7 +84,7 @@
 // NewPanel returns a panel without faults.
 func NewPanel(cfg PanelConfig) *Panel {
 	p := &Panel{cfg: cfg, faults: map[string]Faults{}, rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
-	p.life, p.end = context.WithCancel(context.Background())
+	p.runCtx, p.endRun = context.WithCancel(context.Background())
 	return p
 }
 
@@ -123,8 +123,8 @@
 		p.cfg.OnCrash()
 	}
 	p.mu.Lock()
-	p.end()
-	p.life, p.end = context.WithCancel(context.Background())
+	p.endRun()
+	p.runCtx, p.endRun = context.WithCancel(context.Background())
 	closers := p.closers
 	p.mu.Unlock()
 	for _, c := range closers {
@@ -143,7 +143,7 @@
 	Faults
 	refuse bool
 	lose   bool
-	life   context.Context
+	runCtx context.Context
 }
 
 // next takes the faults of one call and uses up the counted ones.
@@ -151,7 +151,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	f := p.faults[area]
-	v := verdict{Faults: f, life: p.life, refuse: f.Down, lose: f.AnswerLost}
+	v := verdict{Faults: f, runCtx: p.runCtx, refuse: f.Down, lose: f.AnswerLost}
 	if f.FailNext > 0 {
 		f.FailNext--
 		v.refuse = true
@@ -175,7 +175,7 @@
 		v := p.next(area)
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
-		stop := context.AfterFunc(v.life, cancel)
+		stop := context.AfterFunc(v.runCtx, cancel)
 		defer stop()
 		if v.Silent {
 			<-ctx.Done()
@@ -201,13 +201,13 @@
 			panic(http.ErrAbortHandler)
 		}
 		h(w, r)
-		if v.life.Err() != nil {
+		if v.runCtx.Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
 	}
 }
 
-// bodyHolds reads the body, puts it back and looks for the text.
+// bodyHolds returns whether the body holds the text. The body can be read again.
 func bodyHolds(r *http.Request, text string) bool {
 	b, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
 	if err != nil {
@@ -236,7 +236,7 @@
 func (d *discard) WriteHeader(int)             {}
 func (d *discard) Flush()                      {}
 
-// AnswerIsLost tells a handler that its answer will not reach the caller.
+// AnswerIsLost returns whether the answer of a handler will not reach the caller.
 func AnswerIsLost(w http.ResponseWriter) bool {
 	_, lost := w.(*discard)
 	return lost
--- a/internal/sillstandin/faults_test.go
+++ b/internal/sillstandin/faults_test.go
@@ -9,7 +9,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 )
 
-// aborted runs a handler and tells whether it cut its connection.
+// aborted runs a handler and returns whether it aborted its connection.
 func aborted(h http.HandlerFunc) (cut bool) {
 	defer func() { cut = recover() != nil }()
 	h(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", http.NoBody))
--- a/internal/sillstandplatform/instance.go
+++ b/internal/sillstandplatform/instance.go
@@ -20,7 +20,7 @@
 	// InstanceID names the instance, TargetID the target that runs on it.
 	InstanceID sillid.InstanceID `json:"instance-id"`
 	TargetID   sillid.TargetID   `json:"target-id"`
-	// Pool and Zone tell where the target belongs.
+	// Pool and Zone are those of the target.
 	Pool sillid.PoolID `json:"pool"`
 	Zone sillid.ZoneID `json:"availability-zone"`
 	// AgentAddress is the "IP:PORT" of the process beside the target.
@@ -102,7 +102,7 @@
 	p.spares = slices.Clone(spares)
 }
 
-// takeSpare gives the first spare of the order's pool and zone the order's name.
+// takeSpare assigns the order's name to the first spare of its pool and zone.
 func (p *Platform) takeSpare(o Order) (Instance, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/sillstandplatform/order.go
+++ b/internal/sillstandplatform/order.go
@@ -28,7 +28,7 @@
 	FencingNumber sillid.Epoch `json:"fencing-number"`
 	// Action is ActionStart or ActionStop.
 	Action string `json:"action"`
-	// Pool and Zone tell where an instance is wanted.
+	// Pool and Zone are those of the ordered instance.
 	Pool sillid.PoolID `json:"pool"`
 	Zone sillid.ZoneID `json:"availability-zone"`
 	// InstanceID names the instance; a start order without one gets a fresh name.
@@ -37,7 +37,7 @@
 	At int64 `json:"at"`
 	// Repeats counts later calls with the same id.
 	Repeats int `json:"repeats"`
-	// StaleFencing tells that the fencing number was older than one seen
+	// StaleFencing is whether the fencing number was older than one seen
 	// before; it is only ever true if fencing numbers are not checked.
 	StaleFencing bool `json:"stale-fencing"`
 }
@@ -96,7 +96,7 @@
 	sillstandin.Answer(w, http.StatusOK, answer)
 }
 
-// accept lets an order take effect once; it reports false for an old fencing number.
+// accept makes an order take effect once; it returns false for an old fencing number.
 func (p *Platform) accept(req orderRequest) (orderAnswer, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/sillstandplatform/platform.go
+++ b/internal/sillstandplatform/platform.go
@@ -48,7 +48,7 @@
 	// start an agent in the same process. It reports false if none comes up.
 	// nil stands for the first fitting spare.
 	OnStart func(Order) (Instance, bool)
-	// OnStop is told of an instance that is gone. It may be nil.
+	// OnStop, if not nil, is called with each instance that has stopped.
 	OnStop func(sillid.InstanceID)
 	// WeightBytes is the size of each weight file; 0 stands for DefaultWeightBytes.
 	WeightBytes int
--- a/internal/sillstandplatform/usage.go
+++ b/internal/sillstandplatform/usage.go
@@ -27,7 +27,7 @@
 	ReceivedAt int64 `json:"received-at,omitempty"`
 }
 
-// sameFigures tells that two reports of a window agree.
+// sameFigures returns whether two reports of a window have the same figures.
 func (u UsageReport) sameFigures(v UsageReport) bool {
 	u.ReceivedAt = 0
 	v.ReceivedAt = 0
@@ -58,14 +58,14 @@
 	return slices.Clone(p.usage)
 }
 
-// UsageWindow tells the reports of one organisation and window.
+// UsageWindow holds the reports of one organisation and window.
 type UsageWindow struct {
 	// Organisation and WindowStart name the window.
 	Organisation sillid.OrganisationID `json:"organisation"`
 	WindowStart  int64                 `json:"window-start"`
 	// Received counts the reports.
 	Received int `json:"received"`
-	// Differing tells that two reports of the window differ in any field,
+	// Differing is whether two reports of the window differ in any field,
 	// their id included.
 	Differing bool `json:"differing"`
 
--- a/internal/sillstandservice/service.go
+++ b/internal/sillstandservice/service.go
@@ -47,11 +47,11 @@
 	// Start and End are in Unix milliseconds; End is 0 while the call runs.
 	Start int64 `json:"start"`
 	End   int64 `json:"end"`
-	// Complete tells that the service reached the end of the call.
+	// Complete is whether the service reached the end of the call.
 	Complete bool `json:"complete"`
-	// Effect tells that a booking was entered. It may be true without Complete.
+	// Effect is whether a booking was entered. It may be true without Complete.
 	Effect bool `json:"effect"`
-	// AnswerLost tells that a fault of the stand-in kept the answer back.
+	// AnswerLost is whether a fault of the stand-in dropped the answer.
 	AnswerLost bool `json:"answer-lost"`
 	// Answer is the body that was answered.
 	Answer string `json:"answer"`
@@ -104,7 +104,7 @@
 	s.crashes++
 }
 
-// take waits for a slot; it reports false if the caller went first.
+// take waits for a slot; it returns false if the caller disconnects before.
 func (s *Service) take(ctx context.Context) bool {
 	select {
 	case s.slots <- struct{}{}:
