Send what a target behind an agent does not take to others at once

Cause: the agent's refusal counts as overload. Its retry takes a token of the budget, which is soon used up, and the target looks idle to the choice, which picks it again.

Change: the refusal says that it comes from the target's limit (a field that earlier builds leave out). Retries after it need no budget, as after a drain, and the gateway passes the target over until the time that the agent names, a second at most, unless there is no other.

TestLimitUsesUpNoBudget and TestTargetAtItsLimitIsPassedOver failed to compile before: the field and the method are new. The soak of gateways with agents names limits from now on.

--- a/internal/sillagent/stream.go
+++ b/internal/sillagent/stream.go
@@ -314,5 +314,6 @@
 		Outcome:          p.Outcome,
 		Detail:           p.Detail,
 		RetryAfterMillis: p.RetryAfter.Milliseconds(),
+		AtLimit:          p.AtLimit,
 	}
 }
--- a/internal/silldispatch/attempt.go
+++ b/internal/silldispatch/attempt.go
@@ -289,5 +289,6 @@
 
 func fromRefuse(m *sillwire.Refuse) *sillproblem.Problem {
 	p := sillproblem.New(m.Kind, "%s", m.Detail)
+	p.AtLimit = m.AtLimit
 	return p.WithOutcome(m.Outcome).WithRetryAfter(time.Duration(m.RetryAfterMillis) * time.Millisecond)
 }
--- a/internal/silldispatch/dispatch.go
+++ b/internal/silldispatch/dispatch.go
@@ -258,6 +258,9 @@
 	if res.problem != nil && res.problem.Kind == sillproblem.Draining {
 		route.Link.HeartbeatNow()
 	}
+	if res.problem != nil && res.problem.AtLimit {
+		route.Choice.ObserveLimit(d.cfg.Now(), res.problem.RetryAfter)
+	}
 	if res.load != nil {
 		route.Choice.ObserveLoad(res.load.Running, res.load.Waiting)
 	}
--- a/internal/silllimit/rate.go
+++ b/internal/silllimit/rate.go
@@ -43,6 +43,7 @@
 		return nil
 	}
 	p := sillproblem.New(sillproblem.Overload, "the target takes %g requests a second, and %d wait.", float64(q.rate.Rate()), ahead)
+	p.AtLimit = true
 	return p.WithRetryAfter(wait)
 }
 
--- a/internal/sillprocess/soak_test.go
+++ b/internal/sillprocess/soak_test.go
@@ -7,6 +7,8 @@
 	"flag"
 	"fmt"
 	"io"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -49,13 +51,15 @@
 )
 
 // TestSoakGateways stops, restarts and pauses gateways in series that overlap, while callers
-// use their connections until the gateways close them. Long runs set the flags.
+// use their connections until the gateways close them and a target names a limit on requests.
+// Long runs set the flags.
 func TestSoakGateways(t *testing.T) {
 	soakSeries(t, func(s *soakRun) {
 		s.newCluster(len(s.plan.Processes), 4)
 		for i, g := range s.gateways {
 			s.addDriver(s.addresses[i].Name, "gateway", g.process).Check = s.addresses[i].Check
 		}
+		s.nameLimit()
 	})
 }
 
@@ -101,6 +105,32 @@
 	mu sync.Mutex
 	// logs holds the logs of the processes by their names.
 	logs map[string][]*output
+
+	// limited is a target that names a limit of perSecond requests a second since named;
+	// nil if there is none.
+	limited   *target
+	perSecond float64
+	named     time.Time
+}
+
+// nameLimit makes a target name a limit that follows from the seed.
+func (s *soakRun) nameLimit() {
+	random := rand.New(rand.NewPCG(s.seed, 2))
+	s.limited = s.targets[random.IntN(len(s.targets))]
+	s.perSecond = 0.3 * math.Pow(100, random.Float64())
+	faults := map[string]any{"request-limit": strconv.FormatFloat(s.perSecond, 'f', 3, 64)}
+	s.control(s.limited.url+"/standin/faults", map[string]any{"bookings": faults, "availability": faults})
+	s.named = time.Now()
+}
+
+// checkLimit fails the test if the target that names a limit got more.
+func (s *soakRun) checkLimit() {
+	if s.limited == nil {
+		return
+	}
+	if most, allowed := s.mostStarted(s.limited, s.named), limitBound.Allowed(s.perSecond); most > allowed {
+		s.test.Errorf("target %s with a limit of %.3f a second got %d requests in %v; allowed %d", s.limited.id, s.perSecond, most, limitBound.Window, allowed)
+	}
 }
 
 func (s *soakRun) addLog(name string, p *process) {
@@ -316,6 +346,7 @@
 
 func (s *soakRun) report() {
 	s.keepLogs()
+	s.checkLimit()
 	s.audit.Finish(s.soakRuns())
 	counts, faults := s.audit.Report()
 	s.test.Log(strings.Join(counts, "\n"))
--- a/internal/sillretry/policy.go
+++ b/internal/sillretry/policy.go
@@ -105,7 +105,7 @@
 }
 
 // Decide returns the action to take after a failure. Each retry takes a token
-// from the budget, but for those that a draining target refused.
+// from the budget, but for those that a draining target, or one at its limit, refused.
 func (p Policy) Decide(now time.Time, f Failure, budget *Budget) Decision {
 	outcome := f.outcome()
 	switch {
@@ -126,8 +126,9 @@
 	}
 	// Every request on its way to a target that drains is refused. That says nothing of
 	// the others, and ends with the next heartbeat.
-	drained := f.Problem.Kind == sillproblem.Draining && outcome == sillproblem.NotRun
-	if !drained && !budget.take(now) {
+	// Nor does a limit that a target names for itself.
+	elsewhere := (f.Problem.Kind == sillproblem.Draining || f.Problem.AtLimit) && outcome == sillproblem.NotRun
+	if !elsewhere && !budget.take(now) {
 		return f.fail(ReasonBudget, outcome)
 	}
 	reason := ReasonIdempotent
--- a/internal/sillretry/retry_test.go
+++ b/internal/sillretry/retry_test.go
@@ -103,3 +103,16 @@
 		t.Errorf("Decide() = %s, %s after refusals of a draining target; want %s", d.Action, d.Reason, RetryElsewhere)
 	}
 }
+
+// TestLimitUsesUpNoBudget guards against a target at its own limit on requests that uses up the
+// retries of requests that others could take.
+func TestLimitUsesUpNoBudget(t *testing.T) {
+	b := NewBudgets().Of("o", "p")
+	for i := range 1000 {
+		f := failure(sillproblem.Overload, sillproblem.NotRun)
+		f.Problem.AtLimit = true
+		if d := DefaultPolicy().Decide(epoch, f, b); d.Action != RetryElsewhere {
+			t.Fatalf("retry %d: %+v", i, d)
+		}
+	}
+}
--- a/internal/sillroute/chooser.go
+++ b/internal/sillroute/chooser.go
@@ -73,6 +73,12 @@
 	}
 	s := search{chooser: c, table: t, request: r, now: now.UnixNano(), randomState: r.RandomSeed}
 	found := s.find(l)
+	if found == nil {
+		// The agent of a target at its limit tells when to come back, and lets requests
+		// wait that can.
+		s.ignoreLimits = true
+		found = s.find(l)
+	}
 	if found == nil {
 		return Choice{}, false
 	}
@@ -100,6 +106,15 @@
 	c.state.othersInFlight.Store(max(0, int64(running+waiting)-c.state.inFlight.Load()))
 }
 
+// maxLimitAvoidance bounds how long a target at its limit is passed over: the limit may end.
+const maxLimitAvoidance = time.Second
+
+// ObserveLimit records that the target's limit on requests refused one, and the delay after
+// which it may take another.
+func (c Choice) ObserveLimit(now time.Time, retryAfter time.Duration) {
+	c.state.limitedUntil.Store(now.Add(min(retryAfter, maxLimitAvoidance)).UnixNano())
+}
+
 // search is the state of one call of Choose.
 type search struct {
 	chooser     *Chooser
@@ -107,6 +122,8 @@
 	request     Request
 	now         int64
 	randomState uint64
+	// ignoreLimits also accepts targets that are at their limits.
+	ignoreLimits bool
 }
 
 func (s *search) find(l *candidateList) *candidate {
@@ -172,6 +189,9 @@
 	if c.version < s.request.MinVersion || c.state.ejectedUntil.Load() > s.now {
 		return false
 	}
+	if !s.ignoreLimits && c.state.limitedUntil.Load() > s.now {
+		return false
+	}
 	return len(s.request.Exclude) == 0 || !slices.Contains(s.request.Exclude, c.state.id)
 }
 
--- a/internal/sillroute/chooser_test.go
+++ b/internal/sillroute/chooser_test.go
@@ -249,3 +249,27 @@
 		}
 	}
 }
+
+// TestTargetAtItsLimitIsPassedOver checks that a target that refused a request for its limit is
+// passed over until it takes more, but chosen if there is no other.
+func TestTargetAtItsLimitIsPassedOver(t *testing.T) {
+	c := newTestChooser(targetsOf(2, 1))
+	limited := choose(t, c, epoch, Request{Model: "m"})
+	limited.ObserveLimit(epoch, 300*time.Millisecond)
+	limited.Done(epoch, Overloaded, 0)
+	if n := spread(t, c, epoch.Add(200*time.Millisecond), 8, Request{Model: "m"})[limited.Target]; n > 0 {
+		t.Errorf("chosen %d times while it is at its limit", n)
+	}
+	var others []sillid.TargetID
+	for _, target := range targetsOf(2, 1) {
+		if target.ID != limited.Target {
+			others = append(others, target.ID)
+		}
+	}
+	if got := choose(t, c, epoch, Request{Model: "m", Exclude: others}).Target; got != limited.Target {
+		t.Errorf("chose %s, want the only one left", got)
+	}
+	if n := spread(t, c, epoch.Add(400*time.Millisecond), 8, Request{Model: "m"})[limited.Target]; n == 0 {
+		t.Error("never chosen after its limit took more")
+	}
+}
--- a/internal/sillroute/table.go
+++ b/internal/sillroute/table.go
@@ -53,6 +53,9 @@
 	// ejectedUntil is the Unix time in nanoseconds at which the last ejection
 	// ends; 0 if the target was never ejected.
 	ejectedUntil atomic.Int64
+	// limitedUntil is the Unix time in nanoseconds until which the target's limit on
+	// requests takes no more.
+	limitedUntil atomic.Int64
 
 	// The mutex of the Chooser guards the fields below.
 	stats          outlierStats
--- a/internal/sillwire/run.go
+++ b/internal/sillwire/run.go
@@ -99,6 +99,9 @@
 	RetryAfterMillis int64               `cbor:"4,keyasint,omitempty"`
 	// Load is nil if the refusal does not report it.
 	Load *Load `cbor:"5,keyasint,omitempty"`
+	// AtLimit is whether the target's limit on requests refused it; processes of earlier
+	// builds don't send it.
+	AtLimit bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Load is the load of a target by its agent's count.
--- a/pkg/sillproblem/problem.go
+++ b/pkg/sillproblem/problem.go
@@ -116,6 +116,9 @@
 	RetryAfter time.Duration
 	// Status replaces the status of the kind if it is not 0.
 	Status int
+	// AtLimit is whether the target's own limit on requests refused it. That says nothing of
+	// other targets.
+	AtLimit bool
 }
 
 // New returns a problem whose request did not run.
