Let only answers to newer requests end a limit

Cause: an answer without the limit ended it, also one that the target had begun before it named the limit and that took 300 ms. Gateways flapped between both for half a second, a granter kept that it had ended, and its row, the newest by its time of arrival, ended the limit at all gateways for 0.4 s. Agents had the same.

Change: an answer that names no limit counts as of the time at which its request was sent, and ends the limit only if that is later than the limit was last named.

--- a/internal/sillagent/agent.go
+++ b/internal/sillagent/agent.go
@@ -88,6 +88,7 @@
 	// generations are the open generations of a model agent.
 	generations *generations
 	service     *serviceClient
+	limit       targetLimit
 	// accepted is closed once no connection is accepted any more.
 	accepted chan struct{}
 }
--- a/internal/sillagent/generation.go
+++ b/internal/sillagent/generation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"time"
 
@@ -96,7 +97,7 @@
 		RequestID:    string(n.req.RequestID),
 		Priority:     n.req.Priority,
 		PrefixTokens: n.req.PrefixTokens,
-		OnHeader:     a.observeLimit,
+		OnHeader:     func(h http.Header) { a.observeLimit(g.began, h) },
 	}, g.part)
 	if err != nil {
 		a.stopGeneration(ctx, n)
--- a/internal/sillagent/service.go
+++ b/internal/sillagent/service.go
@@ -88,7 +88,7 @@
 		return outcome{failure: p, brokeOff: p.Kind == sillproblem.TargetFailed}
 	}
 	defer resp.Body.Close()
-	a.observeLimit(resp.Header)
+	a.observeLimit(began, resp.Header)
 	latency := a.cfg.Now().Sub(began)
 	head := &sillwire.Head{Status: resp.StatusCode, Header: answerHeader(resp.Header)}
 	if resp.ContentLength >= 0 && resp.ContentLength <= shortAnswerBytes {
--- a/internal/sillagent/targetlimit.go
+++ b/internal/sillagent/targetlimit.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -11,15 +13,30 @@
 // LimitHeader names, in each answer of a target in need, the requests a second that it takes.
 const LimitHeader = "Request-Limit"
 
-// observeLimit applies what an answer of the target says of its limit on requests.
-func (a *Agent) observeLimit(h http.Header) {
+// targetLimit is what the target says of its limit on requests.
+type targetLimit struct {
+	mu sync.Mutex
+	// namedAt is when an answer last named the limit.
+	namedAt time.Time
+}
+
+// observeLimit applies what the target's answer to a request says of its limit on requests. An
+// answer that names none ends the limit only if its request was sent after the limit was last
+// named: a slow answer may be older.
+func (a *Agent) observeLimit(sentAt time.Time, h http.Header) {
 	notice := sillrate.Parse(h.Values(LimitHeader))
-	if notice.Kind == sillrate.Invalid {
+	a.limit.mu.Lock()
+	defer a.limit.mu.Unlock()
+	switch {
+	case notice.Kind == sillrate.Invalid:
 		a.cfg.Metrics.InvalidLimits.Inc()
 		a.cfg.Log.Warn("the target's limit on requests is invalid; ignoring it", zap.Strings("values", h.Values(LimitHeader)))
-		return
+	case notice.Kind == sillrate.Named:
+		a.limit.namedAt = a.cfg.Now()
+		a.setLimit(notice.Limit)
+	case sentAt.After(a.limit.namedAt):
+		a.setLimit(0)
 	}
-	a.setLimit(notice.Limit)
 }
 
 // setLimit sets the limit on requests of the target; 0 stands for none.
--- a/internal/sillforwarder/attempt.go
+++ b/internal/sillforwarder/attempt.go
@@ -96,7 +96,7 @@
 	}
 	if !metadata.Misdirected {
 		f.cfg.Directory.ObserveNotice(time.Now(), a.Run(), metadata.Notice)
-		f.cfg.Directory.ObserveLimit(time.Now(), a.Run(), metadata.Limit, metadata.Signature != "")
+		f.cfg.Directory.ObserveLimit(sentAt, time.Now(), a.Run(), metadata.Limit, metadata.Signature != "")
 	}
 	switch {
 	case metadata.Misdirected:
--- a/internal/sillforwarder/limit_test.go
+++ b/internal/sillforwarder/limit_test.go
@@ -35,7 +35,7 @@
 	for _, target := range f.targets {
 		if _, limited := verdicts[target.ID]; limited {
 			e := target.Entry("p", 4, nil)
-			f.directory.ObserveLimit(time.Now(), e.Run(), sillrate.Notice{Kind: sillrate.Named, Limit: 1}, true)
+			f.directory.ObserveLimit(time.Now(), time.Now(), e.Run(), sillrate.Notice{Kind: sillrate.Named, Limit: 1}, true)
 		}
 	}
 	return p
--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -126,6 +126,7 @@
 	watch := r.watchStall(it, g.ID, func() { cancel(errStalled) })
 	defer watch.stop()
 
+	sentAt := time.Now()
 	resp, err := r.cfg.Pool.Send(ctx, g.Address, r.request(it, g))
 	if err != nil {
 		return incomplete, r.outcomeOf(ctx, err), err
@@ -138,7 +139,7 @@
 		return incomplete, silltarget.Misdirected, nil
 	}
 	r.cfg.Directory.ObserveNotice(time.Now(), g.Run(), metadata.Notice)
-	r.cfg.Directory.ObserveLimit(time.Now(), g.Run(), metadata.Limit, metadata.Signature != "")
+	r.cfg.Directory.ObserveLimit(sentAt, time.Now(), g.Run(), metadata.Limit, metadata.Signature != "")
 	switch {
 	case metadata.NotRun:
 		discardBody(resp.Body)
--- a/internal/sillpermit/broker_test.go
+++ b/internal/sillpermit/broker_test.go
@@ -32,7 +32,7 @@
 }
 
 func (m *member) observe(limit sillrate.PerSecond) {
-	m.directory.ObserveLimit(time.Now(), limitedRun, sillrate.Notice{Kind: sillrate.Named, Limit: limit}, true)
+	m.directory.ObserveLimit(time.Now(), time.Now(), limitedRun, sillrate.Notice{Kind: sillrate.Named, Limit: limit}, true)
 }
 
 // startGranter starts a gateway that grants, and returns it with its address.
@@ -92,7 +92,7 @@
 	asking := newMember(func() Place { return Place{Address: address} }, Position{Index: 1, Count: 2})
 	asking.directory.MergeLimits(time.Now(), []silltarget.RunLimit{{Run: limitedRun, Limit: 1, AgeMS: 5000}})
 	granting.observe(1)
-	granting.directory.ObserveLimit(time.Now(), limitedRun, sillrate.Notice{}, true)
+	granting.directory.ObserveLimit(time.Now(), time.Now(), limitedRun, sillrate.Notice{}, true)
 	if !asking.Acquire(t.Context(), Ask{Run: limitedRun}).Granted {
 		t.Error("no permit was granted after the end of the limit")
 	}
--- a/internal/silltarget/limit.go
+++ b/internal/silltarget/limit.go
@@ -23,8 +23,9 @@
 type limitState struct {
 	// limit is 0 if the run names none.
 	limit sillrate.PerSecond
-	// observedAt is when the run said so, by this process's clock, and ownAt when it last
-	// said something of its limit to this process.
+	// observedAt is when the run said so, by this process's clock; of a response that names
+	// no limit, when its request was sent. ownAt is when the run last said something of its
+	// limit to this process.
 	observedAt, ownAt time.Time
 	// deniedUntil is the time until which requests of a class get no permit.
 	deniedUntil [sillrate.Classes]time.Time
@@ -48,8 +49,9 @@
 }
 
 // ObserveLimit records what a response of a run says of its limit. That a response names no
-// limit counts only if it is signed: others may be from something in between.
-func (d *Directory) ObserveLimit(now time.Time, run Run, n sillrate.Notice, signed bool) {
+// limit counts only if it is signed, since others may be from something in between, and if
+// its request was sent after the limit was last named: a slow response may be older.
+func (d *Directory) ObserveLimit(sentAt, now time.Time, run Run, n sillrate.Notice, signed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
@@ -60,8 +62,8 @@
 	case n.Kind == sillrate.Named:
 		d.setLimit(run, n.Limit, now, FromResponse)
 		d.limits[run].ownAt = now
-	case signed && d.limits[run] != nil:
-		d.setLimit(run, 0, now, FromResponse)
+	case signed && d.limits[run] != nil && sentAt.After(d.limits[run].observedAt):
+		d.setLimit(run, 0, sentAt, FromResponse)
 		d.limits[run].ownAt = now
 	}
 }
--- a/internal/silltarget/limit_test.go
+++ b/internal/silltarget/limit_test.go
@@ -23,29 +23,35 @@
 	run := e.Run()
 	t.Run("a signed answer without a limit ends it", func(t *testing.T) {
 		d := directory(e)
-		d.ObserveLimit(start, run, named(3), true)
+		d.ObserveLimit(start, start, run, named(3), true)
 		checkLimit(t, d, run, 3)
-		d.ObserveLimit(start, run, sillrate.Notice{}, false)
+		d.ObserveLimit(start.Add(time.Millisecond), start.Add(time.Millisecond), run, sillrate.Notice{}, false)
 		checkLimit(t, d, run, 3)
-		d.ObserveLimit(start, run, sillrate.Notice{}, true)
+		d.ObserveLimit(start.Add(time.Millisecond), start.Add(time.Millisecond), run, sillrate.Notice{}, true)
 		checkLimit(t, d, run, 0)
 	})
+	t.Run("an answer to an older request does not end it", func(t *testing.T) {
+		d := directory(e)
+		d.ObserveLimit(start, start, run, named(3), true)
+		d.ObserveLimit(start.Add(-time.Millisecond), start.Add(time.Second), run, sillrate.Notice{}, true)
+		checkLimit(t, d, run, 3)
+	})
 	t.Run("an invalid limit changes nothing", func(t *testing.T) {
 		d := directory(e)
-		d.ObserveLimit(start, run, named(3), true)
-		d.ObserveLimit(start, run, sillrate.Notice{Kind: sillrate.Invalid}, true)
+		d.ObserveLimit(start, start, run, named(3), true)
+		d.ObserveLimit(start, start, run, sillrate.Notice{Kind: sillrate.Invalid}, true)
 		checkLimit(t, d, run, 3)
 	})
 	t.Run("a new run under the id has no limit", func(t *testing.T) {
 		d := directory(e)
-		d.ObserveLimit(start, run, named(3), true)
+		d.ObserveLimit(start, start, run, named(3), true)
 		next := e
 		next.StartedAt = start.Add(time.Second)
 		d.Apply(next)
 		if g := checkPick(t, d, start, Query{}, "a"); g.Limited {
 			t.Error("the new run counts as limited")
 		}
-		d.ObserveLimit(start, run, named(3), true)
+		d.ObserveLimit(start, start, run, named(3), true)
 		if g := checkPick(t, d, start, Query{}, "a"); g.Limited {
 			t.Error("a late answer of the old run limits the new one")
 		}
@@ -77,7 +83,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := directory(e)
-			d.ObserveLimit(start, run, named(3), true)
+			d.ObserveLimit(start, start, run, named(3), true)
 			d.MergeLimits(tc.at, []RunLimit{tc.told})
 			checkLimit(t, d, run, tc.want)
 		})
@@ -88,13 +94,13 @@
 	a, b := entry("a", 4, 1), entry("b", 4, 1)
 	d := directory(a, b)
 	q := Query{Pool: "p", Class: sillrate.Background}
-	d.ObserveLimit(start, a.Run(), named(3), true)
+	d.ObserveLimit(start, start, a.Run(), named(3), true)
 	d.Deny(start, a.Run(), sillrate.Background, time.Second)
 	checkPick(t, d, start, Query{Class: sillrate.Background, FreeOnly: true}, "b")
 	if _, limited := d.LimitedUntil(start, q); limited {
 		t.Error("another target has no limit")
 	}
-	d.ObserveLimit(start, b.Run(), named(3), true)
+	d.ObserveLimit(start, start, b.Run(), named(3), true)
 	d.Deny(start, b.Run(), sillrate.Background, 2*time.Second)
 	checkPick(t, d, start, Query{Class: sillrate.Background}, "")
 	if until, limited := d.LimitedUntil(start, q); !limited || !until.Equal(start.Add(time.Second)) {
@@ -115,7 +121,7 @@
 	e := entry("a", 4, 1)
 	all := func(Run) bool { return true }
 	d := directory(e)
-	d.ObserveLimit(start, e.Run(), named(3), true)
+	d.ObserveLimit(start, start, e.Run(), named(3), true)
 	if got := d.Limits(start.Add(time.Hour), 9, all); len(got) != 1 {
 		t.Errorf("%d limits of registered targets, want 1", len(got))
 	}
