--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"errors"
 	"net/http"
 	"sync/atomic"
@@ -156,3 +157,46 @@
 	}
 	return verdict, nil
 }
+
+// largeJob: a trainer submits a job of 2,048 items, and the gateway that runs it is killed
+// once. The links of the gateways are as narrow as those of the smallest machines.
+func largeJob(d *deployment, trouble bool) (int, error) {
+	d.small, eventTime = true, 5*time.Millisecond
+	if err := d.start(nil, "front-a-1", "front-a-2"); err != nil {
+		return cantRun, err
+	}
+	const items, itemBytes = 2048, 2800
+	j := newJob("5d04", "first", "model-0", items)
+	for i := range j.Items {
+		id := j.Items[i].ID + " "
+		j.Items[i].Body = bytes.Repeat([]byte(id), itemBytes/len(id))
+	}
+	owner, other := d.gateways[1], d.gateways[0]
+	if !d.submitUntilAccepted(owner, j, 10*time.Second) {
+		return cantRun, errNotAccepted
+	}
+	accepted := time.Now()
+	time.Sleep(1500 * time.Millisecond)
+	begun := len(d.log.allRuns())
+	d.log.note("%d runs have begun", begun)
+	if trouble {
+		if err := d.kill(owner); err != nil {
+			return cantRun, err
+		}
+	}
+	const deadline = 12 * time.Second
+	all := d.readAll(other, j, time.Until(accepted.Add(deadline)))
+	d.log.note("at the deadline of the step, %v after the 202, %d of %d results were read", deadline, len(all), len(j.Items))
+	last := d.log.lastRun()
+	idle := time.Since(last)
+	d.log.note("the last run began %.1f s ago", idle.Seconds())
+	// The deployment counts as calm 4 s after the kill.
+	if begun > 0 && len(all) < len(j.Items) && idle > 5*time.Second && time.Since(accepted) > 11*time.Second {
+		d.log.note("LOST: the step runs out of time, and items that no server has finished have been at no server for 5 s of steady state")
+		// What becomes of the job is no part of the verdict.
+		all = d.readAll(other, j, 20*time.Second)
+		d.log.note("20 s later %d results were read, and the last run began %.1f s ago", len(all), time.Since(d.log.lastRun()).Seconds())
+		return broken, nil
+	}
+	return held, nil
+}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -30,6 +32,8 @@
 	log      *record
 	gateways []*gateway
 	servers  []*server
+	// small is whether the gateways are machines of the smallest kind of bvmlu-sing-grown.
+	small bool
 }
 
 type gateway struct {
@@ -54,11 +58,17 @@
 }
 
 // serve serves a handler on a free port and returns its address.
-func serve(h http.Handler) (string, error) {
+func serve(h http.Handler) (string, error) { return serveOver(h, wideLink) }
+
+// serveOver serves a handler on a free port over a link of some Mbit/s.
+func serveOver(h http.Handler, mbps float64) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
+	if mbps < wideLink {
+		listener = newLinkListener(listener, mbps)
+	}
 	go func() { _ = (&http.Server{Handler: h}).Serve(listener) }()
 	return listener.Addr().String(), nil
 }
@@ -79,7 +89,13 @@
 // addGateway writes the settings of a gateway.
 func (d *deployment) addGateway(name string) error {
 	g := &gateway{name: name, ip: loopbackAddress()}
-	storeAddress, err := serve(d.store.handler(name))
+	limits := map[string]any{"cpu_share": 0.8, "cores": 1, "memory_mb": 324, "max_fds": 8200, "link_mbps": wideLink, "disk_mb": 0}
+	link := wideLink
+	if d.small {
+		limits = map[string]any{"cpu_share": 0.144, "cores": 1, "memory_mb": 184, "max_fds": 4100, "link_mbps": narrowLink, "disk_mb": 0}
+		link = narrowLink
+	}
+	storeAddress, err := serveOver(d.store.handler(name), link)
 	if err != nil {
 		return err
 	}
@@ -92,7 +108,7 @@
 		"ip": g.ip, "zone": zone, "region": "region-a", "zones": map[string]string{zone: "region-a"},
 		"listen":     map[string]string{"front": g.front(), "readiness": fmt.Sprintf("%s:%d", g.ip, readyPort), "control": fmt.Sprintf("%s:%d", g.ip, controlPort)},
 		"port_range": []int{firstPort, firstPort + 15}, "seeds": []string{}, "bootstrap": true, "in_tolerance": false,
-		"limits":   map[string]any{"cpu_share": 0.8, "cores": 1, "memory_mb": 324, "max_fds": 8200, "link_mbps": 1000, "disk_mb": 0},
+		"limits":   limits,
 		"data_dir": nil, "discovery": "platform", "entry": "vip", "heartbeat_ms": heartbeat.Milliseconds(),
 		"contracts": []string{"base", "drain", "config", "cost", "recover", "samples", "stream", "engine", "batch", "tenants", "leader", "platform"},
 		"tolerate":  map[string]int{"machines": 1, "zones": 0, "regions": 0},
@@ -163,3 +179,17 @@
 	time.Sleep(3 * time.Second)
 	return nil
 }
+
+// kill ends the process of a gateway with SIGKILL. The script starts it again.
+func (d *deployment) kill(g *gateway) error {
+	b, err := os.ReadFile(filepath.Join(d.dir, g.name+".pid"))
+	if err != nil {
+		return err
+	}
+	pid, err := strconv.Atoi(strings.TrimSpace(string(b)))
+	if err != nil {
+		return err
+	}
+	d.log.note("%s is killed", g.name)
+	return syscall.Kill(pid, syscall.SIGKILL)
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 	"spoiled-event": spoiledEvent,
 	"new-route":     newRoute,
 	"split-header":  splitHeader,
+	"large-job":     largeJob,
 }
 
 func main() {
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -11,7 +11,6 @@
 type run struct {
 	Request, Server, Path, Tenant string
 	Last                          int
-	Body                          string
 }
 
 // record writes what was sent, answered and run. It is safe for concurrent use.
@@ -20,6 +19,8 @@
 	mu    sync.Mutex
 	file  *os.File
 	runs  []run
+	// last is when the last run began.
+	last time.Time
 }
 
 func newRecord(path string) (*record, error) {
@@ -36,7 +37,7 @@
 
 func (r *record) addRun(a run) {
 	r.mu.Lock()
-	r.runs = append(r.runs, a)
+	r.runs, r.last = append(r.runs, a), time.Now()
 	r.mu.Unlock()
 	r.note("run      %s at %s, path %s, tenant %q, after event %d", a.Request, a.Server, a.Path, a.Tenant, a.Last)
 }
@@ -47,3 +48,10 @@
 	defer r.mu.Unlock()
 	return append([]run(nil), r.runs...)
 }
+
+// lastRun returns when the last run began.
+func (r *record) lastRun() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.last
+}
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -11,14 +11,15 @@
 
 const (
 	serverSlots = 12
-	// eventTime is the time that a server takes for one event.
-	eventTime = 15 * time.Millisecond
 	// eventCount is the number of events of each generation.
 	eventCount = 12
 	// heartbeat is the time between two writes of a server's entry.
 	heartbeat = 1200 * time.Millisecond
 )
 
+// eventTime is the time that a server takes for one event.
+var eventTime = 15 * time.Millisecond
+
 // text is the whole output of an item: the data of its events, one a line.
 func text(item string) string {
 	lines := make([]string, eventCount)
@@ -72,7 +73,7 @@
 
 // ServeHTTP runs an item as a stream of events.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, _ := io.ReadAll(r.Body)
+	_, _ = io.Copy(io.Discard, r.Body)
 	if r.URL.Path == "/-/report" {
 		reply(w, http.StatusOK, map[string]any{"stage": "both", "models": []any{}, "busy": false, "seq": 0, "waiting": 0, "running": 0})
 		return
@@ -89,7 +90,7 @@
 	}
 	last := 0
 	_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &last)
-	s.log.addRun(run{Request: id, Server: s.id, Path: r.URL.Path, Tenant: r.Header.Get("X-Tenant"), Last: last, Body: string(body)})
+	s.log.addRun(run{Request: id, Server: s.id, Path: r.URL.Path, Tenant: r.Header.Get("X-Tenant"), Last: last})
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Server-Stamp", "stamp."+id)
 	w.Header().Set("X-Weight-Versions", "1")
