--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -3,7 +3,11 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -161,7 +165,7 @@
 // largeJob: a trainer submits a job of 2,048 items, and the gateway that runs it is killed
 // once. The links of the gateways are as narrow as those of the smallest machines.
 func largeJob(d *deployment, trouble bool) (int, error) {
-	d.small, eventTime = true, 5*time.Millisecond
+	d.link, eventTime = 60, 5*time.Millisecond
 	if err := d.start(nil, "front-a-1", "front-a-2"); err != nil {
 		return cantRun, err
 	}
@@ -200,3 +204,135 @@
 	}
 	return held, nil
 }
+
+// lateWrite loses the answer of one write of a gateway, and has the write carried out once
+// another gateway has written a part of the same job, 1 to 6 s later.
+type lateWrite struct {
+	log   *record
+	first string
+	due   chan struct{}
+
+	mu     sync.Mutex
+	lostAt time.Time
+	// writes counts the large writes of each gateway. done is whether the write is due.
+	writes map[string]int
+	done   bool
+}
+
+const (
+	// largeWrite tells the writes of a job's items from others, in bytes.
+	largeWrite = 400_000
+	// lostWrite is the number of the write whose answer is lost; it is carried out after
+	// the other gateway's write with the number laterWrite.
+	lostWrite, laterWrite = 2, 4
+	minLate, maxLate      = time.Second, 6 * time.Second
+)
+
+// observe returns a channel for the write that gets no answer, and nil for others.
+func (l *lateWrite) observe(caller string, txn *wireTxn) <-chan struct{} {
+	size := 0
+	for i := range txn.Writes {
+		size += len(txn.Writes[i].Value)
+	}
+	if size < largeWrite {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.writes == nil {
+		l.writes = make(map[string]int)
+	}
+	l.writes[caller]++
+	l.log.note("%s writes %d rows with %d bytes", caller, len(txn.Writes), size)
+	switch {
+	case caller == l.first && l.writes[caller] == lostWrite:
+		l.log.note("this write gets no answer, and is carried out later")
+		l.lostAt = time.Now()
+		time.AfterFunc(maxLate, l.carryOut)
+		return l.due
+	case caller != l.first && l.writes[caller] == laterWrite && !l.lostAt.IsZero():
+		time.AfterFunc(max(0, minLate-time.Since(l.lostAt)), l.carryOut)
+	}
+	return nil
+}
+
+func (l *lateWrite) carryOut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.done {
+		return
+	}
+	l.done = true
+	l.log.note("the write without an answer is carried out, %.1f s after it was sent", time.Since(l.lostAt).Seconds())
+	close(l.due)
+}
+
+// sentTwice: a trainer submits a job that takes several writes. One write gets no answer and
+// is carried out late, so that the first gateway answers 502 and the trainer sends the job
+// again, at another gateway.
+func sentTwice(d *deployment, trouble bool) (int, error) {
+	d.link, eventTime = 200, 5*time.Millisecond
+	const first, second = "front-a-2", "front-a-1"
+	w := &lateWrite{log: d.log, first: first, due: make(chan struct{})}
+	if trouble {
+		d.store.late = w.observe
+	}
+	if err := d.start(nil, second, first); err != nil {
+		return cantRun, err
+	}
+	const items, itemBytes = 2048, 100
+	j := newJob("5e05", "first", "model-0", items)
+	sent := make(map[string]*item)
+	for i := range j.Items {
+		it := &j.Items[i]
+		it.Body = bytes.Repeat([]byte("w"), itemBytes)
+		// A prompt of many shared parts, and what else the client tells of it.
+		var parts []string
+		for n := range 100 {
+			parts = append(parts, fmt.Sprintf("%08x:25", i/8*128+n))
+		}
+		it.Headers["X-Prompt-Prefix"] = strings.Join(parts, ",")
+		it.Headers["X-Token-Count"] = "2500,100"
+		it.Headers["X-Length-Hint"] = strconv.Itoa(60 + i%40)
+		it.Headers["X-Urgency"] = "5"
+		it.Headers["X-Trace"] = strings.Repeat(it.ID, 60)
+		it.Headers["X-Sampling"] = strings.Repeat("temperature=0.7;", 24)
+		sent[it.ID] = it
+	}
+	if d.submit(d.gateways[1], j) != http.StatusAccepted && !d.submitUntilAccepted(d.gateways[0], j, 10*time.Second) {
+		return cantRun, errNotAccepted
+	}
+	accepted := time.Now()
+	all := d.readAll(d.gateways[0], j, 20*time.Second)
+	verdict := held
+	for _, r := range d.log.allRuns() {
+		if it := sent[r.Request]; it == nil || r.Headers != headersOf(it.Headers) || r.Path != it.Path {
+			d.log.note("UNASKED: server %s ran %q with other headers than the client's: %s", r.Server, r.Request, r.Headers)
+			verdict = broken
+		}
+	}
+	d.log.note("%.0f s after the 202, %d of %d results were read", time.Since(accepted).Seconds(), len(all), len(j.Items))
+	if len(all) == len(j.Items) {
+		return verdict, nil
+	}
+	d.log.note("the day has ended: bodies of items that are not listed are asked for, again after each failure, for 10 s")
+	listed := make(map[string]bool)
+	for _, r := range all {
+		listed[r.ID] = true
+	}
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		for _, g := range d.gateways {
+			it := &j.Items[len(j.Items)/2]
+			if listed[it.ID] {
+				continue
+			}
+			status, b := d.call(g, http.MethodGet, "/-/items/"+j.ID+"?id="+it.ID, http.Header{}, nil)
+			d.log.note("answered GET of the body of %s at %s: %d", it.ID, g.name, status)
+			if status == http.StatusOK && bytes.Equal(b, it.Body) {
+				return verdict, nil
+			}
+		}
+	}
+	d.log.note("LOST: an item that is not listed does not give its body at the end of the day")
+	return broken, nil
+}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -32,8 +32,9 @@
 	log      *record
 	gateways []*gateway
 	servers  []*server
-	// small is whether the gateways are machines of the smallest kind of bvmlu-sing-grown.
-	small bool
+	// link, if not 0, is the bandwidth in Mbit/s of gateways that are small machines of
+	// bvmlu-sing-grown.
+	link float64
 }
 
 type gateway struct {
@@ -91,9 +92,9 @@
 	g := &gateway{name: name, ip: loopbackAddress()}
 	limits := map[string]any{"cpu_share": 0.8, "cores": 1, "memory_mb": 324, "max_fds": 8200, "link_mbps": wideLink, "disk_mb": 0}
 	link := wideLink
-	if d.small {
-		limits = map[string]any{"cpu_share": 0.144, "cores": 1, "memory_mb": 184, "max_fds": 4100, "link_mbps": narrowLink, "disk_mb": 0}
-		link = narrowLink
+	if d.link > 0 {
+		limits = map[string]any{"cpu_share": 0.144, "cores": 1, "memory_mb": 184, "max_fds": 4100, "link_mbps": d.link, "disk_mb": 0}
+		link = d.link
 	}
 	storeAddress, err := serveOver(d.store.handler(name), link)
 	if err != nil {
--- a/review/standin/link.go
+++ b/review/standin/link.go
@@ -6,11 +6,8 @@
 	"time"
 )
 
-// Links of gateways, in Mbit/s. A wide one is not slowed down.
-const (
-	wideLink   = 1000.0
-	narrowLink = 60.0
-)
+// wideLink is the bandwidth in Mbit/s from which a link is not slowed down.
+const wideLink = 1000.0
 
 // linkChunk is the number of bytes that are passed on at once.
 const linkChunk = 16 << 10
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 	"new-route":     newRoute,
 	"split-header":  splitHeader,
 	"large-job":     largeJob,
+	"sent-twice":    sentTwice,
 }
 
 func main() {
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -11,6 +11,8 @@
 type run struct {
 	Request, Server, Path, Tenant string
 	Last                          int
+	// Headers are those that the client set.
+	Headers string
 }
 
 // record writes what was sent, answered and run. It is safe for concurrent use.
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -90,7 +90,7 @@
 	}
 	last := 0
 	_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &last)
-	s.log.addRun(run{Request: id, Server: s.id, Path: r.URL.Path, Tenant: r.Header.Get("X-Tenant"), Last: last})
+	s.log.addRun(run{Request: id, Server: s.id, Path: r.URL.Path, Tenant: r.Header.Get("X-Tenant"), Last: last, Headers: headersOf(flat(r.Header))})
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Server-Stamp", "stamp."+id)
 	w.Header().Set("X-Weight-Versions", "1")
@@ -120,3 +120,27 @@
 		}
 	}
 }
+
+// clientHeaders are the headers of items that clients set.
+var clientHeaders = []string{"X-Model", "X-Token-Count", "X-Prompt-Prefix", "X-Length-Hint", "X-Urgency", "X-Trace", "X-Sampling"}
+
+func flat(h http.Header) map[string]string {
+	values := make(map[string]string)
+	for _, name := range clientHeaders {
+		if len(h[name]) > 0 {
+			values[name] = strings.Join(h[name], ", ")
+		}
+	}
+	return values
+}
+
+// headersOf returns the headers that clients set in one order.
+func headersOf(values map[string]string) string {
+	var b strings.Builder
+	for _, name := range clientHeaders {
+		if v, ok := values[name]; ok {
+			fmt.Fprintf(&b, "%s: %s; ", name, v)
+		}
+	}
+	return b.String()
+}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -56,6 +56,9 @@
 	// silent, if not nil, is called with each call of a feed. A call for which it returns
 	// true gets no answer, as on a connection that has gone silent.
 	silent func(caller, table string) bool
+	// late, if not nil, is called with each transaction. One for which it returns a channel
+	// gets no answer, and is carried out once that is closed if its conditions hold then.
+	late func(caller string, txn *wireTxn) <-chan struct{}
 }
 
 func newStore() *store {
@@ -117,7 +120,7 @@
 // handler returns the handler of the calls of one gateway.
 func (s *store) handler(caller string) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /-/rows-tx", s.serveTxn)
+	mux.HandleFunc("POST /-/rows-tx", func(w http.ResponseWriter, r *http.Request) { s.serveTxn(w, r, caller) })
 	mux.HandleFunc("GET /-/rows-get", s.serveGet)
 	mux.HandleFunc("GET /-/rows-parts", s.serveParts)
 	mux.HandleFunc("GET /-/rows-feed", func(w http.ResponseWriter, r *http.Request) { s.serveFeed(w, r, caller) })
@@ -133,12 +136,22 @@
 	_ = json.NewEncoder(w).Encode(result)
 }
 
-func (s *store) serveTxn(w http.ResponseWriter, r *http.Request) {
+func (s *store) serveTxn(w http.ResponseWriter, r *http.Request, caller string) {
 	var txn wireTxn
 	if json.NewDecoder(r.Body).Decode(&txn) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if s.late != nil {
+		if due := s.late(caller, &txn); due != nil {
+			go func() {
+				<-due
+				s.apply(&txn)
+			}()
+			<-r.Context().Done()
+			return
+		}
+	}
 	version, differ := s.apply(&txn)
 	if differ != nil {
 		reply(w, http.StatusPreconditionFailed, wireRows{Rows: differ})
