--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -10,13 +10,14 @@
 finish() {
   exec 2>/dev/null
   for p in "${pids[@]}"; do kill -KILL "$p"; done
+  for f in "$tmp"/*.pid; do kill -KILL "$(cat "$f")"; done
   wait
   rm -rf "$tmp"
 }
 trap finish EXIT
 trap 'exit 2' INT TERM
 
-target/review-standin -case spoiled-event -dir "$tmp" -record "$here/record.txt" &
+target/review-standin -case large-job -dir "$tmp" -record "$here/record.txt" &
 standin=$!
 pids+=("$standin")
 for _ in $(seq 100); do
@@ -25,8 +26,17 @@
 done
 [ -f "$tmp/gateways" ] || exit 2
 # The command of the role in deploy/system.toml.
+gateway() {
+  while :; do
+    WASABISILL_CONFIG="$tmp/$1.json" target/wasabisill platform >>"${KEEP_LOGS:-$tmp}/$1.log" 2>&1 &
+    echo $! >"$tmp/$1.pid"
+    wait $!
+    # The platform starts a process that has ended again after a short delay.
+    sleep 0.5
+  done
+}
 while read -r name; do
-  WASABISILL_CONFIG="$tmp/$name.json" target/wasabisill platform >"${KEEP_LOGS:-$tmp}/$name.log" 2>&1 &
+  gateway "$name" 2>/dev/null &
   pids+=($!)
 done <"$tmp/gateways"
 wait "$standin"
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -16,7 +16,7 @@
 trap finish EXIT
 trap 'exit 2' INT TERM
 
-target/review-standin -case split-header -dir "$tmp" -record "$here/record.txt" &
+target/review-standin -case new-route -dir "$tmp" -record "$here/record.txt" &
 standin=$!
 pids+=("$standin")
 for _ in $(seq 100); do
