Let no older configuration end a job

Cause: an owner took a route that its catalog lacks for a removed one. The operator's rows and the jobs' rows come on two connections, and the job's row named no configuration, so an owner that lags could not tell. The same look-up moved a job to the pool of the older catalog, and an owner whose row had not been read yet counted as dead.

Change: the job names the version under which it was accepted, and followers tell up to which revision of the table their view is current. A configuration that can't be read proves nothing. A process that is not known counts as dead only if the members' rows are as new as the row that names it.

--- a/internal/sillcluster/members.go
+++ b/internal/sillcluster/members.go
@@ -189,6 +189,18 @@
 	return false
 }
 
+// HasRow returns whether the newest known row of an instance is of the run.
+func (s *Members) HasRow(run Run) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.rows {
+		if m.Run == run {
+			return true
+		}
+	}
+	return false
+}
+
 // Live returns the processes that are alive and not leaving, sorted by instance.
 func (s *Members) Live(now time.Time) []Member {
 	s.mu.Lock()
--- a/internal/silldirectgateway/followers.go
+++ b/internal/silldirectgateway/followers.go
@@ -28,11 +28,15 @@
 // followers keep the process's views of the platform's tables up to date.
 type followers struct {
 	operator, registry, members, jobs *sillwatch.Follower
+	// unreadConfig returns whether the newest configuration can't be read.
+	unreadConfig func() bool
 }
 
 func newFollowers(adapter *Adapter, t tables, v *view, m *membership, log *zap.Logger) *followers {
 	f := followerFactory{feed: t.feed, log: log}
 	return &followers{
+		unreadConfig: v.unreadConfig.Load,
+
 		operator: f.make(adapter.OperatorTable, pauseFast, v.resetOperator, v.applyOperator),
 		registry: f.make(adapter.RegistryTable, pauseSlow, v.resetTargets, v.applyTargets),
 		members:  f.partitioned().make(sillcluster.Table, pauseSlow, m.reset, m.apply),
@@ -48,6 +52,27 @@
 // boardAge returns the age of the view of the jobs, and false before its first read.
 func (f *followers) boardAge() (time.Duration, bool) { return f.jobs.Age(sillclock.Boot()) }
 
+// catalogRevision returns the revision up to which the configuration is known to be current;
+// 0 if the newest one can't be read.
+func (f *followers) catalogRevision() silltable.Revision {
+	revision := f.operator.Revision()
+	if f.unreadConfig() {
+		return 0
+	}
+	return revision
+}
+
+// mayRun returns a function that returns whether a process that a row of a revision names is
+// alive. A process that is not known yet may have started after the rows of the processes were
+// last read.
+func (f *followers) mayRun(m *membership) func(silljob.GatewayRun, silltable.Revision) bool {
+	return func(run silljob.GatewayRun, named silltable.Revision) bool {
+		// The revision is read first, so that the members are at least as new.
+		current := f.members.Revision() >= named
+		return m.alive(run) || (!current && !m.isKnown(run))
+	}
+}
+
 // followerFactory makes followers that differ in their table and callbacks.
 type followerFactory struct {
 	feed  *silltable.Feed
--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -96,6 +96,11 @@
 	return m.members.Alive(sillclock.Boot(), sillcluster.Run(run))
 }
 
+// isKnown returns whether the process has read a row of a run, alive or not.
+func (m *membership) isKnown(run silljob.GatewayRun) bool {
+	return m.members.HasRow(sillcluster.Run(run))
+}
+
 // commitLeader returns the gateway that commits the row of this one.
 func (m *membership) commitLeader() sillgroupcommit.Leader {
 	leader, ok := m.members.CommitLeader(sillclock.Boot(), m.settings.Instance)
--- a/internal/silldirectgateway/providers.go
+++ b/internal/silldirectgateway/providers.go
@@ -100,18 +100,19 @@
 	cache     *silljob.Cache
 	forwarder *sillforwarder.Forwarder
 	broker    *sillpermit.Broker
+	followers *followers
 }
 
-func newRunnerParts(s *Settings, adapter *Adapter, m *membership, v *view, st *silljob.Store, c *silljob.Cache, f *sillforwarder.Forwarder, b *sillpermit.Broker) runnerParts {
-	return runnerParts{settings: s, adapter: adapter, members: m, view: v, store: st, cache: c, forwarder: f, broker: b}
+func newRunnerParts(s *Settings, adapter *Adapter, m *membership, v *view, st *silljob.Store, c *silljob.Cache, f *sillforwarder.Forwarder, b *sillpermit.Broker, fs *followers) runnerParts {
+	return runnerParts{settings: s, adapter: adapter, members: m, view: v, store: st, cache: c, forwarder: f, broker: b, followers: fs}
 }
 
 func newRunner(p runnerParts, r *prometheus.Registry, log *zap.Logger) *silljob.Runner {
 	return silljob.NewRunner(silljob.RunnerConfig{
 		Self: silljob.GatewayRun(p.members.run), Store: p.store, Board: p.view.board, Cache: p.cache,
 		Directory: p.view.directory, Pool: p.adapter.TargetPool, Codec: p.adapter.Codec,
-		Forwarder: p.forwarder, AcquirePermit: p.broker.Acquire, Catalog: p.view.catalog, Zone: p.settings.Zone,
-		Owner: p.members.owner, TakeoverRank: p.members.rank, Alive: p.members.alive, HandoverTime: jobHandoverTime,
+		Forwarder: p.forwarder, AcquirePermit: p.broker.Acquire, Catalog: p.view.catalog, CatalogRevision: p.followers.catalogRevision, Zone: p.settings.Zone,
+		Owner: p.members.owner, TakeoverRank: p.members.rank, Alive: p.followers.mayRun(p.members), HandoverTime: jobHandoverTime,
 		Metrics: silljob.NewMetrics(r), Log: log,
 	})
 }
--- a/internal/silldirectgateway/view.go
+++ b/internal/silldirectgateway/view.go
@@ -4,6 +4,7 @@
 	"maps"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,6 +25,8 @@
 	directory *silltarget.Directory
 	board     *silljob.Board
 	log       *zap.Logger
+	// unreadConfig is whether the newest configuration can't be read.
+	unreadConfig atomic.Bool
 
 	mu sync.Mutex
 	// announced holds the newest version of each model that its trainer announced.
@@ -55,6 +58,7 @@
 
 func (v *view) applyConfig(row silltable.Row) {
 	c, err := v.adapter.DecodeCatalog(row.Value)
+	v.unreadConfig.Store(err != nil)
 	if err != nil {
 		v.log.Error("Configuration can't be read.", zap.Uint64("revision", uint64(row.Revision)), silllog.Err(err))
 		return
--- a/internal/silljob/dispatch.go
+++ b/internal/silljob/dispatch.go
@@ -63,46 +63,6 @@
 	it.discard()
 }
 
-// applyRoutes moves each job to the pool that its route uses in the configuration
-// in force. It abandons the waiting items of a job whose route was removed.
-func (r *Runner) applyRoutes() {
-	catalog := r.cfg.Catalog.Get()
-	if catalog == nil {
-		return
-	}
-	for _, j := range r.jobs {
-		route := catalog.RouteByID(j.sub.Route)
-		if route == nil {
-			// The route may have been renamed.
-			route = catalog.Route(j.sub.Host, j.sub.Items[0].Path)
-		}
-		switch {
-		case route == nil:
-			r.abandonWaiting(j)
-		case !route.UsesPool(j.pool):
-			from := j.pool
-			j.pool = route.PickPool(0)
-			r.cfg.Log.Warn("Route of a job uses another pool; sending its items there.", zap.String("job", string(j.sub.Job)), zap.String("from", string(from)),
-				zap.String("to", string(j.pool)), zap.Uint64("config", uint64(catalog.Version)))
-		}
-	}
-}
-
-// abandonWaiting gives the waiting items of a job a result without a generation.
-func (r *Runner) abandonWaiting(j *ownedJob) {
-	for _, it := range j.items {
-		if it.phase == waiting {
-			it.phase = finished
-			j.pending = append(j.pending, Result{Item: it.item.ID})
-			r.cfg.Metrics.aborted.WithLabelValues("route removed").Inc()
-		}
-	}
-	if len(j.pending) > 0 {
-		r.cfg.Log.Warn("Route of a job was removed; abandoned its waiting items.", zap.String("job", string(j.sub.Job)), zap.Int("count", len(j.pending)))
-		j.notifyWriter()
-	}
-}
-
 // requirements holds what a target must provide to run an item. exact is 0 if any
 // version from min on will do.
 type requirements struct {
--- a/internal/silljob/help_test.go
+++ b/internal/silljob/help_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
 	"sync"
 	"testing"
@@ -16,6 +17,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/sillmemtable"
 	"github.com/wasabisill/wasabisill/internal/sillstandtarget"
+	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
 	"github.com/wasabisill/wasabisill/internal/sillwatch"
@@ -36,6 +38,8 @@
 	engines []*sillstandtarget.Target
 	scorer  *sillstandtarget.Target
 	catalog *sillcatalog.Holder
+	// catalogRevision is the revision up to which the catalog of the gateways is current.
+	catalogRevision silltable.Revision
 	// handover is the HandoverTime of the gateways.
 	handover time.Duration
 
@@ -60,7 +64,7 @@
 // engine for its n-th call.
 func newCluster(t *testing.T, engines int, plan func(engine int, c call, n int) behaviour) *cluster {
 	t.Helper()
-	c := &cluster{t: t, table: &sillmemtable.Table{}, catalog: &sillcatalog.Holder{}, nodes: make(map[GatewayRun]*node)}
+	c := &cluster{t: t, table: &sillmemtable.Table{}, catalog: &sillcatalog.Holder{}, catalogRevision: math.MaxUint64, nodes: make(map[GatewayRun]*node)}
 	c.store = &Store{Table: c.table.Store(), Feed: c.table.Feed()}
 	for i := range engines {
 		e := sillstandtarget.Start(sillid.TargetID(fmt.Sprintf("engine-%d", i)), func(ca call, n int) behaviour { return plan(i, ca, n) })
@@ -122,7 +126,7 @@
 		Self: run, Store: c.store, Board: n.board, Cache: cache, Directory: n.directory, Pool: pool, Codec: codec,
 		Forwarder: forwarder, Catalog: c.catalog, Owner: func(sillid.ModelID) GatewayRun { return run },
 		TakeoverRank: func(sillid.ModelID) (int, bool) { return 0, c.isAlive(run) },
-		HandoverTime: c.handover, Alive: c.isAlive, Metrics: NewMetrics(nil), Log: zap.NewNop(),
+		HandoverTime: c.handover, Alive: func(run GatewayRun, _ silltable.Revision) bool { return c.isAlive(run) }, CatalogRevision: c.currentCatalog, Metrics: NewMetrics(nil), Log: zap.NewNop(),
 	})
 	n.reader = &Reader{Store: c.store, Board: n.board, Cache: cache, BoardAge: func() (time.Duration, bool) { return follower.Age(time.Now()) }}
 	c.mu.Lock()
@@ -135,6 +139,19 @@
 	return n
 }
 
+func (c *cluster) currentCatalog() silltable.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.catalogRevision
+}
+
+// setCatalogRevision sets up to which revision the catalog of the gateways is current.
+func (c *cluster) setCatalogRevision(revision silltable.Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.catalogRevision = revision
+}
+
 func (c *cluster) isAlive(run GatewayRun) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/silljob/job.go
+++ b/internal/silljob/job.go
@@ -42,6 +42,9 @@
 	// MaxFailedAttempts is the number of failed attempts after which an item is
 	// abandoned; at least 1.
 	MaxFailedAttempts int `cbor:"attempts"`
+	// ConfigVersion is the version of the configuration under which the job was accepted
+	// and Pool was chosen; 0 in jobs of builds that did not write it.
+	ConfigVersion sillid.BundleVersion `cbor:"config-version,omitempty"`
 	// SubmittedMS is when the job was first submitted, in Unix milliseconds.
 	SubmittedMS int64 `cbor:"submitted-ms"`
 	// DueAfterMS is the time in milliseconds after SubmittedMS at which all results are
--- a/internal/silljob/metrics.go
+++ b/internal/silljob/metrics.go
@@ -11,21 +11,25 @@
 	results    prometheus.Counter
 	takeovers  prometheus.Counter
 	migrations prometheus.Counter
-	attempts   *prometheus.CounterVec
-	aborted    *prometheus.CounterVec
+	// olderConfigs counts jobs that were accepted under a newer configuration than this
+	// process had.
+	olderConfigs prometheus.Counter
+	attempts     *prometheus.CounterVec
+	aborted      *prometheus.CounterVec
 }
 
 // NewMetrics returns the metrics and registers them with r unless r is nil.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		results:    sillmetric.Counter("wasabisill_job_results_total", "Results listed by this process."),
-		takeovers:  sillmetric.Counter("wasabisill_job_takeovers_total", "Jobs that this process took over."),
-		migrations: sillmetric.Counter("wasabisill_job_moves_total", "Items that left a slow target for a faster one."),
-		attempts:   sillmetric.CounterVec("wasabisill_job_attempts_total", "Attempts at items, by outcome.", "outcome"),
-		aborted:    sillmetric.CounterVec("wasabisill_job_aborted_total", "Items given up, by reason.", "reason"),
+		results:      sillmetric.Counter("wasabisill_job_results_total", "Results listed by this process."),
+		takeovers:    sillmetric.Counter("wasabisill_job_takeovers_total", "Jobs that this process took over."),
+		migrations:   sillmetric.Counter("wasabisill_job_moves_total", "Items that left a slow target for a faster one."),
+		olderConfigs: sillmetric.Counter("wasabisill_job_older_config_total", "Jobs that this process ran while its configuration may have been older than theirs."),
+		attempts:     sillmetric.CounterVec("wasabisill_job_attempts_total", "Attempts at items, by outcome.", "outcome"),
+		aborted:      sillmetric.CounterVec("wasabisill_job_aborted_total", "Items given up, by reason.", "reason"),
 	}
 	if r != nil {
-		r.MustRegister(m.results, m.takeovers, m.migrations, m.attempts, m.aborted)
+		r.MustRegister(m.results, m.takeovers, m.migrations, m.olderConfigs, m.attempts, m.aborted)
 	}
 	return m
 }
--- a/internal/silljob/owned.go
+++ b/internal/silljob/owned.go
@@ -17,8 +17,13 @@
 type ownedJob struct {
 	sub   *Submission
 	items []*itemRun
-	// pool is the pool that the job's route uses in the configuration in force.
+	// pool is the pool that the job's route uses in the newest configuration that is known
+	// of it.
 	pool sillid.PoolID
+	// acquired is the revision of the state that made this process the owner.
+	acquired silltable.Revision
+	// awaitsConfig is whether the configuration in force may be older than the job.
+	awaitsConfig bool
 	// held is the newest state that this process wrote or read as the owner; the
 	// next write is conditional on its revision.
 	held VersionedState
@@ -41,7 +46,7 @@
 }
 
 func newOwnedJob(ctx context.Context, sub *Submission, held VersionedState) *ownedJob {
-	j := &ownedJob{sub: sub, pool: sub.Pool, held: held, group: sillgroup.New(ctx), groupTarget: make(map[string]sillid.TargetID), writeSignal: make(chan struct{}, 1)}
+	j := &ownedJob{sub: sub, pool: sub.Pool, acquired: held.Revision, held: held, group: sillgroup.New(ctx), groupTarget: make(map[string]sillid.TargetID), writeSignal: make(chan struct{}, 1)}
 	for i := range sub.Items {
 		j.items = append(j.items, &itemRun{job: j, item: &sub.Items[i]})
 	}
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -12,6 +12,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/sillheader"
 	"github.com/wasabisill/wasabisill/internal/sillpermit"
+	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
@@ -31,6 +32,9 @@
 	// AcquirePermit gets a permit for an item at a target that names a limit on requests.
 	AcquirePermit func(ctx context.Context, a sillpermit.Ask) sillpermit.Verdict
 	Catalog       *sillcatalog.Holder
+	// CatalogRevision returns the revision of the table service up to which Catalog is known
+	// to be current; 0 if that is not known.
+	CatalogRevision func() silltable.Revision
 	// Zone is the availability zone of this process.
 	Zone sillid.ZoneID
 	// Owner returns the process that becomes the owner of new jobs of a model.
@@ -38,8 +42,9 @@
 	// TakeoverRank returns the rank of this process among those that may take over
 	// jobs of a model, from 0; false if it may not.
 	TakeoverRank func(model sillid.ModelID) (int, bool)
-	// Alive returns whether a process is known to be running.
-	Alive func(run GatewayRun) bool
+	// Alive returns whether a process that a row of the given revision names is running, or
+	// may have started since the processes that run were last read.
+	Alive func(run GatewayRun, named silltable.Revision) bool
 	// HandoverTime is how long a process that stops goes on to release jobs of which it
 	// becomes the owner: others learn later that it stops.
 	HandoverTime time.Duration
--- a/internal/silljob/takeover.go
+++ b/internal/silljob/takeover.go
@@ -19,7 +19,7 @@
 		switch {
 		case v.Owner == r.cfg.Self:
 			r.startLoading(job, v, false)
-		case v.Owner != "" && r.cfg.Alive(v.Owner):
+		case v.Owner != "" && r.cfg.Alive(v.Owner, v.Revision):
 			r.clearOrphan(job)
 		default:
 			r.takeOver(now, job, v)
--- a/internal/sillwatch/watch.go
+++ b/internal/sillwatch/watch.go
@@ -47,6 +47,8 @@
 	// upToDateAt is when the view was last known to be up to date; zero before the
 	// first read.
 	upToDateAt time.Time
+	// revision is the revision of the service up to which changes were delivered.
+	revision silltable.Revision
 	// outageStart is when the first of consecutive calls failed; zero if the last
 	// call succeeded.
 	outageStart time.Time
@@ -64,6 +66,22 @@
 	return &Follower{cfg: cfg}
 }
 
+// Revision returns a revision of the service up to which all changes of the table were
+// delivered; 0 before the first read.
+func (f *Follower) Revision() silltable.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
+// recordDelivery records up to which revision changes were delivered. It is called after
+// their delivery, so that a view with Revision holds them.
+func (f *Follower) recordDelivery(revision silltable.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision = max(f.revision, revision)
+}
+
 // Age returns the time since the view was last known to be up to date, and false
 // before the first read.
 func (f *Follower) Age(now time.Time) (time.Duration, bool) {
@@ -102,6 +120,7 @@
 			f.cfg.Apply(page.Changes, outage)
 		}
 		after = page.Next
+		f.recordDelivery(after)
 		if len(page.Changes) > 0 {
 			sleep(ctx, f.cfg.Pause)
 		}
@@ -132,6 +151,7 @@
 		}
 	}
 	f.cfg.Reset(rows, f.recordSuccess(started))
+	f.recordDelivery(first.Revision)
 	return first.Revision, nil
 }
 
