--- a/internal/silldirectgateway/providers.go
+++ b/internal/silldirectgateway/providers.go
@@ -12,6 +12,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillforwarder"
 	"github.com/wasabisill/wasabisill/internal/sillgroupcommit"
 	"github.com/wasabisill/wasabisill/internal/silljob"
+	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/sillmeter"
 	"github.com/wasabisill/wasabisill/internal/sillpermit"
 	"github.com/wasabisill/wasabisill/internal/sillrelay"
@@ -82,8 +83,13 @@
 	})
 }
 
-func newStore(t tables) *silljob.Store {
-	return &silljob.Store{Table: t.store, Feed: t.feed}
+func newJobMetrics(r *prometheus.Registry) *silljob.Metrics { return silljob.NewMetrics(r) }
+
+func newStore(t tables, m *silljob.Metrics, log *zap.Logger) *silljob.Store {
+	return &silljob.Store{Table: t.store, Feed: t.feed, OnUndecoded: func(key string, err error) {
+		m.CountUndecoded()
+		log.Error("A row of a job can't be decoded; only what it holds is lost.", zap.String("key", key), silllog.Err(err))
+	}}
 }
 
 func newReader(st *silljob.Store, v *view, c *silljob.Cache, f *followers) *silljob.Reader {
@@ -107,12 +113,12 @@
 	return runnerParts{settings: s, adapter: adapter, members: m, view: v, store: st, cache: c, forwarder: f, broker: b, followers: fs}
 }
 
-func newRunner(p runnerParts, r *prometheus.Registry, log *zap.Logger) *silljob.Runner {
+func newRunner(p runnerParts, m *silljob.Metrics, log *zap.Logger) *silljob.Runner {
 	return silljob.NewRunner(silljob.RunnerConfig{
 		Self: silljob.GatewayRun(p.members.run), Store: p.store, Board: p.view.board, Cache: p.cache,
 		Directory: p.view.directory, Pool: p.adapter.TargetPool, Codec: p.adapter.Codec,
 		Forwarder: p.forwarder, AcquirePermit: p.broker.Acquire, Catalog: p.view.catalog, CatalogRevision: p.followers.catalogRevision, Zone: p.settings.Zone,
 		Owner: p.members.owner, TakeoverRank: p.members.rank, Alive: p.followers.mayRun(p.members), HandoverTime: jobHandoverTime,
-		Metrics: silljob.NewMetrics(r), Log: log,
+		Metrics: m, Log: log,
 	})
 }
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -91,7 +91,7 @@
 		fx.Supply(settings, adapter, log),
 		fx.Provide(
 			newRegistry, newCrashEvidence, newDirectory, newLeavingTargets, newTargetLimits, newMembership, newBroker, newRelay, newTables, newCommitter, newView, newMeter, newFollowers,
-			newForwarder, silljob.NewCache, newStore, newReader, newRunnerParts, newRunner, newControlTasks,
+			newForwarder, silljob.NewCache, newJobMetrics, newStore, newReader, newRunnerParts, newRunner, newControlTasks,
 		),
 		fx.Populate(
 			&s.registry, &s.evidence, &s.leaving, &s.limits, &s.broker, &s.members, &s.relay, &s.tables, &s.committer, &s.view, &s.meter, &s.followers,
@@ -105,6 +105,9 @@
 // Catalog returns the configuration in force, or nil if none is known yet.
 func (s *Service) Catalog() *sillcatalog.Catalog { return s.view.catalog.Get() }
 
+// MemoryBytes returns the memory that the process may use; 0 if unknown.
+func (s *Service) MemoryBytes() int64 { return s.settings.MemoryBytes }
+
 // LiveGateways returns the number of gateways that are known to be alive, this one
 // included.
 func (s *Service) LiveGateways() int { return s.members.countLive() }
--- a/internal/silljob/crowd.go
+++ b/internal/silljob/crowd.go
@@ -122,9 +122,10 @@
 	return time.Duration(attempts / float64(max(slots, 1)) * float64(attemptTime))
 }
 
-// load returns how many items wait for an engine, and how many one runs.
+// load returns how many items wait for an engine, those that are not read yet included, and
+// how many one runs.
 func (j *ownedJob) load() modelLoad {
-	var load modelLoad
+	load := modelLoad{waiting: j.countUnloaded()}
 	for _, it := range j.items {
 		switch it.phase {
 		case waiting:
--- a/internal/silljob/crowd_test.go
+++ b/internal/silljob/crowd_test.go
@@ -58,6 +58,9 @@
 		sub.Items = append(sub.Items, item)
 	}
 	s.job = newOwnedJob(context.Background(), sub, VersionedState{})
+	for i := range sub.Items {
+		s.job.addItem(&sub.Items[i])
+	}
 	s.runner.jobs[sub.Job] = s.job
 	return s
 }
--- a/internal/silljob/job.go
+++ b/internal/silljob/job.go
@@ -87,6 +87,9 @@
 	ScoreRequest *ScoreRequest `cbor:"scorer"`
 }
 
+// dropContent drops what an item needs only until it is finished.
+func (i *Item) dropContent() { i.Header, i.Body, i.ScoreRequest = nil, nil, nil }
+
 // ScoreRequest is a request to a scorer. The signature in the response is the score
 // of the generation.
 type ScoreRequest struct {
@@ -139,6 +142,9 @@
 	// Epoch increases with each claim.
 	Epoch       sillid.Epoch `cbor:"epoch"`
 	SubmittedMS int64        `cbor:"submitted-ms"`
+	// Content names the rows of ContentTable that belong to the job; empty in jobs of
+	// earlier builds.
+	Content ContentID `cbor:"content,omitempty"`
 	// HasProgress is whether ProgressTable has generations of the job.
 	HasProgress bool `cbor:"progressed"`
 }
--- /dev/null
+++ b/internal/silljob/load.go
@@ -0,0 +1,228 @@
+package silljob
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabisill/wasabisill/internal/silllog"
+)
+
+const (
+	// claimTimeout bounds the claim of a job.
+	claimTimeout = 2 * time.Second
+	// loadRetryDelay is the time until a failed read of a job is retried.
+	loadRetryDelay = 200 * time.Millisecond
+)
+
+// startLoading loads a job in the background, and claims it first if claim is set.
+func (r *Runner) startLoading(job ID, v VersionedState, claim bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopping || r.loading[job] || r.jobs[job] != nil {
+		return
+	}
+	r.loading[job] = true
+	r.group.Go(func(ctx context.Context) {
+		defer func() {
+			r.mu.Lock()
+			delete(r.loading, job)
+			r.mu.Unlock()
+		}()
+		if err := r.load(ctx, job, v, claim); err != nil {
+			r.cfg.Log.Warn("Failed to load a job; retrying.", zap.String("job", string(job)), zap.Bool("claim", claim), silllog.Err(err))
+			sleep(ctx, loadRetryDelay)
+		}
+	})
+}
+
+// load claims a job if claim is set and starts to run it. Its items are read while it runs.
+func (r *Runner) load(ctx context.Context, job ID, v VersionedState, claim bool) error {
+	started := time.Now()
+	held := v
+	if claim {
+		after, err := r.claim(ctx, job, v)
+		if err != nil {
+			return err
+		}
+		held = after
+	}
+	x, err := r.cfg.Store.index(ctx, job, held.Content)
+	if err != nil {
+		return err
+	}
+	published, err := r.loadPublished(ctx, job, held)
+	if err != nil {
+		return err
+	}
+	saved, err := r.loadSaved(ctx, job, held)
+	if err != nil {
+		return err
+	}
+	j := r.adopt(&x.Submission, held, published, saved)
+	if j == nil {
+		return nil
+	}
+	pager := r.cfg.Store.itemPager(job, held.Content, x)
+	j.group.Go(func(ctx context.Context) { r.loadItems(ctx, j, pager, started) })
+	return nil
+}
+
+// claim makes this process the owner of a job and returns the job's new state.
+func (r *Runner) claim(ctx context.Context, job ID, v VersionedState) (VersionedState, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	held, err := r.cfg.Store.Claim(ctx, job, v, r.cfg.Self)
+	if err != nil {
+		return v, err
+	}
+	r.cfg.Metrics.takeovers.Inc()
+	r.cfg.Log.Info("Took a job over.", zap.String("job", string(job)), zap.String("from", string(v.Owner)),
+		zap.Uint64("epoch", uint64(held.Epoch)), zap.Int("listed", held.Published))
+	r.cfg.Board.UpdateIfNewer(job, held)
+	return held, nil
+}
+
+// loadPublished returns the items that have published results.
+func (r *Runner) loadPublished(ctx context.Context, job ID, held VersionedState) (map[ItemID]bool, error) {
+	published := make(map[ItemID]bool)
+	if held.Published == 0 {
+		return published, nil
+	}
+	pager := r.cfg.Store.resultPager(job, 0, held.Published)
+	err := r.readPages(ctx, job, func(ctx context.Context) (bool, error) {
+		results, err := pager.page(ctx)
+		for i := range results {
+			published[results[i].Item] = true
+		}
+		return pager.done, err
+	})
+	return published, err
+}
+
+// loadSaved returns the saved generations of a job.
+func (r *Runner) loadSaved(ctx context.Context, job ID, held VersionedState) (map[ItemID]Progress, error) {
+	saved := make(map[ItemID]Progress)
+	if !held.HasProgress {
+		return saved, nil
+	}
+	list, err := r.cfg.Store.SavedProgress(ctx, job)
+	for _, p := range list {
+		saved[p.Item] = p
+	}
+	return saved, err
+}
+
+// readPages reads pages until one is the last. It goes on after a failure where it stopped,
+// until ctx ends or another process owns the job.
+func (r *Runner) readPages(ctx context.Context, job ID, read func(ctx context.Context) (last bool, err error)) error {
+	for {
+		last, err := read(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err == nil && last:
+			return nil
+		case err == nil:
+			continue
+		}
+		if v, ok := r.cfg.Board.Get(job); !ok || v.Owner != r.cfg.Self {
+			return err
+		}
+		r.cfg.Metrics.loadRetries.Inc()
+		r.cfg.Log.Warn("Failed to read a part of a job; retrying.", zap.String("job", string(job)), silllog.Err(err))
+		sleep(ctx, loadRetryDelay)
+	}
+}
+
+// loadItems reads the items of a job, which run as soon as they are read.
+func (r *Runner) loadItems(ctx context.Context, j *ownedJob, pager *itemPager, started time.Time) {
+	first := true
+	err := r.readPages(ctx, j.sub.Job, func(ctx context.Context) (bool, error) {
+		items, err := pager.page(ctx)
+		if len(items) > 0 && first {
+			first = false
+			r.cfg.Log.Info("First items of a job read.", zap.String("job", string(j.sub.Job)), zap.Int("items", len(items)), zap.Duration("took", time.Since(started)))
+		}
+		r.addItems(j, items)
+		return pager.done, err
+	})
+	if err == nil {
+		r.cfg.Log.Info("Job loaded.", zap.String("job", string(j.sub.Job)), zap.Int("items", len(j.items)), zap.Duration("took", time.Since(started)))
+	}
+}
+
+// runNew runs a job that this process has accepted.
+func (r *Runner) runNew(sub *Submission, held VersionedState) {
+	head := *sub
+	head.Items = nil
+	items := make([]loadedItem, len(sub.Items))
+	for i := range sub.Items {
+		// A copy, since the runner drops what a finished item no longer needs.
+		item := sub.Items[i]
+		items[i].item = &item
+	}
+	if j := r.adopt(&head, held, nil, nil); j != nil {
+		r.addItems(j, items)
+	}
+}
+
+// adopt starts to run a job without items from its published results and saved generations.
+// It returns nil if the process runs the job already, or is stopping.
+func (r *Runner) adopt(sub *Submission, held VersionedState, published map[ItemID]bool, saved map[ItemID]Progress) *ownedJob {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopping || r.jobs[sub.Job] != nil {
+		return nil
+	}
+	j := newOwnedJob(r.group.Context(), sub, held)
+	j.published, j.saved = published, saved
+	r.jobs[sub.Job] = j
+	j.group.Go(func(ctx context.Context) { r.writeLoop(ctx, j) })
+	delete(r.orphanSince, sub.Job)
+	return j
+}
+
+// addItems adds the items that follow in a job. They resume generations that this process has
+// not finished in an earlier job.
+func (r *Runner) addItems(j *ownedJob, items []loadedItem) {
+	if len(items) == 0 {
+		return
+	}
+	r.mu.Lock()
+	for _, loaded := range items {
+		it := j.addItem(loaded.item)
+		switch {
+		case it.phase != waiting:
+		case loaded.err != nil:
+			r.awaitAbandoned(it)
+		case len(it.events) == 0:
+			r.resumeFromCache(it)
+		}
+	}
+	r.mu.Unlock()
+	r.notifyDispatcher()
+}
+
+// resumeFromCache restores the generation in progress of an item that this process ran in an
+// earlier job and did not finish.
+func (r *Runner) resumeFromCache(it *itemRun) {
+	if p, ok := r.cfg.Cache.Unfinished(it.item.ID); ok {
+		it.resume(p)
+	}
+}
+
+// awaitAbandoned keeps an item whose row can't be used from running, and abandons it once the
+// job allows that. The caller holds r.mu.
+func (r *Runner) awaitAbandoned(it *itemRun) {
+	it.phase = scoring
+	it.job.group.Go(func(ctx context.Context) {
+		if at := it.job.sub.AbandonAt(); !at.IsZero() {
+			sleep(ctx, time.Until(at))
+		}
+		if ctx.Err() == nil {
+			r.finish(it, Result{Item: it.item.ID}, "row can't be decoded")
+		}
+	})
+}
--- a/internal/silljob/metrics.go
+++ b/internal/silljob/metrics.go
@@ -14,8 +14,12 @@
 	// olderConfigs counts jobs that were accepted under a newer configuration than this
 	// process had.
 	olderConfigs prometheus.Counter
-	attempts     *prometheus.CounterVec
-	aborted      *prometheus.CounterVec
+	// undecoded counts rows, or elements of them, that could not be decoded.
+	undecoded prometheus.Counter
+	// loadRetries counts failed reads of parts of jobs.
+	loadRetries prometheus.Counter
+	attempts    *prometheus.CounterVec
+	aborted     *prometheus.CounterVec
 }
 
 // NewMetrics returns the metrics and registers them with r unless r is nil.
@@ -25,11 +29,16 @@
 		takeovers:    sillmetric.Counter("wasabisill_job_takeovers_total", "Jobs that this process took over."),
 		migrations:   sillmetric.Counter("wasabisill_job_moves_total", "Items that left a slow target for a faster one."),
 		olderConfigs: sillmetric.Counter("wasabisill_job_older_config_total", "Jobs that this process ran while its configuration may have been older than theirs."),
+		undecoded:    sillmetric.Counter("wasabisill_job_undecoded_total", "Rows of jobs, or parts of them, that could not be decoded."),
+		loadRetries:  sillmetric.Counter("wasabisill_job_load_retries_total", "Failed reads of parts of a job that this process loads."),
 		attempts:     sillmetric.CounterVec("wasabisill_job_attempts_total", "Attempts at items, by outcome.", "outcome"),
 		aborted:      sillmetric.CounterVec("wasabisill_job_aborted_total", "Items given up, by reason.", "reason"),
 	}
 	if r != nil {
-		r.MustRegister(m.results, m.takeovers, m.migrations, m.olderConfigs, m.attempts, m.aborted)
+		r.MustRegister(m.results, m.takeovers, m.migrations, m.olderConfigs, m.loadRetries, m.undecoded, m.attempts, m.aborted)
 	}
 	return m
 }
+
+// CountUndecoded counts a row, or an element of one, that could not be decoded.
+func (m *Metrics) CountUndecoded() { m.undecoded.Inc() }
--- a/internal/silljob/owned.go
+++ b/internal/silljob/owned.go
@@ -15,8 +15,14 @@
 
 // ownedJob is a job that this process runs. The runner's lock guards it.
 type ownedJob struct {
-	sub   *Submission
+	// sub is the job without its items.
+	sub *Submission
+	// items are those that are read, in the order of their positions.
 	items []*itemRun
+	// published are the items with published results, and saved the saved generations, of
+	// items that are not read yet.
+	published map[ItemID]bool
+	saved     map[ItemID]Progress
 	// pool is the pool that the job's route uses in the newest configuration that is known
 	// of it.
 	pool sillid.PoolID
@@ -46,42 +52,35 @@
 }
 
 func newOwnedJob(ctx context.Context, sub *Submission, held VersionedState) *ownedJob {
-	j := &ownedJob{sub: sub, pool: sub.Pool, acquired: held.Revision, held: held, group: sillgroup.New(ctx), groupTarget: make(map[string]sillid.TargetID), writeSignal: make(chan struct{}, 1)}
-	for i := range sub.Items {
-		j.items = append(j.items, &itemRun{job: j, item: &sub.Items[i]})
+	return &ownedJob{
+		sub: sub, pool: sub.Pool, acquired: held.Revision, held: held, group: sillgroup.New(ctx),
+		groupTarget: make(map[string]sillid.TargetID), writeSignal: make(chan struct{}, 1),
 	}
-	return j
 }
 
-// skipPublished marks the items that have published results as finished.
-func (j *ownedJob) skipPublished(results []Result) {
-	published := make(map[ItemID]bool, len(results))
-	for _, r := range results {
-		published[r.Item] = true
-	}
-	for _, it := range j.items {
-		if published[it.item.ID] {
-			it.phase = finished
-		}
+// addItem adds the item at the next position. It is finished if it has a published result, and
+// resumes its saved generation else.
+func (j *ownedJob) addItem(item *Item) *itemRun {
+	it := &itemRun{job: j, item: item}
+	j.items = append(j.items, it)
+	if j.published[item.ID] {
+		delete(j.published, item.ID)
+		it.phase = finished
+	} else if p, ok := j.saved[item.ID]; ok {
+		it.resume(p)
 	}
+	delete(j.saved, item.ID)
+	return it
 }
 
-// resumeSaved restores the saved generations of items that still wait.
-func (j *ownedJob) resumeSaved(saved []Progress) {
-	byItem := make(map[ItemID]Progress, len(saved))
-	for _, p := range saved {
-		byItem[p.Item] = p
-	}
-	for _, it := range j.items {
-		if p, ok := byItem[it.item.ID]; ok && it.phase == waiting {
-			it.resume(p)
-		}
-	}
+// countUnloaded returns the number of items without a published result that are not read yet.
+func (j *ownedJob) countUnloaded() int {
+	return max(0, j.held.Total-len(j.items)-len(j.published))
 }
 
 // countUnstarted returns the number of items that no target has started.
 func (j *ownedJob) countUnstarted() int {
-	n := 0
+	n := max(0, j.countUnloaded()-len(j.saved))
 	for _, it := range j.items {
 		if it.phase == waiting && !it.started {
 			n++
@@ -98,6 +97,11 @@
 			generations = append(generations, it.progress())
 		}
 	}
+	for _, p := range j.saved {
+		if len(p.Events) >= minEvents {
+			generations = append(generations, p)
+		}
+	}
 	return generations
 }
 
--- a/internal/silljob/read.go
+++ b/internal/silljob/read.go
@@ -91,11 +91,9 @@
 func (r *Reader) page(ctx context.Context, job ID, state VersionedState, after int) (Page, error) {
 	list, cached := r.Cache.Get(job, after)
 	if cached < state.Published && len(list) == 0 {
-		results, err := r.Store.Results(ctx, job, cached)
-		if err != nil {
-			return Page{}, ErrStateUnknown
+		if err := r.fillCache(ctx, job, state, cached, after); err != nil {
+			return Page{}, errors.Join(ErrStateUnknown, err)
 		}
-		r.Cache.Add(job, cached, results)
 		list, _ = r.Cache.Get(job, after)
 	}
 	if len(list) == 0 {
@@ -112,6 +110,27 @@
 	return Page{Total: state.Total, Results: list}, nil
 }
 
+// fillCache reads results into the cache, from the first position that is not cached, until it
+// holds a page of them from position after on or there are no more. What it has read stays
+// cached if a read fails, so that the next call goes on there.
+func (r *Reader) fillCache(ctx context.Context, job ID, state VersionedState, cached, after int) error {
+	size := 0
+	for p := r.Store.resultPager(job, cached, state.Published); !p.done && size <= maxPageBytes; {
+		results, err := p.page(ctx)
+		if err != nil {
+			return err
+		}
+		r.Cache.Add(job, cached, results)
+		for i := range results {
+			if cached+i >= after {
+				size += len(results[i].Text)
+			}
+		}
+		cached += len(results)
+	}
+	return nil
+}
+
 // Body returns the request body of an item of a job that has not ended. Errors:
 // ErrNoJob, ErrNoItem, ErrStateUnknown.
 func (r *Reader) Body(ctx context.Context, job ID, organisation sillid.OrganisationID, item ItemID) ([]byte, error) {
@@ -122,16 +141,14 @@
 	if state.Ended {
 		return nil, ErrNoItem
 	}
-	sub, err := r.Store.Submission(ctx, job)
-	if err != nil {
-		return nil, ErrStateUnknown
-	}
-	for i := range sub.Items {
-		if sub.Items[i].ID == item {
-			return sub.Items[i].Body, nil
-		}
+	b, err := r.Store.ItemBody(ctx, job, state.Content, item)
+	switch {
+	case errors.Is(err, ErrNoItem):
+		return nil, ErrNoItem
+	case err != nil:
+		return nil, errors.Join(ErrStateUnknown, err)
 	}
-	return nil, ErrNoItem
+	return b, nil
 }
 
 // End ends a job of the organisation. Errors: ErrNoJob, ErrStateUnknown.
--- /dev/null
+++ b/internal/silljob/results.go
@@ -0,0 +1,115 @@
+package silljob
+
+import (
+	"context"
+	"errors"
+	"unicode/utf8"
+
+	"github.com/wasabisill/wasabisill/internal/silltable"
+)
+
+// errNotUTF8 is the error of a text that is not UTF-8, which earlier builds took from targets.
+var errNotUTF8 = errors.New("text is not UTF-8")
+
+// resultPager reads the results of a job in the order of their positions. It goes on after a
+// failed read where it stopped.
+type resultPager struct {
+	store  *Store
+	job    ID
+	next   silltable.Range
+	joiner listJoiner
+	// position is that of the next result.
+	position int
+	// published is the number of published results; 0 if unknown.
+	published int
+	done      bool
+}
+
+// resultPager returns a pager from a position on, which must be the first one of a list.
+// Published is the number of published results; 0 if unknown.
+func (s *Store) resultPager(job ID, from, published int) *resultPager {
+	return &resultPager{
+		store: s, job: job, position: from, published: published,
+		next: silltable.Range{Table: ResultTable, Partition: partition(job), From: chunkKey(from, 0), Large: true},
+	}
+}
+
+// page returns the results of the next page, which may be none.
+func (p *resultPager) page(ctx context.Context) ([]Result, error) {
+	page, err := p.store.Feed.ReadPage(ctx, p.next)
+	if err != nil {
+		return nil, err
+	}
+	var results []Result
+	for _, row := range page.Rows {
+		l, err := p.joiner.add(row)
+		if err != nil {
+			return nil, err
+		}
+		results = append(results, p.decode(l)...)
+	}
+	if p.next.From = page.Next; page.Next == "" {
+		results = append(results, p.decode(p.joiner.end())...)
+		results = append(results, p.undecoded(p.published)...)
+		p.done = true
+	}
+	return results, nil
+}
+
+// decode decodes a list; nil gives no results. Each position keeps its result: one that can't
+// be used is not completed.
+func (p *resultPager) decode(l *elementList) []Result {
+	if l == nil {
+		return nil
+	}
+	results := p.undecoded(l.first)
+	list, failures, err := decodeList[Result](l)
+	if err != nil {
+		p.store.countUndecoded(ResultTable, p.job, l.first, err)
+		return results
+	}
+	for i, r := range list {
+		results = append(results, p.usable(l.first+i, r, failures[l.first+i]))
+	}
+	p.position = l.first + len(list)
+	return results
+}
+
+// undecoded returns the results before a position that stand in a list that can't be decoded.
+func (p *resultPager) undecoded(end int) []Result {
+	var results []Result
+	for ; p.position < end; p.position++ {
+		results = append(results, Result{})
+	}
+	return results
+}
+
+// usable returns a result as it may be published, from one that may be nil after a failure.
+func (p *resultPager) usable(position int, r *Result, failure error) Result {
+	if failure == nil && !r.isValid() {
+		failure = errNotUTF8
+	}
+	if failure == nil {
+		return *r
+	}
+	p.store.countUndecoded(ResultTable, p.job, position, failure)
+	if r == nil {
+		return Result{}
+	}
+	return Result{Item: r.Item}
+}
+
+// isValid returns whether the texts of a result can be passed on.
+func (r *Result) isValid() bool {
+	return utf8.ValidString(r.Text) && utf8.ValidString(r.Score) && utf8.ValidString(string(r.Item))
+}
+
+// isValid returns whether the events of a generation can be continued.
+func (p *Progress) isValid() bool {
+	for _, e := range p.Events {
+		if !utf8.ValidString(e) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/silljob/retain.go
+++ b/internal/silljob/retain.go
@@ -37,11 +37,12 @@
 	sillgroup.Every(ctx, retentionInterval, func(now time.Time) { r.deleteExpired(ctx, now) })
 }
 
+// deleteExpired deletes expired jobs. One that can't be deleted keeps no other from that.
 func (r *Retention) deleteExpired(ctx context.Context, now time.Time) {
 	for _, job := range r.Board.expired(now, r.Period+clockSkewMargin, completeJobRetention) {
 		err := r.deleteJob(ctx, job)
 		r.Log.Info("Deleting an expired job.", zap.String("job", string(job)), silllog.Err(err))
-		if err != nil {
+		if ctx.Err() != nil {
 			return
 		}
 	}
@@ -79,30 +80,48 @@
 	delete(b.states, job)
 }
 
-// Delete deletes the rows of a job. It deletes the state row last, so that an
-// interrupted deletion is found and continued.
+// Delete deletes the rows of a job page by page; a later call goes on where an interrupted one
+// stopped. It deletes the state row last, so that the job is found until then.
 func (s *Store) Delete(ctx context.Context, job ID) error {
 	for _, table := range []string{ResultTable, ProgressTable, ContentTable, StateTable} {
-		snapshot, err := s.Feed.Read(ctx, table, partition(job), "")
+		if err := s.deleteAll(ctx, table, job, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// deleteAll deletes the rows of a job in a table if the checks hold.
+func (s *Store) deleteAll(ctx context.Context, table string, job ID, checks []silltable.Check) error {
+	r := silltable.Range{Table: table, Partition: partition(job), Large: true}
+	for {
+		page, err := s.Feed.ReadPage(ctx, r)
 		if err != nil {
 			return err
 		}
-		rows := snapshot.Rows
-		for len(rows) > 0 {
-			n := min(len(rows), maxTxnRows)
-			if err := s.deleteRows(ctx, rows[:n]); err != nil {
+		keys := make([]string, len(page.Rows))
+		for i, row := range page.Rows {
+			keys[i] = row.Key
+		}
+		for len(keys) > 0 {
+			n := min(len(keys), maxTxnRows)
+			if err := s.deleteKeys(ctx, keys[:n], checks); err != nil {
 				return err
 			}
-			rows = rows[n:]
+			keys = keys[n:]
 		}
+		if page.Next == "" {
+			return nil
+		}
+		r.From = page.Next
 	}
-	return nil
 }
 
-func (s *Store) deleteRows(ctx context.Context, rows []silltable.Row) error {
-	txn := silltable.Txn{}
-	for _, row := range rows {
-		txn.Writes = append(txn.Writes, silltable.Write{Key: row.Key, Delete: true})
+// deleteKeys deletes rows in one transaction if the checks hold.
+func (s *Store) deleteKeys(ctx context.Context, keys []string, checks []silltable.Check) error {
+	txn := silltable.Txn{Checks: checks}
+	for _, key := range keys {
+		txn.Writes = append(txn.Writes, silltable.Write{Key: key, Delete: true})
 	}
 	_, err := s.Table.Commit(ctx, txn)
 	return err
--- a/internal/silljob/retain_test.go
+++ b/internal/silljob/retain_test.go
@@ -8,11 +8,14 @@
 	"go.uber.org/zap"
 )
 
+func newRetention(s *Store) *Retention {
+	return &Retention{Store: s, Board: NewBoard(), Period: 2 * time.Minute, Log: zap.NewNop()}
+}
+
 // TestRetention ends one job, publishes all results of another and leaves a third open.
 func TestRetention(t *testing.T) {
 	s, table := newStore()
-	board := NewBoard()
-	r := &Retention{Store: s, Board: board, Period: 2 * time.Minute, Log: zap.NewNop()}
+	r := newRetention(s)
 	for _, job := range []ID{"ended", "complete", "open"} {
 		held := mustAccept(t, s, submission(job, 1), "a")
 		var err error
@@ -25,7 +28,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		board.UpdateIfNewer(job, held)
+		r.Board.UpdateIfNewer(job, held)
 	}
 	now := time.Now()
 	for _, tc := range []struct {
--- a/internal/silljob/rows.go
+++ b/internal/silljob/rows.go
@@ -1,10 +1,8 @@
 package silljob
 
 import (
-	"bytes"
 	"fmt"
 	"net/url"
-	"strconv"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -70,63 +68,8 @@
 // element and the number of the part.
 func chunkKey(first, part int) string { return fmt.Sprintf("%08d.%03d", first, part) }
 
-// chunkPosition returns the position in a key of chunkKey.
-func chunkPosition(key string) (int, error) {
-	name := key[strings.LastIndexByte(key, '/')+1:]
-	first, _, _ := strings.Cut(name, ".")
-	return strconv.Atoi(first)
-}
-
-// encodeList returns the rows of a list whose first element has position first. A
-// list that is too long for one row is split into parts, which must be written in
-// one transaction.
-func encodeList(table string, job ID, first int, list any) ([]silltable.Write, error) {
-	b, err := cbor.Marshal(list)
-	if err != nil {
-		return nil, eris.Wrap(err, "silljob.encodeList")
-	}
-	var writes []silltable.Write
-	for part := 0; part == 0 || len(b) > 0; part++ {
-		n := min(len(b), maxRowBytes)
-		writes = append(writes, silltable.Write{Key: rowKey(table, job, chunkKey(first, part)), Value: b[:n]})
-		b = b[n:]
-	}
-	return writes, nil
-}
-
-// decodeLists decodes lists from their rows, which must be in the order of their
-// keys. It fails if a list lacks its last parts.
-func decodeLists[T any](rows []silltable.Row) ([]T, error) {
-	var all []T
-	for len(rows) > 0 {
-		first, err := chunkPosition(rows[0].Key)
-		if err != nil {
-			return nil, eris.Wrapf(err, "silljob.decodeLists: key %q", rows[0].Key)
-		}
-		var b bytes.Buffer
-		n := 0
-		for n < len(rows) && samePosition(rows[n].Key, first) {
-			b.Write(rows[n].Value)
-			n++
-		}
-		var list []T
-		// Bytes after the list are parts of a longer list that it replaced.
-		if _, err := cbor.UnmarshalFirst(b.Bytes(), &list); err != nil {
-			return nil, eris.Wrapf(err, "silljob.decodeLists: position %d", first)
-		}
-		all = append(all, list...)
-		rows = rows[n:]
-	}
-	return all, nil
-}
-
-func samePosition(key string, first int) bool {
-	other, err := chunkPosition(key)
-	return err == nil && other == first
-}
-
 func encodeState(job ID, s *State) (silltable.Write, error) {
-	b, err := cbor.Marshal(s)
+	b, err := encoding.Marshal(s)
 	return silltable.Write{Key: rowKey(StateTable, job, stateKey), Value: b}, eris.Wrap(err, "silljob.encodeState")
 }
 
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -81,8 +81,8 @@
 	// takeoverRankDelay is how much longer than the rank before it each rank waits
 	// before it takes over a job.
 	takeoverRankDelay = time.Second
-	// loadTimeout bounds the claim and read of a job, and its release.
-	loadTimeout = 2 * time.Second
+	// releaseTimeout bounds the release of a job.
+	releaseTimeout = 2 * time.Second
 )
 
 // NewRunner returns a runner that Run starts.
@@ -164,7 +164,7 @@
 		zap.String("model", string(sub.Model)), zap.Uint64("min-version", uint64(sub.MinVersion)))
 	r.cfg.Board.UpdateIfNewer(sub.Job, held)
 	if accepted && owner == r.cfg.Self {
-		r.adopt(sub, held, nil, nil)
+		r.runNew(sub, held)
 	}
 	return accepted, nil
 }
--- a/internal/silljob/score.go
+++ b/internal/silljob/score.go
@@ -97,6 +97,7 @@
 	r.mu.Lock()
 	it.phase = finished
 	it.events = nil
+	it.item.dropContent()
 	j := it.job
 	j.pending = append(j.pending, result)
 	r.mu.Unlock()
--- a/internal/silljob/store.go
+++ b/internal/silljob/store.go
@@ -6,7 +6,6 @@
 	"errors"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/wasabisill/wasabisill/internal/silltable"
@@ -27,6 +26,9 @@
 type Store struct {
 	Table *silltable.Store
 	Feed  *silltable.Feed
+	// OnUndecoded is called with the key of each list, or the position of each element, of a
+	// job that can't be decoded. It may be nil.
+	OnUndecoded func(key string, err error)
 }
 
 // VersionedState is the state of a job with the revision of its row, on which a write
@@ -36,74 +38,6 @@
 	Revision silltable.Revision
 }
 
-// Accept writes a new job with the given owner and returns its state. It returns
-// false if the job was accepted before. After silltable.ErrUnavailable the job is not
-// accepted. After silltable.ErrUnknown it may have been accepted, or may be later.
-func (s *Store) Accept(ctx context.Context, sub *Submission, owner GatewayRun) (VersionedState, bool, error) {
-	state := State{
-		Organisation: sub.Organisation, Model: sub.Model, Pool: sub.Pool, MinVersion: sub.MinVersion, SingleVersion: sub.SingleVersion,
-		Total: len(sub.Items), Waiting: len(sub.Items), Owner: owner, Epoch: 1, SubmittedMS: sub.SubmittedMS,
-	}
-	writes, err := encodeSubmission(sub, &state)
-	if err != nil {
-		return VersionedState{}, false, err
-	}
-	absent := []silltable.Check{{Key: rowKey(StateTable, sub.Job, stateKey), Revision: silltable.Absent}}
-	accepted := VersionedState{State: state}
-	for _, part := range splitWrites(writes) {
-		revisions, err := s.Table.Commit(ctx, silltable.Txn{Checks: absent, Writes: part})
-		if err != nil {
-			return s.resolveAccept(ctx, sub.Job, err)
-		}
-		accepted.Revision = revisions[len(revisions)-1]
-	}
-	return accepted, true, nil
-}
-
-// resolveAccept reads whether the job was accepted, after a conflict with an earlier
-// call or a commit of unknown outcome. It returns other causes unchanged.
-func (s *Store) resolveAccept(ctx context.Context, job ID, cause error) (VersionedState, bool, error) {
-	if !errors.Is(cause, silltable.ErrUnknown) && !errors.Is(cause, silltable.ErrConflict) {
-		return VersionedState{}, false, cause
-	}
-	held, err := s.State(ctx, job)
-	if err == nil {
-		return held, false, nil
-	}
-	return VersionedState{}, false, eris.Wrapf(silltable.ErrUnknown, "silljob.resolveAccept: job %s: %v", job, err)
-}
-
-// encodeSubmission returns the rows of a job. The state row is the last one, since a
-// job is accepted once its state row is written.
-func encodeSubmission(sub *Submission, state *State) ([]silltable.Write, error) {
-	head, err := cbor.Marshal(sub)
-	if err != nil {
-		return nil, eris.Wrap(err, "silljob.encodeSubmission")
-	}
-	writes, err := encodeList(ContentTable, sub.Job, 0, sub.Items)
-	if err != nil {
-		return nil, err
-	}
-	writes = append(writes, silltable.Write{Key: rowKey(ContentTable, sub.Job, headKey), Value: head})
-	row, err := encodeState(sub.Job, state)
-	return append(writes, row), err
-}
-
-// splitWrites splits rows into transactions and keeps their order.
-func splitWrites(writes []silltable.Write) [][]silltable.Write {
-	var parts [][]silltable.Write
-	start, size := 0, 0
-	for i, w := range writes {
-		n := len(w.Key) + len(w.Value)
-		if i > start && (size+n > maxTxnBytes || i-start >= maxTxnRows) {
-			parts = append(parts, writes[start:i])
-			start, size = i, 0
-		}
-		size += n
-	}
-	return append(parts, writes[start:])
-}
-
 // State reads the state of a job. It returns ErrNoJob if there is none.
 func (s *Store) State(ctx context.Context, job ID) (VersionedState, error) {
 	row, err := s.Table.Get(ctx, rowKey(StateTable, job, stateKey))
@@ -117,41 +51,65 @@
 	return VersionedState{State: state, Revision: row.Revision}, err
 }
 
-// Submission reads a job as it was submitted. It returns ErrNoJob if there is none.
-func (s *Store) Submission(ctx context.Context, job ID) (*Submission, error) {
-	snapshot, err := s.Feed.Read(ctx, ContentTable, partition(job), "")
+// Results reads the results from a position on. That must be the first position of a
+// batch that was written at once.
+func (s *Store) Results(ctx context.Context, job ID, from int) ([]Result, error) {
+	var all []Result
+	for p := s.resultPager(job, from, 0); !p.done; {
+		results, err := p.page(ctx)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, results...)
+	}
+	return all, nil
+}
+
+// SavedProgress reads the generations in progress that an owner saved. Those that can't be
+// decoded are left out, and generated again.
+func (s *Store) SavedProgress(ctx context.Context, job ID) ([]Progress, error) {
+	rows, err := s.readRange(ctx, silltable.Range{Table: ProgressTable, Partition: partition(job), Large: true})
 	if err != nil {
 		return nil, err
 	}
-	last := len(snapshot.Rows) - 1
-	if last < 0 || snapshot.Rows[last].Key != rowKey(ContentTable, job, headKey) {
-		return nil, ErrNoJob
+	lists, err := joinLists(rows)
+	if err != nil {
+		return nil, err
 	}
-	var sub Submission
-	if err := cbor.Unmarshal(snapshot.Rows[last].Value, &sub); err != nil {
-		return nil, eris.Wrapf(err, "silljob.Submission: job %s", job)
+	var saved []Progress
+	for i := range lists {
+		saved = append(saved, s.decodeProgress(job, &lists[i])...)
 	}
-	sub.Items, err = decodeLists[Item](snapshot.Rows[:last])
-	return &sub, err
+	return saved, nil
 }
 
-// Results reads the results from a position on. That must be the first position of a
-// batch that was written at once.
-func (s *Store) Results(ctx context.Context, job ID, from int) ([]Result, error) {
-	snapshot, err := s.Feed.Read(ctx, ResultTable, partition(job), chunkKey(from, 0))
+func (s *Store) decodeProgress(job ID, l *elementList) []Progress {
+	list, failures, err := decodeList[Progress](l)
 	if err != nil {
-		return nil, err
+		s.countUndecoded(ProgressTable, job, l.first, err)
+		return nil
+	}
+	for position, err := range failures {
+		s.countUndecoded(ProgressTable, job, position, err)
+	}
+	var saved []Progress
+	for i, p := range list {
+		switch {
+		case p == nil:
+		case !p.isValid():
+			s.countUndecoded(ProgressTable, job, l.first+i, errNotUTF8)
+		default:
+			saved = append(saved, *p)
+		}
 	}
-	return decodeLists[Result](snapshot.Rows)
+	return saved
 }
 
-// SavedProgress reads the generations in progress that an owner saved.
-func (s *Store) SavedProgress(ctx context.Context, job ID) ([]Progress, error) {
-	snapshot, err := s.Feed.Read(ctx, ProgressTable, partition(job), "")
-	if err != nil {
-		return nil, err
+// countUndecoded reports a row that can't be used.
+func (s *Store) countUndecoded(table string, job ID, position int, err error) {
+	if s.OnUndecoded != nil {
+		s.OnUndecoded(rowKey(table, job, chunkKey(position, 0)), err)
 	}
-	return decodeLists[Progress](snapshot.Rows)
 }
 
 // Update is what the owner writes to a job in one transaction.
@@ -181,11 +139,13 @@
 func (s *Store) update(ctx context.Context, job ID, held VersionedState, owner GatewayRun, u Update) (VersionedState, error) {
 	var writes []silltable.Write
 	if len(u.Results) > 0 {
-		list, err := encodeList(ResultTable, job, held.Published, u.Results)
+		lists, err := splitLists(held.Published, u.Results)
 		if err != nil {
 			return held, err
 		}
-		writes = list
+		for i := range lists {
+			writes = append(writes, lists[i].rows(ResultTable, job, "")...)
+		}
 	}
 	next := held.State
 	next.Owner = owner
@@ -207,11 +167,13 @@
 func (s *Store) writeWithProgress(ctx context.Context, job ID, held VersionedState, next State, writes []silltable.Write, progress []Progress) (VersionedState, error) {
 	progress = longestFitting(progress, maxTxnBytes-sizeOf(writes))
 	if len(progress) > 0 {
-		list, err := encodeList(ProgressTable, job, 0, progress)
+		b, err := encoding.Marshal(progress)
 		if err != nil {
-			return held, err
+			return held, eris.Wrap(err, "silljob.writeWithProgress")
 		}
-		writes = append(writes, list...)
+		// One list, so that parts of a longer one before it are not taken for others.
+		l := elementList{data: b}
+		writes = append(writes, l.rows(ProgressTable, job, "")...)
 		next.HasProgress = true
 	}
 	return s.compareAndSet(ctx, job, held, next, writes)
--- a/internal/silljob/takeover.go
+++ b/internal/silljob/takeover.go
@@ -68,92 +68,6 @@
 	}
 }
 
-// startLoading loads a job in the background, and claims it first if claim is set.
-func (r *Runner) startLoading(job ID, v VersionedState, claim bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.stopping || r.loading[job] || r.jobs[job] != nil {
-		return
-	}
-	r.loading[job] = true
-	r.group.Go(func(ctx context.Context) {
-		defer func() {
-			r.mu.Lock()
-			delete(r.loading, job)
-			r.mu.Unlock()
-		}()
-		ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-		defer cancel()
-		if err := r.load(ctx, job, v, claim); err != nil {
-			r.cfg.Log.Warn("Failed to load a job; retrying.", zap.String("job", string(job)), zap.Bool("claim", claim), silllog.Err(err))
-		}
-	})
-}
-
-// load claims a job if claim is set, reads it from the store and starts it.
-func (r *Runner) load(ctx context.Context, job ID, v VersionedState, claim bool) error {
-	held := v
-	if claim {
-		after, err := r.cfg.Store.Claim(ctx, job, v, r.cfg.Self)
-		if err != nil {
-			return err
-		}
-		held = after
-		r.cfg.Metrics.takeovers.Inc()
-		r.cfg.Log.Info("Took a job over.", zap.String("job", string(job)), zap.String("from", string(v.Owner)),
-			zap.Uint64("epoch", uint64(held.Epoch)), zap.Int("listed", held.Published))
-		r.cfg.Board.UpdateIfNewer(job, held)
-	}
-	sub, err := r.cfg.Store.Submission(ctx, job)
-	if err != nil {
-		return err
-	}
-	var results []Result
-	if held.Published > 0 {
-		if results, err = r.cfg.Store.Results(ctx, job, 0); err != nil {
-			return err
-		}
-	}
-	var saved []Progress
-	if held.HasProgress {
-		if saved, err = r.cfg.Store.SavedProgress(ctx, job); err != nil {
-			return err
-		}
-	}
-	r.adopt(sub, held, results, saved)
-	return nil
-}
-
-// adopt starts to run a job from its published results and saved generations.
-func (r *Runner) adopt(sub *Submission, held VersionedState, results []Result, saved []Progress) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.stopping || r.jobs[sub.Job] != nil {
-		return
-	}
-	j := newOwnedJob(r.group.Context(), sub, held)
-	j.skipPublished(results)
-	j.resumeSaved(saved)
-	r.resumeFromCache(j)
-	r.jobs[sub.Job] = j
-	j.group.Go(func(ctx context.Context) { r.writeLoop(ctx, j) })
-	delete(r.orphanSince, sub.Job)
-	r.notifyDispatcher()
-}
-
-// resumeFromCache restores generations in progress of items that this process ran in
-// an earlier job and did not finish.
-func (r *Runner) resumeFromCache(j *ownedJob) {
-	for _, it := range j.items {
-		if it.phase != waiting || len(it.events) > 0 {
-			continue
-		}
-		if p, ok := r.cfg.Cache.Unfinished(it.item.ID); ok {
-			it.resume(p)
-		}
-	}
-}
-
 // stopJob stops running a job. It caches the generations in progress for a later job
 // with the same items.
 func (r *Runner) stopJob(j *ownedJob, why string) {
@@ -190,9 +104,9 @@
 
 // release releases a job. It writes the results that are not published yet, and saves the
 // generations in progress. It tries again while the job's writer changes the state row or
-// the table refuses the write, for loadTimeout at most.
+// the table refuses the write, for releaseTimeout at most.
 func (r *Runner) release(ctx context.Context, j *ownedJob) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
 		r.mu.Lock()
--- a/internal/sillmemtable/feed.go
+++ b/internal/sillmemtable/feed.go
@@ -14,10 +14,13 @@
 // pollEvery is how often a waiting feed looks for changes.
 const pollEvery = 5 * time.Millisecond
 
+// maxPageBytes bounds the values of a page of a range.
+const maxPageBytes = 1 << 20
+
 // Feed returns the table behind the interface of its feed. Faults are asked as
 // "read", "partitions" and "follow".
 func (t *Table) Feed() *silltable.Feed {
-	return &silltable.Feed{Read: t.read, Partitions: t.partitions, Follow: t.follow}
+	return &silltable.Feed{ReadPage: t.readPage, Partitions: t.partitions, Follow: t.follow}
 }
 
 // Compact drops the history: feeds that start before now get ErrCompacted.
@@ -28,24 +31,32 @@
 	clear(t.removed)
 }
 
-func (t *Table) read(ctx context.Context, table, partition, from string) (silltable.Snapshot, error) {
+func (t *Table) readPage(ctx context.Context, r silltable.Range) (silltable.RangePage, error) {
 	if err := t.fault(ctx, "read"); err != nil {
-		return silltable.Snapshot{}, err
+		return silltable.RangePage{}, err
 	}
-	prefix := table + "/"
-	if partition != "" {
-		prefix += partition + "/"
+	prefix := r.Table + "/"
+	if r.Partition != "" {
+		prefix += r.Partition + "/"
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	snapshot := silltable.Snapshot{Revision: t.last}
+	page := silltable.RangePage{Revision: t.last}
 	for key, row := range t.rows {
-		if strings.HasPrefix(key, prefix) && key >= prefix+from {
-			snapshot.Rows = append(snapshot.Rows, row)
+		if strings.HasPrefix(key, prefix) && key >= prefix+r.From && (r.To == "" || key < prefix+r.To) {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	sort.Slice(page.Rows, func(i, j int) bool { return page.Rows[i].Key < page.Rows[j].Key })
+	size := 0
+	for i, row := range page.Rows {
+		size += len(row.Value)
+		if i > 0 && size > maxPageBytes {
+			page.Rows, page.Next = page.Rows[:i], strings.TrimPrefix(row.Key, prefix)
+			break
 		}
 	}
-	sort.Slice(snapshot.Rows, func(i, j int) bool { return snapshot.Rows[i].Key < snapshot.Rows[j].Key })
-	return snapshot, nil
+	return page, nil
 }
 
 func (t *Table) partitions(ctx context.Context, table string) ([]string, error) {
--- a/internal/sillrelay/relay.go
+++ b/internal/sillrelay/relay.go
@@ -25,11 +25,12 @@
 	// probeInterval is the time between two probes of an unreachable service.
 	probeInterval = 400 * time.Millisecond
 	probeTimeout  = 300 * time.Millisecond
-	// directTimeout is the time limit of a call to the service in addition to the
-	// time for which it waits for changes. It leaves time for a call through a peer.
+	// directTimeout is the time limit of a call to the service in addition to the times
+	// for which it waits for changes and for its bytes to pass a slow link. It leaves time
+	// for a call through a peer.
 	directTimeout = 700 * time.Millisecond
 	// maxResponseBytes is the size limit of a peer's response.
-	maxResponseBytes = 64 << 20
+	maxResponseBytes = 8 << 20
 )
 
 // Config holds the dependencies of a Relay.
@@ -90,9 +91,9 @@
 // Feed returns the operations on whole tables.
 func (r *Relay) Feed() *silltable.Feed {
 	return &silltable.Feed{
-		Read: func(ctx context.Context, table, partition, from string) (silltable.Snapshot, error) {
-			a, err := r.call(ctx, wireCall{Call: callRead, Table: table, Partition: partition, Key: from})
-			return silltable.Snapshot{Rows: a.Rows, Revision: a.Revision}, err
+		ReadPage: func(ctx context.Context, q silltable.Range) (silltable.RangePage, error) {
+			a, err := r.call(ctx, wireCall{Call: callReadPage, Table: q.Table, Partition: q.Partition, Key: q.From, To: q.To, Large: q.Large})
+			return silltable.RangePage{Rows: a.Rows, Revision: a.Revision, Next: a.Next}, err
 		},
 		Partitions: func(ctx context.Context, table string) ([]string, error) {
 			a, err := r.call(ctx, wireCall{Call: callPartitions, Table: table})
@@ -127,7 +128,7 @@
 		if !notServed(err) || ctx.Err() != nil {
 			return a, err
 		}
-		r.setUnreachable(err)
+		r.recordFailure(ctx, c, err)
 		// A write without a response may still take effect, so it is not repeated
 		// through a peer; the caller decides.
 		if errors.Is(err, silltable.ErrUnknown) {
@@ -142,6 +143,16 @@
 	return errors.Is(err, silltable.ErrUnavailable) || errors.Is(err, silltable.ErrUnknown)
 }
 
+// recordFailure takes the service for out of reach after a call that it did not serve. A
+// call with many bytes may have failed because the link is slow or busy, so a probe decides.
+func (r *Relay) recordFailure(ctx context.Context, c wireCall, err error) {
+	if c.transferTime() > 0 && r.probe(ctx) {
+		r.cfg.Log.Warn("A call with many bytes failed, but the table service is within reach.", zap.String("call", string(c.Call)), silllog.Err(err))
+		return
+	}
+	r.setUnreachable(err)
+}
+
 func (r *Relay) setUnreachable(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -176,8 +187,7 @@
 
 // direct makes a call to the service with a timeout and counts its outcome.
 func (r *Relay) direct(ctx context.Context, c wireCall) (wireResult, error) {
-	wait := time.Duration(c.WaitMS) * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, wait+directTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.timeLimit())
 	defer cancel()
 	a, err := r.execute(ctx, c)
 	r.count("direct", err)
@@ -207,6 +217,9 @@
 	case callRead:
 		s, err := r.cfg.Feed.Read(ctx, c.Table, c.Partition, c.Key)
 		return wireResult{Rows: s.Rows, Revision: s.Revision}, err
+	case callReadPage:
+		page, err := r.cfg.Feed.ReadPage(ctx, silltable.Range{Table: c.Table, Partition: c.Partition, From: c.Key, To: c.To, Large: c.Large})
+		return wireResult{Rows: page.Rows, Revision: page.Revision, Next: page.Next}, err
 	case callPartitions:
 		names, err := r.cfg.Feed.Partitions(ctx, c.Table)
 		return wireResult{Partitions: names}, err
@@ -252,8 +265,7 @@
 }
 
 func (r *Relay) callPeer(ctx context.Context, address string, c wireCall, body []byte) (wireResult, error) {
-	wait := time.Duration(c.WaitMS) * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, wait+directTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.timeLimit())
 	defer cancel()
 	resp, err := r.cfg.Pool.Send(ctx, address, &silltransport.Request{
 		Method: http.MethodPost, RequestURI: path, Host: address, Body: body,
@@ -310,7 +322,7 @@
 		}
 		a, err := r.direct(req.Context(), c)
 		if notServed(err) && req.Context().Err() == nil {
-			r.setUnreachable(err)
+			r.recordFailure(req.Context(), c, err)
 		}
 		a.Failure = failureOf(err)
 		b, err := cbor.Marshal(a)
--- a/internal/sillrelay/wire.go
+++ b/internal/sillrelay/wire.go
@@ -21,10 +21,12 @@
 type callName string
 
 const (
-	callGet        callName = "get"
-	callList       callName = "list"
-	callCommit     callName = "commit"
+	callGet    callName = "get"
+	callList   callName = "list"
+	callCommit callName = "commit"
+	// callRead reads a whole partition; earlier builds send it.
 	callRead       callName = "read"
+	callReadPage   callName = "read-page"
 	callPartitions callName = "partitions"
 	callFollow     callName = "follow"
 )
@@ -35,6 +37,8 @@
 	Key       string             `cbor:"key,omitempty"`
 	After     string             `cbor:"after,omitempty"`
 	Limit     int                `cbor:"limit,omitempty"`
+	To        string             `cbor:"to,omitempty"`
+	Large     bool               `cbor:"large,omitempty"`
 	Txn       silltable.Txn      `cbor:"txn"`
 	Table     string             `cbor:"table,omitempty"`
 	Partition string             `cbor:"partition,omitempty"`
@@ -49,6 +53,7 @@
 	Revisions  []silltable.Revision `cbor:"revisions,omitempty"`
 	Changes    []silltable.Change   `cbor:"changes,omitempty"`
 	Revision   silltable.Revision   `cbor:"revision,omitempty"`
+	Next       string               `cbor:"next,omitempty"`
 	Partitions []string             `cbor:"partitions,omitempty"`
 }
 
--- a/internal/silltable/feed.go
+++ b/internal/silltable/feed.go
@@ -35,13 +35,34 @@
 	Revision Revision
 }
 
+// Range selects rows of one partition of a table. Tables without partitions have the
+// partition "".
+type Range struct {
+	Table     string
+	Partition string
+	// From is the first key, without the prefix of table and partition. To is the first key
+	// after the range; empty for no end.
+	From, To string
+	// Large is whether the rows are large: a call then gets the time to transfer a full page
+	// over a slow link.
+	Large bool
+}
+
+// RangePage holds the first rows of a range.
+type RangePage struct {
+	Rows []Row
+	// Revision is the newest revision of the service at the time of the read.
+	Revision Revision
+	// Next is the From of the rows that follow; empty if the range has no more.
+	Next string
+}
+
 // Feed reads partitions of tables and watches tables for changes. Its fields are
 // safe for concurrent use.
 type Feed struct {
-	// Read reads the rows of one partition whose keys, without the prefix of
-	// table and partition, are not less than from. Tables without partitions
-	// have the partition "". Errors: ErrUnavailable.
-	Read func(ctx context.Context, table, partition, from string) (Snapshot, error)
+	// ReadPage reads the first rows of a range, as many as the service returns in one
+	// call. Errors: ErrUnavailable.
+	ReadPage func(ctx context.Context, r Range) (RangePage, error)
 	// Partitions lists the partitions of a table. Errors: ErrUnavailable.
 	Partitions func(ctx context.Context, table string) ([]string, error)
 	// Follow waits for changes of a table after a revision. It returns as soon as
@@ -49,3 +70,25 @@
 	// ErrUnavailable.
 	Follow func(ctx context.Context, table string, after Revision, wait time.Duration) (Page, error)
 }
+
+// Read reads the rows of one partition whose keys, without the prefix of table and
+// partition, are not less than from, page by page. Rows that are written meanwhile may be
+// missing; Revision is that of the first page. Errors: ErrUnavailable.
+func (f *Feed) Read(ctx context.Context, table, partition, from string) (Snapshot, error) {
+	var snapshot Snapshot
+	r := Range{Table: table, Partition: partition, From: from}
+	for first := true; ; first = false {
+		page, err := f.ReadPage(ctx, r)
+		if err != nil {
+			return Snapshot{}, err
+		}
+		if first {
+			snapshot.Revision = page.Revision
+		}
+		snapshot.Rows = append(snapshot.Rows, page.Rows...)
+		if page.Next == "" {
+			return snapshot, nil
+		}
+		r.From = page.Next
+	}
+}
