Take no bytes that are not text from targets

Cause: such bytes were taken for the item's next event and written as a CBOR text, which no reader decodes, and one element that can't be decoded made its whole list fail.

Change: a stream that is not UTF-8 is a broken answer, for items, for streams that are passed on (cut before the byte) and for engines behind agents, whose decoder replaced the bytes unseen. So are heads with control characters and signatures that are not text.

--- a/internal/sillengine/generate.go
+++ b/internal/sillengine/generate.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
 
@@ -67,7 +68,7 @@
 }
 
 // maxLineBytes bounds one line of the event stream.
-const maxLineBytes = 4 << 20
+const maxLineBytes = 1 << 20
 
 var (
 	eventPrefix = []byte("data:")
@@ -135,11 +136,17 @@
 func readEvents(r io.Reader, yield func(Part) error) error {
 	s := bufio.NewScanner(r)
 	s.Buffer(nil, maxLineBytes)
+	skipped := 0
 	for s.Scan() {
 		data, ok := bytes.CutPrefix(s.Bytes(), eventPrefix)
 		if !ok {
+			// Lines without end that are no events are no answer.
+			if skipped += len(s.Bytes()) + 1; skipped > maxLineBytes {
+				return eris.Wrap(ErrCut, "sillengine.Generate: no event in many lines")
+			}
 			continue
 		}
+		skipped = 0
 		data = bytes.TrimSpace(data)
 		if bytes.Equal(data, eventEnd) {
 			return nil
@@ -160,6 +167,10 @@
 
 func decodePart(data []byte) (Part, error) {
 	var d chunkDocument
+	if !utf8.Valid(data) {
+		// The decoder would replace the bytes.
+		return Part{}, eris.Wrap(ErrCut, "sillengine.Generate: event is not UTF-8")
+	}
 	if err := json.Unmarshal(data, &d); err != nil {
 		return Part{}, eris.Wrapf(ErrCut, "sillengine.Generate: malformed event: %v", err)
 	}
--- a/internal/sillevent/event.go
+++ b/internal/sillevent/event.go
@@ -8,6 +8,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
@@ -25,6 +26,9 @@
 // ErrTooLong is returned for a line or an event that is longer than an engine sends.
 var ErrTooLong = errors.New("the event is too long")
 
+// ErrNotText is returned for bytes that no event stream can hold: it is UTF-8.
+var ErrNotText = errors.New("the stream holds bytes that are not UTF-8")
+
 // Event is one event of a stream.
 type Event struct {
 	// ID is the number of the event in its stream; -1 if the event has no id.
@@ -52,7 +56,7 @@
 
 // Next returns the next event. It returns io.EOF if the stream ended between two
 // events, ErrTruncated if it ended within one, ErrTooLong for an event without end, and
-// else the error of the read.
+// ErrNotText for one that is not UTF-8, and else the error of the read.
 func (r *Reader) Next() (Event, error) {
 	e := Event{ID: -1}
 	var data []string
@@ -64,6 +68,9 @@
 		if len(e.Raw)+len(line) > maxEventBytes {
 			return Event{}, ErrTooLong
 		}
+		if !utf8.Valid(line) {
+			return Event{}, ErrNotText
+		}
 		e.Raw = append(e.Raw, line...)
 		field := bytes.TrimRight(line, "\r\n")
 		if len(field) > 0 {
--- a/internal/sillforwarder/attempt.go
+++ b/internal/sillforwarder/attempt.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
 	"github.com/wasabisill/wasabisill/internal/sillcrash"
+	"github.com/wasabisill/wasabisill/internal/sillevent"
 	"github.com/wasabisill/wasabisill/internal/sillheader"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
@@ -116,7 +118,7 @@
 		return nil, silltarget.Malformed, true
 	}
 	if streamed {
-		body := &streamBody{forwarder: f, attempt: a, body: resp.Body, cancel: cancel, ctx: ctx, outcome: silltarget.Abandoned}
+		body := &streamBody{forwarder: f, attempt: a, body: resp.Body, cancel: cancel, ctx: ctx, outcome: silltarget.Abandoned, events: isEventStream(resp)}
 		return &Response{Status: resp.StatusCode, Header: resp.Header, Metadata: metadata, Stream: body}, silltarget.Answered, true
 	}
 	body, err := f.bodies.read(resp.Body, resp.ContentLength)
@@ -143,13 +145,20 @@
 func (f *Forwarder) finishRejected(a activeAttempt, resp *http.Response, metadata sillheader.ResponseMetadata, o silltarget.Outcome) (*Response, silltarget.Outcome, bool) {
 	// The body is read so that the connection can be reused; an error only costs
 	// the connection.
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes))
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxRejectionBytes))
 	resp.Body.Close()
 	f.cfg.Directory.Observe(time.Now(), a.Grant, metadata.Load, 0)
 	f.release(a, o)
 	return nil, o, false
 }
 
+// isEventStream returns whether the body of a response is a stream of events.
+func isEventStream(resp *http.Response) bool {
+	mediaType, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	encoded := resp.Header.Get("Content-Encoding") != ""
+	return err == nil && mediaType == "text/event-stream" && !encoded && isSuccess(resp.StatusCode)
+}
+
 // streamBody is the body of a streamed response. Close releases the grant with the
 // outcome of the stream.
 type streamBody struct {
@@ -158,12 +167,20 @@
 	body      io.ReadCloser
 	cancel    context.CancelFunc
 	ctx       context.Context
+	// events is whether the body is a stream of events.
+	events  bool
+	checker sillevent.Checker
 	// outcome is Abandoned until the stream ends or fails.
 	outcome silltarget.Outcome
 }
 
 func (b *streamBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
+	if malformed := b.check(p[:n], err); malformed != nil {
+		// Nothing of it is passed on.
+		b.outcome = silltarget.Malformed
+		return 0, malformed
+	}
 	switch {
 	case err == io.EOF:
 		b.outcome = silltarget.Answered
@@ -173,6 +190,17 @@
 	return n, err
 }
 
+// check checks bytes of a stream that is an answer, and its end.
+func (b *streamBody) check(p []byte, err error) error {
+	if !b.events {
+		return nil
+	}
+	if malformed := b.checker.Check(p); malformed != nil || err != io.EOF {
+		return malformed
+	}
+	return b.checker.End()
+}
+
 func (b *streamBody) Close() error {
 	err := b.body.Close()
 	b.cancel()
--- a/internal/sillforwarder/body.go
+++ b/internal/sillforwarder/body.go
@@ -10,6 +10,8 @@
 	// maxResponseBytes bounds the body of a response that is buffered before it is
 	// passed on.
 	maxResponseBytes = 16 << 20
+	// maxRejectionBytes bounds what is read of the body of a rejection.
+	maxRejectionBytes = 64 << 10
 	// freeBodyBytes is the part of a body that the shared buffer does not count.
 	freeBodyBytes = 64 << 10
 	// firstBodyBytes is the first allocation for a body of unknown length.
--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -210,6 +210,10 @@
 		if errors.Is(err, io.EOF) && len(it.events) > 0 {
 			return r.endOfStream(it, g.ID, len(it.events) > before)
 		}
+		if errors.Is(err, sillevent.ErrNotText) || errors.Is(err, sillevent.ErrTooLong) {
+			r.avoidTarget(it, g.ID)
+			return incomplete, silltarget.Malformed, err
+		}
 		if err != nil {
 			return incomplete, r.outcomeOf(ctx, err), err
 		}
--- a/internal/sillstandtarget/target.go
+++ b/internal/sillstandtarget/target.go
@@ -200,6 +200,9 @@
 		if !b.Unsigned {
 			w.Header().Set(headerSignature, "signed-"+string(t.ID))
 		}
+		if b.Version != 0 {
+			w.Header().Set(headerVersion, strconv.FormatUint(uint64(b.Version), 10))
+		}
 		w.WriteHeader(b.Status)
 		_, _ = io.WriteString(w, b.Text)
 	case b.Events > 0:
--- a/internal/silltransport/conn.go
+++ b/internal/silltransport/conn.go
@@ -43,6 +43,7 @@
 var (
 	errTooManySkipped = errors.New("too many responses to other requests")
 	errSkippedTooLong = errors.New("the body of a response to another request is too long")
+	errMalformedHead  = errors.New("the head of the response holds control characters")
 	errHeadTooLong    = errors.New("the head of the response is too long")
 )
 
@@ -247,6 +248,9 @@
 	httpReq := &http.Request{Method: req.Method}
 	for range maxReadResponses {
 		resp, err := c.readHead(httpReq)
+		if err == nil {
+			err = checkHeader(resp.Header)
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/silltransport/transport_test.go
+++ b/internal/silltransport/transport_test.go
@@ -256,6 +256,24 @@
 	})
 }
 
+// TestSpoiledHeads guards against a head that no response can have being passed on.
+func TestSpoiledHeads(t *testing.T) {
+	for name, head := range map[string]string{
+		"control character": "A: b\x01c\r\n", "zero": "A: \x00\r\n", "delete": "A: b\x7f\r\n", "escape": "A: \x1b[2J\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPeer(t, func(c net.Conn, r string) bool {
+				_, _ = io.WriteString(c, responseWith(idOf(r), head, "ok"))
+				return true
+			})
+			_, body, err := send(t, newTestPool(sameID), p.address(), request("1"))
+			if err == nil || NotSent(err) {
+				t.Errorf("got %q, %v; want an error of a request that was sent", body, err)
+			}
+		})
+	}
+}
+
 func TestTruncatedResponses(t *testing.T) {
 	for _, tc := range []struct{ name, response string }{
 		{"in the head", "HTTP/1.1 200 OK\r\nId: 1\r\nConte"},
