--- a/internal/silljob/retain.go
+++ b/internal/silljob/retain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/url"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,6 +22,11 @@
 	completeJobRetention = time.Hour
 	// deleteTimeout bounds the deletion of one job.
 	deleteTimeout = 5 * time.Second
+	// orphanAge is how long rows without a state row are kept: longer than a submission, and
+	// the late writes of one, take.
+	orphanAge = time.Minute
+	// orphanSearchInterval is the time between two searches for such rows.
+	orphanSearchInterval = 30 * time.Second
 )
 
 // Retention deletes the rows of expired jobs. One process at a time runs it.
@@ -30,11 +36,22 @@
 	// Period is how long an ended job stays readable after its submission.
 	Period time.Duration
 	Log    *zap.Logger
+
+	// orphans holds since when each job is known to have rows but no state row.
+	orphans map[ID]time.Time
+	// searchedAt is the time of the last search for orphans.
+	searchedAt time.Time
 }
 
 // Run deletes expired jobs until ctx ends.
 func (r *Retention) Run(ctx context.Context) {
-	sillgroup.Every(ctx, retentionInterval, func(now time.Time) { r.deleteExpired(ctx, now) })
+	sillgroup.Every(ctx, retentionInterval, func(now time.Time) {
+		r.deleteExpired(ctx, now)
+		if now.Sub(r.searchedAt) >= orphanSearchInterval {
+			r.searchedAt = now
+			r.deleteOrphans(ctx, now)
+		}
+	})
 }
 
 // deleteExpired deletes expired jobs. One that can't be deleted keeps no other from that.
@@ -48,6 +65,32 @@
 	}
 }
 
+// deleteOrphans deletes the rows of submissions that were never accepted.
+func (r *Retention) deleteOrphans(ctx context.Context, now time.Time) {
+	jobs, err := r.Store.jobsWithContent(ctx)
+	if err != nil {
+		r.Log.Warn("Rows of jobs can't be listed.", silllog.Err(err))
+		return
+	}
+	orphans := make(map[ID]time.Time)
+	for _, job := range jobs {
+		if _, ok := r.Board.Get(job); ok {
+			continue
+		}
+		since, ok := r.orphans[job]
+		if !ok {
+			since = now
+		}
+		if now.Sub(since) < orphanAge {
+			orphans[job] = since
+			continue
+		}
+		err := r.Store.deleteOrphan(ctx, job)
+		r.Log.Info("Deleting rows of a job that was never accepted.", zap.String("job", string(job)), silllog.Err(err))
+	}
+	r.orphans = orphans
+}
+
 func (r *Retention) deleteJob(ctx context.Context, job ID) error {
 	ctx, cancel := context.WithTimeout(ctx, deleteTimeout)
 	defer cancel()
@@ -91,6 +134,30 @@
 	return nil
 }
 
+// jobsWithContent returns the jobs that have rows in ContentTable.
+func (s *Store) jobsWithContent(ctx context.Context) ([]ID, error) {
+	partitions, err := s.Feed.Partitions(ctx, ContentTable)
+	if err != nil {
+		return nil, err
+	}
+	jobs := make([]ID, 0, len(partitions))
+	for _, p := range partitions {
+		if id, err := url.PathUnescape(p); err == nil {
+			jobs = append(jobs, ID(id))
+		}
+	}
+	return jobs, nil
+}
+
+// deleteOrphan deletes the content of a job that does not exist. The check that it does not
+// fails once the job is accepted; an attempt whose first row is gone can't be accepted.
+func (s *Store) deleteOrphan(ctx context.Context, job ID) error {
+	ctx, cancel := context.WithTimeout(ctx, deleteTimeout)
+	defer cancel()
+	absent := []silltable.Check{{Key: rowKey(StateTable, job, stateKey), Revision: silltable.Absent}}
+	return s.deleteAll(ctx, ContentTable, job, absent)
+}
+
 // deleteAll deletes the rows of a job in a table if the checks hold.
 func (s *Store) deleteAll(ctx context.Context, table string, job ID, checks []silltable.Check) error {
 	r := silltable.Range{Table: table, Partition: partition(job), Large: true}
