--- a/internal/sillsoak/process.go
+++ b/internal/sillsoak/process.go
@@ -10,6 +10,7 @@
 
 // Process is a started process.
 type Process struct {
+	PID    int
 	Signal func(s syscall.Signal)
 	// Done is closed when the process has ended; State returns how.
 	Done  <-chan struct{}
