Bound the heads and bodies that outside services may send

Report of another operator: bytes without end, in a head or a body, filled the memory of a machine. The path without agents bounds heads (64 KiB) and bodies (16 MB each, an eighth of the memory together) already. Elsewhere the bounds were too wide for a few hundred answers at a time: net/http's 10 MB for a head at agents, engines, scorers and the platform's services, 1 GB for the body of a call, 256 MB for that of an engine, 64 MB for one of the table or of a peer.

--- a/internal/sillagent/service.go
+++ b/internal/sillagent/service.go
@@ -36,11 +36,14 @@
 	single *http.Client
 }
 
+// maxHeadBytes bounds the status line and header of a response.
+const maxHeadBytes = 64 << 10
+
 func newServiceClient(baseURL string) *serviceClient {
 	return &serviceClient{
 		baseURL: baseURL,
-		pooled:  newHTTPClient(&http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true}),
-		single:  newHTTPClient(&http.Transport{DisableKeepAlives: true, DisableCompression: true}),
+		pooled:  newHTTPClient(&http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}),
+		single:  newHTTPClient(&http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}),
 	}
 }
 
--- a/internal/sillcall/call.go
+++ b/internal/sillcall/call.go
@@ -25,7 +25,10 @@
 )
 
 // maxResponseBytes bounds the body of one response.
-const maxResponseBytes = 1 << 30
+const maxResponseBytes = 16 << 20
+
+// maxHeadBytes bounds the status line and header of a response.
+const maxHeadBytes = 64 << 10
 
 // Config configures the calls to one service.
 type Config struct {
@@ -45,7 +48,7 @@
 // New returns a caller. It makes no call.
 func New(cfg Config) *Caller {
 	if cfg.Client == nil {
-		cfg.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+		cfg.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeadBytes}}
 	}
 	return &Caller{config: cfg}
 }
--- a/internal/sillengine/client.go
+++ b/internal/sillengine/client.go
@@ -36,7 +36,7 @@
 }
 
 // maxAnswerBytes bounds the answer of a call that is no generation.
-const maxAnswerBytes = 256 << 20
+const maxAnswerBytes = 16 << 20
 
 const (
 	// idleConnections is the number of connections kept open to the engine.
@@ -46,9 +46,12 @@
 	idleTimeout = time.Second
 )
 
+// maxHeadBytes bounds the status line and header of a response.
+const maxHeadBytes = 64 << 10
+
 // New returns a client. It makes no call.
 func New(cfg Config) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{cfg: cfg, http: &http.Client{Transport: transport}}
 }
 
--- a/internal/sillobject/client.go
+++ b/internal/sillobject/client.go
@@ -33,10 +33,13 @@
 	Config
 }
 
+// maxHeadBytes bounds the status line and header of a response.
+const maxHeadBytes = 64 << 10
+
 // Dial returns a client of the object store at an HTTP address. It makes no call.
 func Dial(cfg Config) *Store {
 	if cfg.Client == nil {
-		cfg.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+		cfg.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeadBytes}}
 	}
 	if cfg.Observe == nil {
 		cfg.Observe = func(string, error) {}
--- a/internal/sillscorer/scorer.go
+++ b/internal/sillscorer/scorer.go
@@ -57,10 +57,13 @@
 	Config
 }
 
+// maxHeadBytes bounds the status line and header of a response.
+const maxHeadBytes = 64 << 10
+
 // Dial returns a client of the scorer at an HTTP address. It makes no call.
 func Dial(cfg Config) *Scorer {
 	if cfg.Client == nil {
-		cfg.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+		cfg.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: maxHeadBytes}}
 	}
 	c := &client{Config: cfg}
 	return &Scorer{Score: c.score}
--- a/internal/silltable/client.go
+++ b/internal/silltable/client.go
@@ -34,7 +34,10 @@
 const idleConnections = 64
 
 // maxResponseBytes bounds the size of one response.
-const maxResponseBytes = 64 << 20
+const maxResponseBytes = 16 << 20
+
+// maxHeadBytes bounds the status line and header of a response.
+const maxHeadBytes = 64 << 10
 
 type client struct {
 	Config
@@ -43,7 +46,7 @@
 // Dial returns a client of the table service at an HTTP address. It makes no call.
 func Dial(cfg Config) *Store {
 	if cfg.Client == nil {
-		cfg.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
+		cfg.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections, MaxResponseHeaderBytes: maxHeadBytes}}
 	}
 	if cfg.Observe == nil {
 		cfg.Observe = func(string, error) {}
