--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -75,6 +75,7 @@
 	controlTasks *controlTasks
 	registry     *prometheus.Registry
 	stopping     atomic.Bool
+	stopTime     *stopTime
 	// work holds the goroutines that end first at a stop, when other gateways take
 	// over jobs and control tasks; background holds those that run until its end.
 	work, background *sillgroup.Group
@@ -83,7 +84,7 @@
 
 // New returns a gateway. The settings must be valid.
 func New(settings *Settings, adapter *Adapter, log *zap.Logger) *Service {
-	s := &Service{Log: log, settings: settings, adapter: adapter}
+	s := &Service{Log: log, settings: settings, adapter: adapter, stopTime: newStopTime()}
 	s.app = fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(settings.GracePeriod),
@@ -174,6 +175,7 @@
 func (s *Service) stop(ctx context.Context) error {
 	started := time.Now()
 	deadline := started.Add(s.settings.GracePeriod - stopMargin)
+	s.stopTime.begin(deadline)
 	s.servers.drain()
 	s.stopping.Store(true)
 	s.Log.Info("Stopping.", zap.Duration("grace", s.settings.GracePeriod))
