--- a/internal/sillforwarder/attempt.go
+++ b/internal/sillforwarder/attempt.go
@@ -195,7 +195,7 @@
 	if !b.events {
 		return nil
 	}
-	if malformed := b.checker.Check(p); malformed != nil || err != io.EOF {
+	if malformed := b.checker.Check(p); malformed != nil || !errors.Is(err, io.EOF) {
 		return malformed
 	}
 	return b.checker.End()
--- a/internal/silljob/load.go
+++ b/internal/silljob/load.go
@@ -195,7 +195,7 @@
 		it := j.addItem(loaded.item)
 		switch {
 		case it.phase != waiting:
-		case loaded.err != nil:
+		case loaded.err != nil, r.isInvalid(j, loaded.item):
 			r.awaitAbandoned(it)
 		case len(it.events) == 0:
 			r.resumeFromCache(it)
@@ -205,6 +205,15 @@
 	r.notifyDispatcher()
 }
 
+// isInvalid returns whether an item can't be sent. Earlier builds accepted such items.
+func (r *Runner) isInvalid(j *ownedJob, item *Item) bool {
+	err := item.Validate()
+	if err != nil {
+		r.cfg.Log.Error("An item can't be sent.", zap.String("request", string(item.ID)), zap.String("job", string(j.sub.Job)), silllog.Err(err))
+	}
+	return err != nil
+}
+
 // resumeFromCache restores the generation in progress of an item that this process ran in an
 // earlier job and did not finish.
 func (r *Runner) resumeFromCache(it *itemRun) {
@@ -222,7 +231,7 @@
 			sleep(ctx, time.Until(at))
 		}
 		if ctx.Err() == nil {
-			r.finish(it, Result{Item: it.item.ID}, "row can't be decoded")
+			r.finish(it, Result{Item: it.item.ID}, "item can't be sent")
 		}
 	})
 }
--- a/internal/silltransport/header.go
+++ b/internal/silltransport/header.go
@@ -1,13 +1,19 @@
 package silltransport
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wasabisill/wasabisill/internal/sillheader"
+)
 
 // checkHeader returns errMalformedHead if a value of a response's header holds bytes that no
 // header can.
 func checkHeader(h http.Header) error {
 	for _, values := range h {
 		for _, v := range values {
-			if !isHeaderValue(v) {
+			if sillheader.CheckValue(v) != nil {
 				return errMalformedHead
 			}
 		}
@@ -15,12 +21,17 @@
 	return nil
 }
 
-// isHeaderValue returns whether a value holds no control characters but tabs.
-func isHeaderValue(v string) bool {
-	for i := range len(v) {
-		if (v[i] < ' ' && v[i] != '\t') || v[i] == 0x7f {
-			return false
-		}
+// check returns an error for a request whose head would not be read as it is meant: something
+// in it ends a line, or frames the message.
+func (r *Request) check() error {
+	if !sillheader.IsToken(r.Method) {
+		return eris.Errorf("silltransport.check: method %.20q is not a token", r.Method)
+	}
+	if err := sillheader.CheckPath(r.RequestURI); err != nil {
+		return eris.Wrap(err, "silltransport.check")
+	}
+	if err := sillheader.CheckHost(r.Host); err != nil {
+		return eris.Wrap(err, "silltransport.check")
 	}
-	return true
+	return eris.Wrap(sillheader.Check(r.Header), "silltransport.check")
 }
--- a/internal/silltransport/transport.go
+++ b/internal/silltransport/transport.go
@@ -99,6 +99,9 @@
 // must read the body to its end or close it. When ctx ends, the connection is
 // closed, also while the body is read. Errors are of type *Error.
 func (p *Pool) Send(ctx context.Context, address string, req *Request) (*http.Response, error) {
+	if err := req.check(); err != nil {
+		return nil, &Error{Err: err}
+	}
 	c, err := p.acquire(ctx, address, req.ID)
 	if err != nil {
 		return nil, &Error{Err: err}
