Keep unfinished texts by organisation and model

The review saw, and did not show as a case, that texts which a job did not finish were kept by the item's id alone: two organisations that use one id, or two models, would share a text.

Cause: the key of silljob.Cache held nothing else. Shown by TestUnfinishedTextsAreTheirOrganisations: with the key of before, the look-up of the other organisation and of the other model finds the text.

Change: organisation and model are part of the key.

--- a/internal/silljob/cache.go
+++ b/internal/silljob/cache.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
 const (
@@ -21,7 +23,7 @@
 
 	mu         sync.Mutex
 	results    map[ID]*cachedResults
-	unfinished map[ItemID]cachedProgress
+	unfinished map[unfinishedKey]cachedProgress
 }
 
 // cachedResults holds the results of a job, from position 0 without gaps.
@@ -30,6 +32,13 @@
 	used time.Time
 }
 
+// unfinishedKey identifies an item across jobs. Organisations choose ids independently.
+type unfinishedKey struct {
+	organisation sillid.OrganisationID
+	model        sillid.ModelID
+	item         ItemID
+}
+
 type cachedProgress struct {
 	progress Progress
 	kept     time.Time
@@ -37,7 +46,7 @@
 
 // NewCache returns an empty cache.
 func NewCache() *Cache {
-	return &Cache{Now: time.Now, results: make(map[ID]*cachedResults), unfinished: make(map[ItemID]cachedProgress)}
+	return &Cache{Now: time.Now, results: make(map[ID]*cachedResults), unfinished: make(map[unfinishedKey]cachedProgress)}
 }
 
 // Add stores the results of a job that begin at position from. It ignores them if
@@ -70,20 +79,21 @@
 	return held.list[min(from, len(held.list)):], len(held.list)
 }
 
-// AddUnfinished stores generations in progress for a later job with the same items.
-func (c *Cache) AddUnfinished(generations []Progress) {
+// AddUnfinished stores generations in progress of a job for a later one of the same
+// organisation and model with the same items.
+func (c *Cache) AddUnfinished(sub *Submission, generations []Progress) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range generations {
-		c.unfinished[p.Item] = cachedProgress{progress: p, kept: c.Now()}
+		c.unfinished[unfinishedKey{sub.Organisation, sub.Model, p.Item}] = cachedProgress{progress: p, kept: c.Now()}
 	}
 }
 
 // Unfinished returns the generation in progress of an item, if one is cached.
-func (c *Cache) Unfinished(item ItemID) (Progress, bool) {
+func (c *Cache) Unfinished(sub *Submission, item ItemID) (Progress, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t, ok := c.unfinished[item]
+	t, ok := c.unfinished[unfinishedKey{sub.Organisation, sub.Model, item}]
 	return t.progress, ok
 }
 
@@ -97,9 +107,9 @@
 			delete(c.results, job)
 		}
 	}
-	for item, t := range c.unfinished {
+	for key, t := range c.unfinished {
 		if now.Sub(t.kept) > unfinishedTTL {
-			delete(c.unfinished, item)
+			delete(c.unfinished, key)
 		}
 	}
 }
--- a/internal/silljob/load.go
+++ b/internal/silljob/load.go
@@ -217,7 +217,7 @@
 // resumeFromCache restores the generation in progress of an item that this process ran in an
 // earlier job and did not finish.
 func (r *Runner) resumeFromCache(it *itemRun) {
-	if p, ok := r.cfg.Cache.Unfinished(it.item.ID); ok {
+	if p, ok := r.cfg.Cache.Unfinished(it.job.sub, it.item.ID); ok {
 		it.resume(p)
 	}
 }
--- a/internal/silljob/takeover.go
+++ b/internal/silljob/takeover.go
@@ -80,7 +80,7 @@
 	generations := j.inProgress(1)
 	r.mu.Unlock()
 	j.group.Cancel()
-	r.cfg.Cache.AddUnfinished(generations)
+	r.cfg.Cache.AddUnfinished(j.sub, generations)
 	r.cfg.Log.Info("Stopped running a job.", zap.String("job", string(j.sub.Job)), zap.String("why", why),
 		zap.Int("unfinished", len(generations)))
 	r.notifyDispatcher()
