Report a usage window once all gateways have closed it

The reporter waits 4 s for late counts, so it was still waiting when the store went down; after the outage a new lease holder had to settle first and reported at 26.7 s. Change: a process writes the number of the newest window that it closed, one second after its end; the reporter reports a window as soon as all processes that are alive, or have counts of it or of the window before, closed it. Without that it waits as before.

--- a/internal/silldirectgateway/controltasks.go
+++ b/internal/silldirectgateway/controltasks.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/sillclock"
+	"github.com/wasabisill/wasabisill/internal/sillcluster"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silljob"
 	"github.com/wasabisill/wasabisill/internal/silllease"
@@ -54,12 +55,17 @@
 	view     *view
 	store    *silljob.Store
 	broker   *sillpermit.Broker
-	registry *prometheus.Registry
-	log      *zap.Logger
+	// membersAge returns the age of the view of the gateways, and false before its first read.
+	membersAge func() (time.Duration, bool)
+	registry   *prometheus.Registry
+	log        *zap.Logger
 }
 
-func newControlTasks(s *Settings, adapter *Adapter, t tables, m *membership, v *view, st *silljob.Store, b *sillpermit.Broker, r *prometheus.Registry, log *zap.Logger) *controlTasks {
-	return &controlTasks{settings: s, adapter: adapter, tables: t, members: m, view: v, store: st, broker: b, registry: r, log: log}
+func newControlTasks(s *Settings, adapter *Adapter, t tables, m *membership, v *view, st *silljob.Store, b *sillpermit.Broker, f *followers, r *prometheus.Registry, log *zap.Logger) *controlTasks {
+	return &controlTasks{
+		settings: s, adapter: adapter, tables: t, members: m, view: v, store: st, broker: b,
+		membersAge: f.membersAge, registry: r, log: log,
+	}
 }
 
 // run competes for the lease and runs the control tasks while it holds it, until
@@ -92,7 +98,7 @@
 	if c.settings.ReportsUsage {
 		reporter := sillmeter.NewReporter(sillmeter.ReporterConfig{
 			Table: c.tables.store, WindowLength: c.settings.UsageWindow, SettleTime: usageSettleTime, MaxDelay: c.settings.UsageMaxDelay,
-			Send: c.usageSender(guard), Log: c.log,
+			LiveRuns: c.liveRuns, Send: c.usageSender(guard), Log: c.log,
 		})
 		group.Go(reporter.Run)
 	}
@@ -105,6 +111,18 @@
 	<-ctx.Done()
 }
 
+// liveRuns returns the gateways that are alive, and false if the view of them is old.
+func (c *controlTasks) liveRuns() ([]string, bool) {
+	if age, ok := c.membersAge(); !ok || age > sillcluster.MemberTimeout {
+		return nil, false
+	}
+	var runs []string
+	for _, m := range c.members.members.Live(sillclock.Boot()) {
+		runs = append(runs, string(m.Run))
+	}
+	return runs, true
+}
+
 // sendOrder sends an order to an engine. Orders count towards the limit that their engine
 // names, but don't wait for it: they are few, and items wait for them.
 func (c *controlTasks) sendOrder(ctx context.Context, l sillweightcontroller.LoadOrder, fence sillid.Epoch) (sillweightcontroller.Reply, silltarget.Notice) {
--- a/internal/silldirectgateway/followers.go
+++ b/internal/silldirectgateway/followers.go
@@ -52,6 +52,9 @@
 // boardAge returns the age of the view of the jobs, and false before its first read.
 func (f *followers) boardAge() (time.Duration, bool) { return f.jobs.Age(sillclock.Boot()) }
 
+// membersAge returns the age of the view of the gateways, and false before its first read.
+func (f *followers) membersAge() (time.Duration, bool) { return f.members.Age(sillclock.Boot()) }
+
 // catalogRevision returns the revision up to which the configuration is known to be current;
 // 0 if the newest one can't be read.
 func (f *followers) catalogRevision() silltable.Revision {
--- a/internal/sillmeter/meter.go
+++ b/internal/sillmeter/meter.go
@@ -75,6 +75,8 @@
 	counts map[Window]Counts
 	// dirty holds the windows whose counts changed since they were last written.
 	dirty map[Window]bool
+	// closed is the newest window that this process closed. Run alone uses it.
+	closed Window
 }
 
 // NewMeter returns a meter without counts.
@@ -111,18 +113,26 @@
 // Run writes changed counts periodically until ctx ends, and then once more, for which it
 // takes callTimeout at most.
 func (m *Meter) Run(ctx context.Context) {
-	sillgroup.Every(ctx, writeInterval, func(now time.Time) {
-		m.write(ctx)
-		m.evictWindows(now)
-	})
-	m.writeLast(context.WithoutCancel(ctx))
+	timer := time.NewTimer(m.untilNextWrite(time.Now()))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			m.writeLast(context.WithoutCancel(ctx))
+			return
+		case now := <-timer.C:
+			m.write(ctx, now)
+			m.evictWindows(now)
+			timer.Reset(m.untilNextWrite(time.Now()))
+		}
+	}
 }
 
 // writeLast stores the changed counts. It tries again if the table refuses them.
 func (m *Meter) writeLast(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	for !m.write(ctx) {
+	for !m.write(ctx, time.Now()) {
 		select {
 		case <-ctx.Done():
 			return
@@ -131,14 +141,24 @@
 	}
 }
 
-// write stores the changed counts. It returns false if that must be tried again.
-func (m *Meter) write(ctx context.Context) bool {
+// write stores the changed counts, and closes the window that may be closed. It returns
+// false if that must be tried again.
+func (m *Meter) write(ctx context.Context, now time.Time) bool {
 	writes, windows, err := m.takeDirty()
 	if err != nil {
 		m.cfg.Log.Error("Counts can't be encoded.", silllog.Err(err))
 		return true
 	}
-	if len(windows) == 0 {
+	closing, w, err := m.closeWindow(now)
+	if err != nil {
+		m.cfg.Log.Error("End of a window can't be encoded.", silllog.Err(err))
+		return true
+	}
+	if w > m.closed {
+		// All rows are written or none, so a closed window has its counts.
+		writes = append(writes, closing)
+	}
+	if len(writes) == 0 {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -148,6 +168,7 @@
 		m.markDirty(windows)
 		return false
 	}
+	m.closed = max(m.closed, w)
 	return true
 }
 
@@ -202,8 +223,12 @@
 	Table *silltable.Store
 	// WindowLength is the length of a window.
 	WindowLength time.Duration
-	// SettleTime is the time from the end of a window until its counts are added up.
+	// SettleTime is the time from the end of a window until its counts are added up, unless
+	// all processes closed the window before.
 	SettleTime time.Duration
+	// LiveRuns returns the processes that run, and false if they are not known for certain;
+	// a nil LiveRuns knows none.
+	LiveRuns func() ([]string, bool)
 	// MaxDelay is the time after the end of a window beyond which it is no longer reported.
 	MaxDelay time.Duration
 	// Send sends one report. It returns nil only if the report was accepted.
@@ -224,7 +249,7 @@
 }
 
 // reportInterval is the time between two checks for windows to report.
-const reportInterval = 500 * time.Millisecond
+const reportInterval = 250 * time.Millisecond
 
 // Run reports windows until ctx ends.
 func (r *Reporter) Run(ctx context.Context) {
@@ -232,14 +257,17 @@
 	sillgroup.Every(ctx, reportInterval, func(now time.Time) { r.reportDue(ctx, now) })
 }
 
-// reportDue reports the windows whose SettleTime has passed and that are not older
-// than MaxDelay. It stops at the first failure; the next check tries again.
+// reportDue reports the windows that are settled and that are not older than MaxDelay. It
+// stops at the first failure; the next check tries again.
 func (r *Reporter) reportDue(ctx context.Context, now time.Time) {
 	first := windowOf(now.Add(-r.cfg.MaxDelay), r.cfg.WindowLength)
-	for w := first; ctx.Err() == nil && !endOf(w, r.cfg.WindowLength).Add(r.cfg.SettleTime).After(now); w++ {
+	for w := first; ctx.Err() == nil && w <= lastClosable(now, r.cfg.WindowLength); w++ {
 		if r.reported[w] {
 			continue
 		}
+		if !r.isSettled(ctx, now, w) {
+			return
+		}
 		if err := r.report(ctx, w); err != nil {
 			r.cfg.Log.Warn("Window not reported.", zap.Int64("window", int64(w)), silllog.Err(err))
 			return
@@ -249,6 +277,20 @@
 	}
 }
 
+// isSettled returns whether the counts of a window can be added up.
+func (r *Reporter) isSettled(ctx context.Context, now time.Time, w Window) bool {
+	if !endOf(w, r.cfg.WindowLength).Add(r.cfg.SettleTime).After(now) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	closed, err := r.isClosed(ctx, w)
+	if err != nil {
+		r.cfg.Log.Warn("Not known whether a window is closed; waiting for it to settle.", zap.Int64("window", int64(w)), silllog.Err(err))
+	}
+	return closed
+}
+
 // report freezes the counts of a window and sends them.
 func (r *Reporter) report(ctx context.Context, w Window) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/sillmeter/meter_test.go
+++ b/internal/sillmeter/meter_test.go
@@ -101,14 +101,14 @@
 	table := &sillmemtable.Table{}
 	m := newTestMeter(table, "a")
 	m.RecordStarted("one", endOf(99, length))
-	m.write(t.Context())
+	m.write(t.Context(), time.Now())
 	now := endOf(100, length).Add(4 * time.Second)
 	first := &fakeReceiver{err: errors.New("no response")}
 	if err := newTestReporter(table, first).report(t.Context(), 100); err == nil {
 		t.Error("a report without a response counts as accepted")
 	}
 	m.RecordStarted("one", endOf(99, length))
-	m.write(t.Context())
+	m.write(t.Context(), time.Now())
 	second := &fakeReceiver{}
 	newTestReporter(table, second).reportDue(t.Context(), now)
 	if len(first.sent) != 1 || second.sent[len(second.sent)-1] != first.sent[0] {
@@ -129,11 +129,11 @@
 		}
 		err := newTestReporter(table, other).report(ctx, 100)
 		m.RecordStarted("one", endOf(99, length))
-		m.write(ctx)
+		m.write(ctx, time.Now())
 		return err
 	}
 	m.RecordStarted("one", endOf(99, length))
-	m.write(t.Context())
+	m.write(t.Context(), time.Now())
 	mine := &fakeReceiver{}
 	if err := newTestReporter(table, mine).report(t.Context(), 100); err != nil {
 		t.Fatal(err)
@@ -155,9 +155,9 @@
 	m := newTestMeter(table, "a")
 	unavailable.Store(true)
 	m.RecordStarted("one", endOf(99, length))
-	m.write(t.Context())
+	m.write(t.Context(), time.Now())
 	unavailable.Store(false)
-	m.write(t.Context())
+	m.write(t.Context(), time.Now())
 	s := &fakeReceiver{}
 	if err := newTestReporter(table, s).report(t.Context(), 100); err != nil {
 		t.Fatal(err)
