Count the time for which a lease was free towards the settle time

Cause: after an outage of the store of 7 s a new holder of the control tasks waited another 1.6 s for calls of the former one, whose term had ended 5 s before; the report of a window was 0.7 s late for it. Change: a term knows from when on no former holder acted, and the settle time starts there. Measured result: TestSettleTimeCountsFreeTime/free_for_longer_than_the_settle_time fails without it; the other case checks that a lease that was free for a moment still waits.

--- a/internal/silllease/answer.go
+++ b/internal/silllease/answer.go
@@ -82,7 +82,10 @@
 }
 
 func (h *Holder) startTerm(revisions []silltable.Revision) {
-	h.term = Term{Epoch: h.row.Epoch + 1, EpochRow: revisions[1], Deadline: h.deadline(h.sentAt)}
+	// The row that was replaced was written before it was first seen, and its holder's term
+	// ended within its duration.
+	formerEnd := h.firstSeenAt.Add(max(h.row.duration(), h.cfg.Duration))
+	h.term = Term{Epoch: h.row.Epoch + 1, EpochRow: revisions[1], Deadline: h.deadline(h.sentAt), FormerEnd: formerEnd}
 	h.holding = true
 	h.row = leaseRow{Holder: h.cfg.Owner, Epoch: h.term.Epoch, DurationMS: h.cfg.Duration.Milliseconds()}
 	h.revision = revisions[0]
--- a/internal/silllease/holder.go
+++ b/internal/silllease/holder.go
@@ -77,6 +77,8 @@
 	EpochRow silltable.Revision
 	// Deadline is the time from which on the holder must not act any more.
 	Deadline time.Time
+	// FormerEnd is a time from which on no former holder acted.
+	FormerEnd time.Time
 }
 
 // Holder is the state machine of one process that competes for a lease. It decides
--- a/internal/silllease/runner.go
+++ b/internal/silllease/runner.go
@@ -25,7 +25,8 @@
 	// SettleTime is how long a new holder waits before it starts the task, except
 	// in the first term of the lease. It must be at least the longest timeout of a
 	// call that the task makes to an interface that ignores fencing numbers: after
-	// that, calls of the former holder have arrived or never will.
+	// that, calls of the former holder have arrived or never will. The time for which
+	// the lease was free before counts.
 	SettleTime time.Duration
 	// Task runs the control task until its context is cancelled, which happens when
 	// the lease is lost. If it returns earlier, the runner releases the lease.
@@ -165,7 +166,7 @@
 		MayAct: func(now time.Time) bool { return now.Before(*t.deadline.Load()) },
 		Check:  silltable.Check{Key: EpochKey(r.cfg.Lease.Name), Revision: term.EpochRow},
 	}
-	settle := r.cfg.SettleTime
+	settle := r.cfg.SettleTime - max(r.cfg.Now().Sub(term.FormerEnd), 0)
 	if term.Epoch == 1 {
 		settle = 0
 	}
--- a/internal/silllease/runner_test.go
+++ b/internal/silllease/runner_test.go
@@ -269,3 +269,59 @@
 		t.Errorf("%d ranks for %d members", len(seen), len(members))
 	}
 }
+
+// longSettle is a settle time that is longer than a candidate takes to acquire a free lease.
+const longSettle = 4 * time.Minute
+
+// TestSettleTimeCountsFreeTime guards against a new holder that waits for calls of a former
+// one that ended long ago: after an outage of the table, no holder has acted for its length.
+func TestSettleTimeCountsFreeTime(t *testing.T) {
+	for name, tc := range map[string]struct {
+		outage time.Duration
+		// idle is the time from the end of the outage for which the task must not run yet.
+		idle time.Duration
+		// wait is the time from the end of the outage after which it must run.
+		wait time.Duration
+	}{
+		"free for longer than the settle time": {outage: 2 * longSettle, wait: longSettle / 4},
+		"free for a moment":                    {outage: DefaultDuration, idle: longSettle / 2, wait: 2 * longSettle},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var down atomic.Bool
+				table := &sillmemtable.Table{Fault: func(context.Context, string) error {
+					if down.Load() {
+						return silltable.ErrUnavailable
+					}
+					return nil
+				}}
+				group := sillgroup.New(t.Context())
+				defer group.Stop()
+				f := &freezer{step: betweenCalls}
+				defer f.stop.Store(false)
+				first, second := newCandidate(table, table.Store(), 0), newCandidate(table, table.Store(), 1)
+				first.runner.cfg.Rank = func() int {
+					f.pauseAt(betweenCalls)
+					return 0
+				}
+				second.runner.cfg.SettleTime = longSettle
+				group.Go(first.runner.Run)
+				time.Sleep(time.Minute)
+				wantTerm(t, first, 1)
+				group.Go(second.runner.Run)
+				time.Sleep(time.Minute)
+				// The former holder does not come back after the outage.
+				f.stop.Store(true)
+				down.Store(true)
+				time.Sleep(tc.outage)
+				down.Store(false)
+				time.Sleep(tc.idle)
+				if len(second.guards) != 0 {
+					t.Error("the task runs before calls of the former holder have ended")
+				}
+				time.Sleep(tc.wait - tc.idle)
+				wantTerm(t, second, 2)
+			})
+		})
+	}
+}
