Check a request right before its first byte

Cause: a wait for a connection may take so long that a request may no longer be sent. Change: silltransport.Request.Check is called between the two; after an error no byte is sent and the connection is kept. Measured result: TestCheckBeforeTheFirstByte.

--- a/internal/silltransport/transport.go
+++ b/internal/silltransport/transport.go
@@ -32,6 +32,9 @@
 	// hop-by-hop headers.
 	Header http.Header
 	Body   []byte
+	// Check, if not nil, is called right before the first byte is written. The request is
+	// not sent if it returns an error.
+	Check func() error
 }
 
 // Error is the error of a request without a complete response.
@@ -106,6 +109,15 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	if req.Check != nil {
+		if err := req.Check(); err != nil {
+			if c.expires.IsZero() {
+				c.expires = time.Now().Add(p.cfg.IdleTimeout)
+			}
+			p.put(c)
+			return nil, &Error{Connected: true, Err: err}
+		}
+	}
 	resp, err := c.exchange(ctx, req)
 	if err != nil {
 		return nil, err
--- a/internal/silltransport/transport_test.go
+++ b/internal/silltransport/transport_test.go
@@ -560,3 +560,31 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return err
 }
+
+// TestCheckBeforeTheFirstByte guards against a request that is sent although it may no longer
+// be, and against one that costs the connection that it would have used.
+func TestCheckBeforeTheFirstByte(t *testing.T) {
+	requests := 0
+	p := newPeer(t, func(c net.Conn, _ string) bool {
+		requests++
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	dialed := 0
+	pool := NewPool(Config{ConnectTimeout: time.Second, TCPUserTimeout: time.Second, IdleTimeout: time.Minute, OnDialed: func() { dialed++ }})
+	withdrawn := errors.New("withdrawn")
+	r := request("1")
+	r.Check = func() error { return withdrawn }
+	for range 3 {
+		if _, _, err := send(t, pool, p.address(), r); !errors.Is(err, withdrawn) || !NotSent(err) {
+			t.Errorf("error %v, want that of the check", err)
+		}
+	}
+	r.Check = func() error { return nil }
+	if status, _, err := send(t, pool, p.address(), r); err != nil || status != http.StatusOK {
+		t.Errorf("status %d, %v", status, err)
+	}
+	if requests != 1 || dialed != 1 {
+		t.Errorf("%d requests on %d connections, want one on one", requests, dialed)
+	}
+}
