Permit requests to cold targets, and send nothing to evacuated zones

Cause: no code reads what targets and the configuration say of cold targets, nor the rows op/evacuate/ZONE. Several gateways fill the same returned target at once. Change: a target that is or may be cold counts as limited; its granter keeps a bucket whose rate, burst and time slots add up to less than the bound with two granters. A gateway that does not take itself for the granter grants nothing, and a permit is valid for 300 ms. Items fill a third of the bound at a target that is thought warm. Targets of evacuated zones are left out of every selection. Both are checked again right before the first byte of a request.

--- a/internal/sillcatalog/catalog.go
+++ b/internal/sillcatalog/catalog.go
@@ -79,6 +79,15 @@
 	Boot time.Duration
 }
 
+// ColdPool is a pool whose targets may be cold: they then bear only few requests a second.
+type ColdPool struct {
+	Pool sillid.PoolID
+	// PerSecond is the number of requests a second that a cold target bears.
+	PerSecond float64
+	// StartTime is how long a target is cold after its start.
+	StartTime time.Duration
+}
+
 // Limits bounds the requests of callers.
 type Limits struct {
 	// BodyBytes bounds the body of a request; 0 for no configured bound.
@@ -95,7 +104,12 @@
 	Open     bool
 	Models   []Model
 	Scalings []Scaling
-	Limits   Limits
+	// ColdPools holds the pools whose targets may be cold.
+	ColdPools []ColdPool
+	Limits    Limits
+	// InvalidFields counts optional fields that are taken as absent because their values
+	// have another form than defined.
+	InvalidFields int
 
 	byHost map[string][]*Route
 	byKey  map[string]*Organisation
--- a/internal/silldirectgateway/adapter.go
+++ b/internal/silldirectgateway/adapter.go
@@ -32,6 +32,8 @@
 	OperatorTable string
 	ConfigKey     string
 	VersionPrefix string
+	// EvacuationPrefix is the key prefix of the rows that name evacuated availability zones.
+	EvacuationPrefix string
 	// RegistryTable is the table in which targets register.
 	RegistryTable      string
 	DecodeCatalog      func(b []byte) (*sillcatalog.Catalog, error)
--- a/internal/silldirectgateway/controltasks.go
+++ b/internal/silldirectgateway/controltasks.go
@@ -110,8 +110,11 @@
 func (c *controlTasks) sendOrder(ctx context.Context, l sillweightcontroller.LoadOrder, fence sillid.Epoch) (sillweightcontroller.Reply, silltarget.Notice) {
 	reply, notice := c.adapter.SendOrder(ctx, l, fence)
 	run := l.Target.Run()
-	if known, ok := c.view.directory.Limit(time.Now(), run); ok && known.Limit > 0 {
-		c.broker.Acquire(ctx, sillpermit.Ask{Run: run, Forced: true})
+	now := time.Now()
+	known, ok := c.view.directory.Limit(now, run)
+	cold, _ := c.view.directory.ColdGrant(now, run)
+	if (ok && known.Limit > 0) || cold != nil {
+		c.broker.Acquire(ctx, sillpermit.Ask{Run: run, Forced: true, Cold: cold})
 	}
 	return reply, notice
 }
--- a/internal/silldirectgateway/crashevidence_test.go
+++ b/internal/silldirectgateway/crashevidence_test.go
@@ -29,7 +29,7 @@
 	pool := silltransport.NewPool(silltransport.Config{ConnectTimeout: time.Second, TCPUserTimeout: time.Second, IdleTimeout: time.Minute})
 	adapter, log := &Adapter{PeerPool: pool, TargetPool: pool}, zap.NewNop()
 	evidence := newCrashEvidence(adapter, newRegistry(), log)
-	directory := newDirectory(adapter, newRegistry(), log)
+	directory := newDirectory(&Settings{}, adapter, newRegistry(), log)
 	m := newMembership(&Settings{Instance: instance}, evidence, newLeavingTargets(directory, adapter, log), newTargetLimits(directory, adapter, log), newRegistry(), log)
 	newBroker(adapter, directory, m, newRegistry())
 	m.poolLoads = func() []sillcluster.PoolLoad { return nil }
--- a/internal/silldirectgateway/followers.go
+++ b/internal/silldirectgateway/followers.go
@@ -110,9 +110,13 @@
 }
 
 // resetOperator applies the operator's configuration and the announced versions.
-func (v *view) resetOperator(rows []silltable.Row, _ time.Duration) { v.applyOperatorRows(rows) }
+func (v *view) resetOperator(rows []silltable.Row, _ time.Duration) {
+	v.resetEvacuations(rows)
+	v.applyOperatorRows(rows)
+}
 
 func (v *view) applyOperator(changes []silltable.Change, _ time.Duration) {
+	v.applyEvacuations(changes)
 	v.applyOperatorRows(rowsOf(changes))
 }
 
--- a/internal/silldirectgateway/leaving.go
+++ b/internal/silldirectgateway/leaving.go
@@ -20,10 +20,13 @@
 )
 
 // newDirectory returns the directory of targets.
-func newDirectory(adapter *Adapter, r *prometheus.Registry, log *zap.Logger) *silltarget.Directory {
-	return silltarget.NewDirectoryWith(silltarget.Config{
+func newDirectory(s *Settings, adapter *Adapter, r *prometheus.Registry, log *zap.Logger) *silltarget.Directory {
+	d := silltarget.NewDirectoryWith(silltarget.Config{
 		Notices: newNoticeHooks(r, log), Limits: newLimitHooks(r, log), Seed: rand.Uint64(), Connected: adapter.TargetPool.HasIdle,
+		Cold: newColdHooks(r, log), ColdOvershoot: s.ColdOvershoot, ColdSlack: s.ColdSlack,
 	})
+	registerColdGauges(r, d)
+	return d
 }
 
 // newNoticeHooks returns hooks that log and count the notices of targets.
--- a/internal/silldirectgateway/settings.go
+++ b/internal/silldirectgateway/settings.go
@@ -45,6 +45,9 @@
 	JobRetention time.Duration
 	// Capacity is the number of cores that the process may use on average; 0 if unknown.
 	Capacity float64
+	// A cold target gets ColdOvershoot times the requests a second that it bears, and
+	// ColdSlack more, within any second at most.
+	ColdOvershoot, ColdSlack float64
 	// Cores and MemoryBytes are the limits of the process; 0 for no limit.
 	Cores       int
 	MemoryBytes int64
--- a/internal/silldirectgateway/view.go
+++ b/internal/silldirectgateway/view.go
@@ -29,6 +29,8 @@
 	unreadConfig atomic.Bool
 
 	mu sync.Mutex
+	// evacuated holds the availability zones that rows name.
+	evacuated map[sillid.ZoneID]bool
 	// announced holds the newest version of each model that its trainer announced.
 	announced map[sillid.ModelID]sillid.WeightVersion
 }
@@ -40,6 +42,7 @@
 		directory: directory,
 		board:     silljob.NewBoard(),
 		log:       log.Named("view"),
+		evacuated: make(map[sillid.ZoneID]bool),
 		announced: make(map[sillid.ModelID]sillid.WeightVersion),
 	}
 }
@@ -63,9 +66,14 @@
 		v.log.Error("Configuration can't be read.", zap.Uint64("revision", uint64(row.Revision)), silllog.Err(err))
 		return
 	}
+	if held := v.catalog.Get(); held == nil || c.Version > held.Version {
+		// Before the catalog, so that no request is sent without the rules.
+		v.directory.SetColdRules(coldRules(c))
+	}
 	if v.catalog.UpdateIfNewer(c) {
 		v.log.Info("Configuration in force.", zap.Uint64("version", uint64(c.Version)),
-			zap.Int("routes", len(c.Routes)), zap.Int("organisations", len(c.Organisations)))
+			zap.Int("routes", len(c.Routes)), zap.Int("organisations", len(c.Organisations)),
+			zap.Int("cold-pools", len(c.ColdPools)), zap.Int("invalid-fields", c.InvalidFields))
 	}
 }
 
@@ -94,6 +102,7 @@
 		v.log.Info("Registry entry can't be decoded; skipping it.", zap.String("target", id), silllog.Err(err))
 		return
 	}
+	e.Revision = uint64(row.Revision)
 	if v.directory.Apply(e) {
 		v.log.Info("Target registered.", zap.String("target", id), zap.String("pool", string(e.Pool)),
 			zap.String("address", e.Address), zap.String("state", string(e.State)), zap.Any("versions", e.Versions),
@@ -137,6 +146,7 @@
 			v.removeTarget(now, id, outage)
 		}
 	}
+	v.directory.Settle()
 }
 
 // observeNotice records what a response to an order or a call for a report says of its
--- a/internal/sillforwarder/attempt.go
+++ b/internal/sillforwarder/attempt.go
@@ -52,6 +52,7 @@
 	sentAt := time.Now()
 	resp, err := f.cfg.Pool.Send(attemptCtx, a.Address, &silltransport.Request{
 		ID: string(req.ID), Method: req.Method, RequestURI: req.RequestURI, Host: req.Host, Header: header, Body: req.Body,
+		Check: func() error { return f.cfg.Directory.CheckSend(time.Now(), a.Grant) },
 	})
 	if err == nil {
 		return f.readResponse(ctx, req, a, resp, sentAt, cancel)
@@ -71,6 +72,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return silltarget.Abandoned
+	case errors.Is(err, silltarget.ErrWithdrawn):
+		return silltarget.Withdrawn
 	case silltransport.NotSent(err):
 		return silltarget.Unreachable
 	case errors.Is(err, context.DeadlineExceeded):
@@ -99,6 +102,7 @@
 	if !metadata.Misdirected {
 		f.cfg.Directory.ObserveNotice(time.Now(), a.Run(), metadata.Notice)
 		f.cfg.Directory.ObserveLimit(sentAt, time.Now(), a.Run(), metadata.Limit, metadata.Signature != "")
+		f.cfg.Directory.ObserveCold(sentAt, time.Now(), a.Run(), metadata.Cold, metadata.Signature != "")
 	}
 	switch {
 	case metadata.Misdirected:
--- a/internal/sillforwarder/forwarder.go
+++ b/internal/sillforwarder/forwarder.go
@@ -179,6 +179,12 @@
 				zap.Duration("took", time.Since(sentAt)))
 			return resp, nil
 		}
+		if outcome == silltarget.Withdrawn {
+			// No byte was sent; the target counts neither as tried nor as failed.
+			p.attempts--
+			delete(tried, grant.ID)
+			continue
+		}
 		p.record(outcome, ran)
 		f.cfg.Metrics.countFailedAttempt(outcome)
 		f.cfg.Log.Warn("Attempt failed.", req.field(), zap.Stringer("content", p.content),
--- a/internal/sillforwarder/limit_test.go
+++ b/internal/sillforwarder/limit_test.go
@@ -99,3 +99,22 @@
 		t.Errorf("asked %d times", p.asks["a"])
 	}
 }
+
+// TestEvacuatedWhileWaiting guards against a request that is sent to a zone that is evacuated
+// while the request waits for a permit.
+func TestEvacuatedWhileWaiting(t *testing.T) {
+	f := newFixture(t, behaviour{})
+	f.limit(map[sillid.TargetID]sillpermit.Verdict{"a": {Granted: true}})
+	f.forwarder.cfg.AcquirePermit = func(context.Context, sillpermit.Ask) sillpermit.Verdict {
+		f.directory.SetEvacuated(time.Now(), []sillid.ZoneID{f.targets[0].Entry("p", 4, nil).Zone})
+		return sillpermit.Verdict{Granted: true}
+	}
+	_, err := f.do(t.Context(), route(sillcatalog.Idempotent, 2), 2*time.Second)
+	var refusal *Refusal
+	if !errors.As(err, &refusal) || !refusal.NotRun || refusal.RetryAfter == 0 {
+		t.Errorf("error %v, want a refusal that says when to retry", err)
+	}
+	if n := len(f.targets[0].Calls()); n > 0 {
+		t.Errorf("%d requests reached an evacuated zone", n)
+	}
+}
--- a/internal/sillforwarder/pick.go
+++ b/internal/sillforwarder/pick.go
@@ -95,9 +95,9 @@
 		if !ok || !g.Limited {
 			return g, ok
 		}
-		v := p.cfg.AcquirePermit(ctx, sillpermit.Ask{Run: g.Run(), Class: q.Class, Organisation: p.request.Organisation})
+		v := p.cfg.AcquirePermit(ctx, sillpermit.Ask{Run: g.Run(), Class: q.Class, Organisation: p.request.Organisation, Cold: g.Cold})
 		if v.Granted {
-			return g, true
+			return g.WithPermit(v.AskedAt), true
 		}
 		now := time.Now()
 		p.cfg.Directory.Release(now, g, silltarget.Abandoned)
--- a/internal/sillheader/header.go
+++ b/internal/sillheader/header.go
@@ -45,6 +45,9 @@
 	// Limit is the limit on requests that the target names. It says nothing of the intended
 	// target if Misdirected is set.
 	Limit sillrate.Notice
+	// Cold is what the target says of being cold. It says nothing of the intended target if
+	// Misdirected is set.
+	Cold silltarget.ColdNotice
 	// Version is the weight version at the first event; 0 if not reported.
 	Version sillid.WeightVersion
 }
--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -140,6 +140,7 @@
 	}
 	r.cfg.Directory.ObserveNotice(time.Now(), g.Run(), metadata.Notice)
 	r.cfg.Directory.ObserveLimit(sentAt, time.Now(), g.Run(), metadata.Limit, metadata.Signature != "")
+	r.cfg.Directory.ObserveCold(sentAt, time.Now(), g.Run(), metadata.Cold, metadata.Signature != "")
 	switch {
 	case metadata.NotRun:
 		discardBody(resp.Body)
@@ -173,6 +174,7 @@
 	})
 	return &silltransport.Request{
 		ID: string(it.item.ID), Method: http.MethodPost, RequestURI: it.item.Path, Host: it.job.sub.Host, Header: header, Body: it.item.Body,
+		Check: func() error { return r.cfg.Directory.CheckSend(time.Now(), g) },
 	}
 }
 
@@ -185,6 +187,8 @@
 // outcomeOf returns the outcome of an attempt whose request or stream failed with err.
 func (r *Runner) outcomeOf(ctx context.Context, err error) silltarget.Outcome {
 	switch {
+	case errors.Is(err, silltarget.ErrWithdrawn):
+		return silltarget.Withdrawn
 	case silltransport.NotSent(err) && ctx.Err() == nil:
 		return silltarget.Unreachable
 	case errors.Is(context.Cause(ctx), errStalled):
--- a/internal/silljob/dispatch.go
+++ b/internal/silljob/dispatch.go
@@ -93,7 +93,7 @@
 	q := silltarget.Query{
 		Pool: required.pool, Zone: r.cfg.Zone, Model: required.model, MinVersion: required.min, ExactVersion: required.exact,
 		Prefer: it.job.groupTarget[it.item.Group], Exclude: it.avoid, FreeOnly: true, PreferNewest: it.job.sub.SingleVersion,
-		Class: sillrate.Background,
+		Class: sillrate.Background, Fills: true,
 	}
 	if len(q.Exclude) > 0 && !r.cfg.Directory.AnyEligible(now, q) {
 		q.Exclude = nil
@@ -131,30 +131,30 @@
 		it.discard()
 	}
 	it.job.group.Go(func(ctx context.Context) {
-		if r.acquirePermit(ctx, it, grant) {
-			r.attempt(ctx, it, grant)
+		if permitted, ok := r.acquirePermit(ctx, it, grant); ok {
+			r.attempt(ctx, it, permitted)
 		}
 	})
 }
 
-// acquirePermit gets a permit for an item if its target names a limit on requests. If there
-// is none, it returns the grant and requeues the item.
-func (r *Runner) acquirePermit(ctx context.Context, it *itemRun, g silltarget.Grant) bool {
+// acquirePermit gets a permit for an item if its target names a limit on requests or may be
+// cold. If there is none, it returns the grant and requeues the item.
+func (r *Runner) acquirePermit(ctx context.Context, it *itemRun, g silltarget.Grant) (silltarget.Grant, bool) {
 	if !g.Limited {
-		return true
+		return g, true
 	}
-	v := r.cfg.AcquirePermit(ctx, sillpermit.Ask{Run: g.Run(), Class: sillrate.Background, Organisation: it.job.sub.Organisation})
+	v := r.cfg.AcquirePermit(ctx, sillpermit.Ask{Run: g.Run(), Class: sillrate.Background, Organisation: it.job.sub.Organisation, Cold: g.Cold})
 	if v.Granted {
-		return true
+		return g.WithPermit(v.AskedAt), true
 	}
 	now := time.Now()
 	r.cfg.Directory.Release(now, g, silltarget.Abandoned)
 	if ctx.Err() != nil {
-		return false
+		return g, false
 	}
 	r.cfg.Directory.Deny(now, g.Run(), sillrate.Background, v.RetryAfter)
 	r.requeue(it, now)
-	return false
+	return g, false
 }
 
 // logSend logs the target of an attempt, at warning level if the attempt is a retry or
--- a/internal/sillpermit/broker.go
+++ b/internal/sillpermit/broker.go
@@ -91,7 +91,9 @@
 	if wait := s.deniedUntil.Sub(b.cfg.Now()); wait > 0 && !a.Forced {
 		return Verdict{RetryAfter: wait}
 	}
+	askedAt := b.cfg.Now()
 	v := b.ask(ctx, a)
+	v.AskedAt = askedAt
 	if !v.Granted && !v.OverShare {
 		s.deniedUntil = b.cfg.Now().Add(v.RetryAfter)
 	}
@@ -130,34 +132,64 @@
 	if place.Address == "" || b.isUnreachable(place.Address) {
 		return b.takeSlot(a)
 	}
-	v, err := b.callPlace(ctx, place.Address, a)
+	v, decidedCold, err := b.callPlace(ctx, place.Address, a)
 	if err != nil {
 		if ctx.Err() == nil {
 			b.markUnreachable(place.Address)
 		}
 		return b.takeSlot(a)
 	}
+	if v.Granted && a.Cold != nil && !decidedCold {
+		// The other gateway is of an earlier build, or does not take itself for the granter.
+		return b.takeSlot(a)
+	}
 	return v
 }
 
 // decide grants or denies a permit of this process.
 func (b *Broker) decide(a Ask) Verdict {
 	now := b.cfg.Now()
-	known, ok := b.cfg.Directory.Limit(now, a.Run)
-	if !ok || known.Limit == 0 {
+	limit, cold := b.limitOf(now, a.Run), b.coldAllowance(now, a)
+	if limit == 0 && cold == nil {
 		return Verdict{Granted: true}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.granter.decide(now, a, known.Limit)
+	return b.granter.decide(now, a, limit, cold)
+}
+
+// limitOf returns the limit that a run names; 0 if it names none.
+func (b *Broker) limitOf(now time.Time, run silltarget.Run) sillrate.PerSecond {
+	known, ok := b.cfg.Directory.Limit(now, run)
+	if !ok {
+		return 0
+	}
+	return known.Limit
+}
+
+// coldAllowance returns the allowance of the target of an ask, or nil if it is warm. One
+// of the two gateways may know of it later than the other; only an asker that has just
+// started and does not know trusts this process.
+func (b *Broker) coldAllowance(now time.Time, a Ask) *sillrate.Allowance {
+	own, known := b.cfg.Directory.ColdGrant(now, a.Run)
+	switch {
+	case own != nil:
+		return &own.Allowance
+	case a.Cold == nil, a.Cold.Unsure && known:
+		return nil
+	}
+	return &a.Cold.Allowance
 }
 
 // takeSlot grants a permit if the current time slot is this process's.
 func (b *Broker) takeSlot(a Ask) Verdict {
 	now := b.cfg.Now()
 	b.cfg.Metrics.unreachable.Inc()
-	known, ok := b.cfg.Directory.Limit(now, a.Run)
-	if !ok || known.Limit == 0 || a.Forced {
+	rate := slotShare * b.limitOf(now, a.Run)
+	if a.Cold != nil && (rate == 0 || a.Cold.Allowance.SlotRate < rate) {
+		rate = a.Cold.Allowance.SlotRate
+	}
+	if rate == 0 || a.Forced {
 		return Verdict{Granted: true}
 	}
 	b.mu.Lock()
@@ -167,7 +199,7 @@
 		s = &slotter{}
 		b.slotters[a.Run] = s
 	}
-	return s.take(now, known.Limit, b.cfg.Position())
+	return s.take(now, rate/slotShare, b.cfg.Position())
 }
 
 func (b *Broker) isUnreachable(address string) bool {
@@ -193,7 +225,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for run := range b.slotters {
-		if _, ok := b.cfg.Directory.Limit(now, run); !ok {
+		_, limited := b.cfg.Directory.Limit(now, run)
+		cold, _ := b.cfg.Directory.ColdGrant(now, run)
+		if !limited && cold == nil {
 			delete(b.slotters, run)
 		}
 	}
--- a/internal/sillpermit/call.go
+++ b/internal/sillpermit/call.go
@@ -29,6 +29,8 @@
 	Forced       bool                  `cbor:"forced,omitempty"`
 	// Limits is what the caller knows of the run's limit.
 	Limits []silltarget.RunLimit `cbor:"limits,omitempty"`
+	// Cold is set if the target may be cold, as far as the caller knows.
+	Cold *silltarget.ColdGrant `cbor:"cold,omitempty"`
 }
 
 // wireVerdict is the body of the answer.
@@ -36,6 +38,9 @@
 	Granted      bool  `cbor:"granted"`
 	OverShare    bool  `cbor:"over-share,omitempty"`
 	RetryAfterMS int64 `cbor:"retry-after-ms,omitempty"`
+	// DecidedCold is whether the answering gateway takes itself for the granter and counted
+	// the permit as one for a target that may be cold, if it is.
+	DecidedCold bool `cbor:"decided-cold,omitempty"`
 	// Limits is what the answering gateway knows of the run's limit.
 	Limits []silltarget.RunLimit `cbor:"limits,omitempty"`
 }
@@ -49,32 +54,32 @@
 }
 
 // callPlace asks another gateway for a permit.
-func (b *Broker) callPlace(ctx context.Context, address string, a Ask) (Verdict, error) {
+func (b *Broker) callPlace(ctx context.Context, address string, a Ask) (v Verdict, decidedCold bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	body, err := cbor.Marshal(wireAsk{Run: a.Run, Class: a.Class, Organisation: a.Organisation, Forced: a.Forced, Limits: b.limits(a.Run)})
+	body, err := cbor.Marshal(wireAsk{Run: a.Run, Class: a.Class, Organisation: a.Organisation, Forced: a.Forced, Limits: b.limits(a.Run), Cold: a.Cold})
 	if err != nil {
-		return Verdict{}, eris.Wrap(err, "sillpermit.callPlace")
+		return Verdict{}, false, eris.Wrap(err, "sillpermit.callPlace")
 	}
 	resp, err := b.cfg.Pool.Send(ctx, address, &silltransport.Request{Method: http.MethodPost, RequestURI: Path, Host: address, Body: body})
 	if err != nil {
 		b.cfg.Pool.CloseIdle(address)
-		return Verdict{}, eris.Wrap(err, "sillpermit.callPlace")
+		return Verdict{}, false, eris.Wrap(err, "sillpermit.callPlace")
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxMessageBytes))
 	if err != nil {
-		return Verdict{}, eris.Wrap(err, "sillpermit.callPlace")
+		return Verdict{}, false, eris.Wrap(err, "sillpermit.callPlace")
 	}
 	if resp.StatusCode != http.StatusOK {
-		return Verdict{}, eris.Errorf("sillpermit.callPlace: status %d", resp.StatusCode)
+		return Verdict{}, false, eris.Errorf("sillpermit.callPlace: status %d", resp.StatusCode)
 	}
 	var w wireVerdict
 	if err := cbor.Unmarshal(answer, &w); err != nil {
-		return Verdict{}, eris.Wrap(err, "sillpermit.callPlace")
+		return Verdict{}, false, eris.Wrap(err, "sillpermit.callPlace")
 	}
 	b.cfg.Directory.MergeLimits(b.cfg.Now(), w.Limits)
-	return Verdict{Granted: w.Granted, OverShare: w.OverShare, RetryAfter: time.Duration(w.RetryAfterMS) * time.Millisecond}, nil
+	return Verdict{Granted: w.Granted, OverShare: w.OverShare, RetryAfter: time.Duration(w.RetryAfterMS) * time.Millisecond}, w.DecidedCold, nil
 }
 
 // ServeHTTP grants permits to other gateways.
@@ -89,9 +94,12 @@
 		return
 	}
 	b.cfg.Directory.MergeLimits(b.cfg.Now(), w.Limits)
-	v := b.decide(Ask{Run: w.Run, Class: w.Class, Organisation: w.Organisation, Forced: w.Forced})
+	v, decidesCold := Verdict{Granted: true}, w.Cold != nil && b.cfg.Place(w.Run).Self
+	if w.Cold == nil || decidesCold {
+		v = b.decide(Ask{Run: w.Run, Class: w.Class, Organisation: w.Organisation, Forced: w.Forced, Cold: w.Cold})
+	}
 	answer, err := cbor.Marshal(wireVerdict{
-		Granted: v.Granted, OverShare: v.OverShare, RetryAfterMS: ceilMS(v.RetryAfter), Limits: b.limits(w.Run),
+		Granted: v.Granted, OverShare: v.OverShare, RetryAfterMS: ceilMS(v.RetryAfter), DecidedCold: decidesCold, Limits: b.limits(w.Run),
 	})
 	if err != nil {
 		http.Error(rw, "verdict can't be encoded", http.StatusInternalServerError)
--- a/internal/sillpermit/design_test.go
+++ b/internal/sillpermit/design_test.go
@@ -28,7 +28,7 @@
 			ok, _ := buckets[i].Take(now, sillrate.Interactive)
 			return ok
 		},
-		"one granter": func(now time.Time, _ int) bool { return g.decide(now, Ask{Run: limitedRun}, limit).Granted },
+		"one granter": func(now time.Time, _ int) bool { return g.decide(now, Ask{Run: limitedRun}, limit, nil).Granted },
 		"time slots": func(now time.Time, i int) bool {
 			return slotters[i].take(now, limit/slotShare, Position{Index: i, Count: gateways}).Granted
 		},
--- a/internal/sillpermit/granter_test.go
+++ b/internal/sillpermit/granter_test.go
@@ -25,7 +25,7 @@
 			organisations = append(organisations, "small")
 		}
 		for _, o := range organisations {
-			if g.decide(now, Ask{Run: limitedRun, Organisation: o}, 4).Granted {
+			if g.decide(now, Ask{Run: limitedRun, Organisation: o}, 4, nil).Granted {
 				granted[o]++
 			}
 		}
@@ -47,13 +47,13 @@
 	for tick := range 6000 {
 		now := start.Add(time.Duration(tick) * 10 * time.Millisecond)
 		for range 4 {
-			if g.decide(now, Ask{Run: limitedRun, Class: sillrate.Background}, 2).Granted {
+			if g.decide(now, Ask{Run: limitedRun, Class: sillrate.Background}, 2, nil).Granted {
 				background++
 			}
 		}
 		if tick%100 == 99 {
 			asked++
-			if g.decide(now, Ask{Run: limitedRun, Organisation: "o"}, 2).Granted {
+			if g.decide(now, Ask{Run: limitedRun, Organisation: "o"}, 2, nil).Granted {
 				callers++
 			}
 		}
@@ -67,9 +67,9 @@
 func TestForcedRequestsCount(t *testing.T) {
 	g := newGranter()
 	now := start
-	g.decide(now, Ask{Run: limitedRun, Forced: true}, 1)
+	g.decide(now, Ask{Run: limitedRun, Forced: true}, 1, nil)
 	now = now.Add(1500 * time.Millisecond)
-	if g.decide(now, Ask{Run: limitedRun}, 1).Granted {
+	if g.decide(now, Ask{Run: limitedRun}, 1, nil).Granted {
 		t.Error("a permit was granted that a forced request had used")
 	}
 }
--- a/internal/sillrate/bucket.go
+++ b/internal/sillrate/bucket.go
@@ -31,7 +31,10 @@
 // Bucket is a token bucket: each request takes a token, and tokens come at the rate of the
 // limit. It is not safe for concurrent use.
 type Bucket struct {
-	rate    PerSecond
+	rate PerSecond
+	// burst is the number of tokens held at most; 0 stands for baseBurst and those of
+	// burstTime.
+	burst   float64
 	tokens  float64
 	updated time.Time
 }
@@ -40,6 +43,11 @@
 // just before, under another bucket or none.
 func NewBucket(now time.Time, rate PerSecond) *Bucket { return &Bucket{rate: rate, updated: now} }
 
+// NewColdBucket returns an empty bucket for a target that may be cold.
+func NewColdBucket(now time.Time, a Allowance) *Bucket {
+	return &Bucket{rate: a.Rate, burst: a.Burst, updated: now}
+}
+
 // Rate returns the rate at which tokens come.
 func (b *Bucket) Rate() PerSecond { return b.rate }
 
@@ -50,7 +58,12 @@
 	b.tokens = min(b.tokens, b.capacity())
 }
 
-func (b *Bucket) capacity() float64 { return baseBurst + float64(b.rate)*burstTime.Seconds() }
+func (b *Bucket) capacity() float64 {
+	if b.burst > 0 {
+		return b.burst
+	}
+	return baseBurst + float64(b.rate)*burstTime.Seconds()
+}
 
 func (b *Bucket) refill(now time.Time) {
 	if elapsed := now.Sub(b.updated); elapsed > 0 {
@@ -77,6 +90,9 @@
 	return false, min(max(b.timeFor(needed(c)-b.tokens), time.Millisecond), maxRetryAfter)
 }
 
+// Refund returns the token of a request that is not sent.
+func (b *Bucket) Refund() { b.tokens = min(b.tokens+1, b.capacity()) }
+
 // Debit takes a token for a request that is sent in any case.
 func (b *Bucket) Debit(now time.Time) {
 	b.refill(now)
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -26,13 +26,25 @@
 	leaving map[Run]time.Time
 	// limits holds what is known of the limits that runs name.
 	limits map[Run]*limitState
-	cfg    Config
+	// rules holds the pools whose targets may be cold.
+	rules map[sillid.PoolID]*ColdRule
+	// settled is whether the whole registry was read.
+	settled bool
+	// evacuated holds the availability zones whose targets get no requests.
+	evacuated map[sillid.ZoneID]bool
+	cfg       Config
 }
 
 // Config holds the settings of a Directory. The zero Config is valid.
 type Config struct {
 	Notices NoticeHooks
 	Limits  LimitHooks
+	Cold    ColdHooks
+	// A cold target gets ColdOvershoot times the requests a second that it bears, and
+	// ColdSlack more, within any second at most.
+	ColdOvershoot, ColdSlack float64
+	// Now returns the current time; nil stands for time.Now.
+	Now func() time.Time
 	// Seed decides between targets of equal cost. Processes with different seeds
 	// decide differently; 0 takes the lowest id.
 	Seed uint64
@@ -46,6 +58,9 @@
 
 // NewDirectoryWith returns an empty directory.
 func NewDirectoryWith(cfg Config) *Directory {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
 	return &Directory{
 		targets: make(map[sillid.TargetID]*target), changed: make(chan struct{}),
 		leaving: make(map[Run]time.Time), limits: make(map[Run]*limitState), cfg: cfg,
@@ -79,13 +94,20 @@
 	}
 	t := d.targets[e.ID]
 	if t == nil || !t.entry.StartedAt.Equal(e.StartedAt) || t.entry.Address != e.Address {
-		d.targets[e.ID] = &target{entry: e, registered: registered, tieBreak: d.tieBreak(e.ID), limit: d.limits[e.Run()]}
+		t = &target{
+			entry: e, registered: registered, tieBreak: d.tieBreak(e.ID), limit: d.limits[e.Run()],
+			rule: d.rules[e.Pool], evacuated: d.evacuated[e.Zone],
+		}
+		t.begin(d.cfg.Now(), d.settled)
+		d.targets[e.ID] = t
 		d.signalChange()
 		return true
 	}
 	e.Versions = newest(t.entry.Versions, e.Versions)
 	changed := t.entry.State != e.State || !maps.Equal(t.entry.Versions, e.Versions) || !t.missingSince.IsZero()
+	t.observeEntry(d.cfg.Now(), &e)
 	t.entry, t.registered = e, registered
+	t.rule, t.evacuated = d.rules[e.Pool], d.evacuated[e.Zone]
 	t.missingSince = time.Time{}
 	d.signalChange()
 	return changed
--- a/internal/silltarget/leaving.go
+++ b/internal/silltarget/leaving.go
@@ -132,7 +132,8 @@
 	return runs[:min(len(runs), limit)]
 }
 
-// AllLeaving returns whether the pool has targets and all of them leave.
+// AllLeaving returns whether the pool has targets and all of them leave or are in evacuated
+// availability zones.
 func (d *Directory) AllLeaving(pool sillid.PoolID) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -141,7 +142,7 @@
 		if t.entry.Pool != pool {
 			continue
 		}
-		if t.entry.State != Draining {
+		if t.entry.State != Draining && !t.evacuated {
 			return false
 		}
 		known = true
--- a/internal/silltarget/limit.go
+++ b/internal/silltarget/limit.go
@@ -36,9 +36,25 @@
 
 // denies returns whether requests of a class get no permit for the target now.
 func (t *target) denies(now time.Time, c sillrate.Class) bool {
-	return t.limited() && now.Before(t.limit.deniedUntil[c])
+	return now.Before(t.deniedUntil(now, c))
 }
 
+// deniedUntil returns the time until which requests of a class get no permit; zero if they
+// may get one.
+func (t *target) deniedUntil(now time.Time, c sillrate.Class) time.Time {
+	var until time.Time
+	if t.limited() {
+		until = t.limit.deniedUntil[c]
+	}
+	if t.mayBeCold(now) && t.cold.deniedUntil[c].After(until) {
+		until = t.cold.deniedUntil[c]
+	}
+	return until
+}
+
+// needsPermit returns whether each request to the target needs a permit.
+func (t *target) needsPermit(now time.Time) bool { return t.limited() || t.mayBeCold(now) }
+
 // LimitHooks receive what targets name as their limits. They are called with the directory
 // locked and must not call it. A nil function is skipped.
 type LimitHooks struct {
@@ -96,10 +112,16 @@
 func (d *Directory) Deny(now time.Time, run Run, c sillrate.Class, retryAfter time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if s := d.limits[run]; s != nil {
+	s, t := d.limits[run], d.targets[run.Target]
+	if t != nil && t.entry.Run() == run && t.mayBeCold(now) {
+		t.cold.deniedUntil[c] = now.Add(retryAfter)
+	} else if s == nil {
+		return
+	}
+	if s != nil {
 		s.deniedUntil[c] = now.Add(retryAfter)
-		time.AfterFunc(retryAfter, d.notifyChange)
 	}
+	time.AfterFunc(retryAfter, d.notifyChange)
 }
 
 func (d *Directory) notifyChange() {
@@ -108,10 +130,18 @@
 	d.signalChange()
 }
 
-// AnyLimited returns whether a target of a pool names a limit.
+// AnyLimited returns whether a target of a pool names a limit or may be cold.
 func (d *Directory) AnyLimited(pool sillid.PoolID) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.cfg.Now()
+	if d.rules[pool] != nil {
+		for _, t := range d.targets {
+			if t.entry.Pool == pool && t.mayBeCold(now) {
+				return true
+			}
+		}
+	}
 	for run, s := range d.limits {
 		if t := d.targets[run.Target]; s.limit > 0 && t != nil && t.limit == s && t.entry.Pool == pool {
 			return true
@@ -135,7 +165,7 @@
 		if !t.denies(now, q.Class) {
 			return time.Time{}, false
 		}
-		if until := t.limit.deniedUntil[q.Class]; earliest.IsZero() || until.Before(earliest) {
+		if until := t.deniedUntil(now, q.Class); earliest.IsZero() || until.Before(earliest) {
 			earliest = until
 		}
 	}
--- a/internal/silltarget/pick.go
+++ b/internal/silltarget/pick.go
@@ -40,6 +40,10 @@
 	MaxUnitLatency time.Duration
 	// Class is the class of the requests.
 	Class sillrate.Class
+	// Fills is whether the requests fill free slots as soon as there are any. This process
+	// then sends only a part of what a cold target bears to one that it takes for warm:
+	// others may fill the same slots, and the target may have turned cold unnoticed.
+	Fills bool
 	// IgnoreLimits also accepts targets for which requests get no permit now.
 	IgnoreLimits bool
 	// AttemptTime, if not 0, is how long an attempt takes. FreeSlots then counts no more
@@ -64,9 +68,13 @@
 	StartedAt time.Time
 	// Versions are the weight versions of the target when it was picked.
 	Versions map[sillid.ModelID]sillid.WeightVersion
-	// Limited is whether the target names a limit on requests, so that the attempt needs a
-	// permit.
+	// Limited is whether the target names a limit on requests or may be cold, so that the
+	// attempt needs a permit.
 	Limited bool
+	// Cold is set if the target may be cold.
+	Cold *ColdGrant
+	// permittedAt is when the permit of the attempt was asked for.
+	permittedAt time.Time
 
 	target *target
 	// utilisation is the utilisation of the target with this attempt counted.
@@ -88,7 +96,7 @@
 			best = c
 		}
 	}
-	return best.grant(now)
+	return d.grant(now, &q, best.target)
 }
 
 // candidate is an eligible target with its cost.
@@ -97,16 +105,18 @@
 	cost float64
 }
 
-// grant returns a grant of the candidate, or false if there is none.
-func (c *candidate) grant(now time.Time) (Grant, bool) {
-	best := c.target
+// grant returns a grant of a target, or false if there is none. The caller holds d.mu.
+func (d *Directory) grant(now time.Time, q *Query, best *target) (Grant, bool) {
 	if best == nil {
 		return Grant{}, false
 	}
 	best.running++
+	if q.Fills && best.recordFill(now) {
+		time.AfterFunc(fillSpan, d.notifyChange)
+	}
 	return Grant{
 		ID: best.entry.ID, Address: best.entry.Address, StartedAt: best.entry.StartedAt, Versions: best.entry.Versions,
-		Limited: best.limited(), target: best, utilisation: best.utilisation(now, 0),
+		Limited: best.needsPermit(now), Cold: best.coldGrant(now), target: best, utilisation: best.utilisation(now, 0),
 	}, true
 }
 
@@ -151,7 +161,7 @@
 	free := 0
 	for _, t := range d.targets {
 		if t.isEligible(now, &q, 0) {
-			free += max(t.usableSlots(q.AttemptTime)-t.load(now), 0)
+			free += max(t.usableSlots(now, q.AttemptTime)-t.load(now), 0)
 		}
 	}
 	return free
@@ -159,14 +169,28 @@
 
 // usableSlots returns the number of slots that attempts of some length can use: all, or those
 // that the target's limit keeps in use.
-func (t *target) usableSlots(attemptTime time.Duration) int {
-	if !t.limited() || attemptTime == 0 {
+func (t *target) usableSlots(now time.Time, attemptTime time.Duration) int {
+	rate := t.permittedRate(now)
+	if rate == 0 || attemptTime == 0 {
 		return t.entry.Slots
 	}
-	inUse := float64(t.limit.limit) * attemptTime.Seconds()
+	inUse := float64(rate) * attemptTime.Seconds()
 	return max(int(math.Ceil(min(inUse, float64(t.entry.Slots)))), t.running)
 }
 
+// permittedRate returns the rate at which requests to the target get permits; 0 if they need
+// none.
+func (t *target) permittedRate(now time.Time) sillrate.PerSecond {
+	rate := sillrate.PerSecond(0)
+	if t.limited() {
+		rate = t.limit.limit
+	}
+	if t.mayBeCold(now) && (rate == 0 || t.rule.allowance.Rate < rate) {
+		rate = t.rule.allowance.Rate
+	}
+	return rate
+}
+
 // meanUnitLatency returns the mean of the known unit latencies of a pool, or 0.
 func (d *Directory) meanUnitLatency(pool sillid.PoolID) time.Duration {
 	return d.mean(pool, func(t *target) time.Duration { return t.unitLatency })
@@ -198,10 +222,12 @@
 func (t *target) isEligible(now time.Time, q *Query, meanServiceTime time.Duration) bool {
 	e := &t.entry
 	switch {
-	case e.Pool != q.Pool, e.State != Ready, q.Exclude[e.ID], t.backingOff(now) && !q.IncludeBackingOff:
+	case e.Pool != q.Pool, e.State != Ready, t.evacuated, q.Exclude[e.ID], t.backingOff(now) && !q.IncludeBackingOff:
 		return false
 	case !q.IgnoreLimits && t.denies(now, q.Class):
 		return false
+	case q.Fills && !q.IgnoreLimits && !t.mayBeCold(now) && !t.mayFill(now):
+		return false
 	case q.FreeOnly && t.load(now) >= max(e.Slots, 1):
 		return false
 	case q.MaxResponseTime > 0 && t.expectedResponseTime(now, meanServiceTime) > q.MaxResponseTime:
--- a/internal/silltarget/target.go
+++ b/internal/silltarget/target.go
@@ -30,6 +30,10 @@
 	// StartedAt is when this run of the target started, by its own clock. It
 	// distinguishes two runs under one id.
 	StartedAt time.Time
+	// Cold is what the entry says of the target being cold.
+	Cold ColdNotice
+	// Revision is that of the entry's row; 0 if unknown.
+	Revision uint64
 	// Versions holds the weight version of each model that the target serves.
 	Versions map[sillid.ModelID]sillid.WeightVersion
 }
@@ -64,6 +68,9 @@
 	// Abandoned attempts were cancelled by the caller; they say nothing about
 	// the health of the target.
 	Abandoned
+	// Withdrawn attempts were not sent because the target may not get the request any
+	// more.
+	Withdrawn
 )
 
 const (
@@ -120,6 +127,11 @@
 	missingSince time.Time
 	// limit is what is known of the limit of the target's run; nil if nothing is.
 	limit *limitState
+	// rule is nil if the pool's targets are never cold.
+	rule *ColdRule
+	cold coldState
+	// evacuated is whether the target's availability zone is evacuated.
+	evacuated bool
 }
 
 // load returns the number of requests at the target, as far as known.
@@ -167,11 +179,12 @@
 		// failure in a row starts a backoff.
 		if t.failures > 0 {
 			t.fail(now)
-			return
+		} else {
+			t.failures++
 		}
-		t.failures++
-	case Abandoned:
+	case Abandoned, Withdrawn:
 	}
+	t.cold.recordOutcome(now, o, t.failures)
 }
 
 func (t *target) fail(now time.Time) {
@@ -212,6 +225,8 @@
 		return "silent"
 	case Abandoned:
 		return "abandoned"
+	case Withdrawn:
+		return "withdrawn"
 	}
 	return "unknown"
 }
