--- a/internal/silldirectgateway/cold.go
+++ b/internal/silldirectgateway/cold.go
@@ -14,6 +14,9 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
+// invalidLogInterval is the least time between two log lines on invalid values.
+const invalidLogInterval = time.Second
+
 // coldRules returns the rules of the pools whose targets may be cold.
 func coldRules(c *sillcatalog.Catalog) map[sillid.PoolID]silltarget.ColdRule {
 	rules := make(map[sillid.PoolID]silltarget.ColdRule, len(c.ColdPools))
@@ -31,9 +34,15 @@
 	withdrawn := sillmetric.CounterVec("wasabisill_attempts_withdrawn_total",
 		"Attempts that were not sent to the target picked for them, by reason (evacuated, no-cold-permit).", "reason")
 	r.MustRegister(invalid, withdrawn)
+	var logged time.Time
 	return silltarget.ColdHooks{
 		OnInvalid: func(run silltarget.Run) {
 			invalid.Inc()
+			now := time.Now()
+			if now.Sub(logged) < invalidLogInterval {
+				return
+			}
+			logged = now
 			log.Warn("Time for which a target stays cold is invalid; ignoring it.", zap.String("target", string(run.Target)))
 		},
 		OnWithdrawn: func(err error) {
@@ -57,3 +66,40 @@
 		}, func() float64 { return float64(len(d.Evacuated())) }),
 	)
 }
+
+// maxColdLines bounds the log lines that are written at a time on targets that turned cold
+// or warm.
+const maxColdLines = 16
+
+// coldLog logs and counts the targets that turn cold or warm.
+type coldLog struct {
+	directory *silltarget.Directory
+	changes   *prometheus.CounterVec
+	log       *zap.Logger
+}
+
+func newColdLog(d *silltarget.Directory, r *prometheus.Registry, log *zap.Logger) *coldLog {
+	changes := sillmetric.CounterVec("wasabisill_target_cold_changes_total",
+		"Targets that were found to be cold, by reason (said so, new or returned, unreachable, gateway just started), or to be warm again (warm).", "reason")
+	r.MustRegister(changes)
+	return &coldLog{directory: d, changes: changes, log: log.Named("targets")}
+}
+
+// write logs the changes since the last call. Of many it logs some and their number.
+func (l *coldLog) write(now time.Time) {
+	changes := l.directory.ColdChanges(now)
+	for i, c := range changes {
+		reason, message := c.Reason, "Target may be cold; its requests need permits."
+		if !c.Cold {
+			reason, message = "warm", "Target is not cold any more."
+		}
+		l.changes.WithLabelValues(reason).Inc()
+		if i < maxColdLines {
+			l.log.Info(message, zap.String("target", string(c.Run.Target)), zap.String("pool", string(c.Pool)), zap.String("zone", string(c.Zone)),
+				zap.String("reason", reason), zap.Duration("left", c.Left))
+		}
+	}
+	if extra := len(changes) - maxColdLines; extra > 0 {
+		l.log.Info("More targets turned cold or warm.", zap.Int("targets", extra))
+	}
+}
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -68,6 +68,7 @@
 	evidence     *crashEvidence
 	leaving      *leavingTargets
 	limits       *targetLimits
+	coldLog      *coldLog
 	broker       *sillpermit.Broker
 	tables       tables
 	committer    *sillgroupcommit.Committer
@@ -91,11 +92,11 @@
 		fx.StopTimeout(settings.GracePeriod),
 		fx.Supply(settings, adapter, log),
 		fx.Provide(
-			newRegistry, newCrashEvidence, newDirectory, newLeavingTargets, newTargetLimits, newMembership, newBroker, newRelay, newTables, newCommitter, newView, newMeter, newFollowers,
+			newRegistry, newCrashEvidence, newDirectory, newLeavingTargets, newTargetLimits, newMembership, newBroker, newColdLog, newRelay, newTables, newCommitter, newView, newMeter, newFollowers,
 			newForwarder, silljob.NewCache, newJobMetrics, newStore, newReader, newRunnerParts, newRunner, newControlTasks,
 		),
 		fx.Populate(
-			&s.registry, &s.evidence, &s.leaving, &s.limits, &s.broker, &s.members, &s.relay, &s.tables, &s.committer, &s.view, &s.meter, &s.followers,
+			&s.registry, &s.evidence, &s.leaving, &s.limits, &s.broker, &s.coldLog, &s.members, &s.relay, &s.tables, &s.committer, &s.view, &s.meter, &s.followers,
 			&s.Forwarder, &s.cache, &s.Reader, &s.Runner, &s.controlTasks,
 		),
 		fx.Invoke(func(lc fx.Lifecycle) { lc.Append(fx.Hook{OnStart: s.start, OnStop: s.stop}) }),
@@ -203,6 +204,7 @@
 		s.Forwarder.ResolveSilentTargets(now)
 		s.evidence.suspects.RemoveExpired()
 		s.broker.Forget()
+		s.coldLog.write(now)
 		s.adapter.TargetPool.CloseExpired(now)
 		s.adapter.PeerPool.CloseExpired(now)
 		for _, id := range s.view.directory.Expire(now) {
--- a/internal/sillpermit/cold_test.go
+++ b/internal/sillpermit/cold_test.go
@@ -119,11 +119,14 @@
 		t.Error("a permit from an empty bucket")
 	}
 	granting.cfg.Place = func(silltarget.Run) Place { return Place{Address: "elsewhere"} }
+	ask.Run.StartedAtMS++
 	before := time.Now()
 	for time.Since(before) < 3*time.Second {
 		v := asking.Acquire(t.Context(), ask)
 		if v.Granted {
-			t.Log("the time slot after", time.Since(before))
+			if granting.granter.runs[ask.Run] != nil {
+				t.Error("a gateway granted a permit that does not take itself for the granter")
+			}
 			return
 		}
 		time.Sleep(v.RetryAfter)
--- a/internal/silltarget/cold.go
+++ b/internal/silltarget/cold.go
@@ -90,6 +90,8 @@
 	unreachable bool
 	// deniedUntil is the time until which requests of a class get no permit.
 	deniedUntil [sillrate.Classes]time.Time
+	// told is whether ColdChanges last reported the target as cold.
+	told bool
 	// filled holds the times of the latest background requests of this process.
 	filled []time.Time
 }
@@ -290,6 +292,53 @@
 	OnWithdrawn func(err error)
 }
 
+// ColdChange is a target that turned from warm to possibly cold, or back.
+type ColdChange struct {
+	Run  Run
+	Pool sillid.PoolID
+	Zone sillid.ZoneID
+	Cold bool
+	// Reason is why the target may be cold; empty for one that is warm.
+	Reason string
+	// Left is how much longer it may be cold if nothing else is heard; 0 if it is not known.
+	Left time.Duration
+}
+
+// ColdChanges returns the targets that turned cold or warm since the last call.
+func (d *Directory) ColdChanges(now time.Time) []ColdChange {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var changes []ColdChange
+	for _, t := range d.targets {
+		cold := t.mayBeCold(now)
+		if cold == t.cold.told {
+			continue
+		}
+		t.cold.told = cold
+		reason, left := t.coldReason(now)
+		changes = append(changes, ColdChange{
+			Run: t.entry.Run(), Pool: t.entry.Pool, Zone: t.entry.Zone, Cold: cold, Reason: reason, Left: left,
+		})
+	}
+	return changes
+}
+
+// coldReason returns why the target may be cold, and for how long.
+func (t *target) coldReason(now time.Time) (string, time.Duration) {
+	c := &t.cold
+	switch {
+	case !t.mayBeCold(now):
+		return "", 0
+	case c.unreachable:
+		return "unreachable", 0
+	case now.Before(c.until):
+		return "said so", c.until.Sub(now)
+	case !c.presumedAt.IsZero() && now.Sub(c.presumedAt) < t.rule.StartTime:
+		return "new or returned", c.presumedAt.Add(t.rule.StartTime).Sub(now)
+	}
+	return "gateway just started", c.unsureUntil.Sub(now)
+}
+
 // CountCold returns the number of targets that are or may be cold.
 func (d *Directory) CountCold(now time.Time) int {
 	d.mu.Lock()
--- a/internal/silltimeline/timeline.go
+++ b/internal/silltimeline/timeline.go
@@ -27,6 +27,7 @@
 	started: true, "Stopping.": true, "Closing the listener of callers.": true, "Stopped.": true, "Requests were cut at the end of the grace.": true,
 	"Read the settings again.": true, "Configuration in force.": true, "Configuration can't be read.": true,
 	"Table is away.": true, "Table is back.": true,
+	"Zone is evacuated; sending nothing more to its targets.": true, "Evacuation ended; the zone's targets may be cold.": true,
 	"Table service out of reach; asking peers.": true, "Table service within reach.": true,
 	"Row of this gateway not renewed.": true, "Left lines out.": true,
 }
@@ -34,6 +35,7 @@
 // targetMessages are about the state of a target.
 var targetMessages = map[string]bool{
 	"Target registered.": true, "Target left the registry.": true, "Target did not register again.": true,
+	"Target may be cold; its requests need permits.": true, "Target is not cold any more.": true,
 	"Ordered weights.": true, "Engine did not report.": true,
 }
 
