Leave out targets whose responses are mostly errors

A 500 of a target counted as an answer, and its time as the target's speed.

Errors (500, 502, 503, 504) no longer count as speed. Each gateway keeps the decayed share of errors of each target, ejects one that stands out from the median of its pool for 0.5 to 4 s, at most half of a pool, and probes it with single requests, those of jobs first. A content that got an error is tried at another target next, and only its first error counts, so that requests that fail everywhere eject none. Callers get the error of a target as before.

TestScorerWithErrorsLosesNoItems and TestEngineWithErrorsLosesNoItems fail before and pass after.

--- a/internal/silldirectgateway/leaving.go
+++ b/internal/silldirectgateway/leaving.go
@@ -22,7 +22,7 @@
 // newDirectory returns the directory of targets.
 func newDirectory(adapter *Adapter, r *prometheus.Registry, log *zap.Logger) *silltarget.Directory {
 	return silltarget.NewDirectoryWith(silltarget.Config{
-		Notices: newNoticeHooks(r, log), Limits: newLimitHooks(r, log), Seed: rand.Uint64(), Connected: adapter.TargetPool.HasIdle,
+		Notices: newNoticeHooks(r, log), Limits: newLimitHooks(r, log), OnEjection: newEjectionHook(r, log), Seed: rand.Uint64(), Connected: adapter.TargetPool.HasIdle,
 	})
 }
 
--- a/internal/sillforwarder/attempt.go
+++ b/internal/sillforwarder/attempt.go
@@ -20,15 +20,16 @@
 // activeAttempt is an attempt that holds a grant until release.
 type activeAttempt struct {
 	silltarget.Grant
+	content sillcrash.Fingerprint
 	// run is nil for requests that are owed.
 	run *run
 }
 
 func (f *Forwarder) begin(req *Request, g silltarget.Grant, p progress) activeAttempt {
 	if req.Owed {
-		return activeAttempt{Grant: g}
+		return activeAttempt{Grant: g, content: p.content}
 	}
-	return activeAttempt{Grant: g, run: f.crashes.start(g, p.content)}
+	return activeAttempt{Grant: g, content: p.content, run: f.crashes.start(g, p.content)}
 }
 
 // release returns the grant of an attempt and records its outcome.
@@ -118,7 +119,7 @@
 		return nil, silltarget.Malformed, true
 	}
 	if streamed {
-		body := &streamBody{forwarder: f, attempt: a, body: resp.Body, cancel: cancel, ctx: ctx, outcome: silltarget.Abandoned, events: isEventStream(resp)}
+		body := &streamBody{forwarder: f, attempt: a, body: resp.Body, cancel: cancel, ctx: ctx, outcome: silltarget.Abandoned, status: resp.StatusCode, events: isEventStream(resp)}
 		return &Response{Status: resp.StatusCode, Header: resp.Header, Metadata: metadata, Stream: body}, silltarget.Answered, true
 	}
 	body, err := f.bodies.read(resp.Body, resp.ContentLength)
@@ -129,8 +130,14 @@
 		f.release(a, outcome)
 		return nil, outcome, true
 	}
-	f.cfg.Directory.Observe(now, a.Grant, metadata.Load, now.Sub(sentAt))
-	f.release(a, silltarget.Answered)
+	outcome := f.completeOutcome(a, resp.StatusCode)
+	took := now.Sub(sentAt)
+	if outcome != silltarget.Answered {
+		// An error does not tell how long the work takes.
+		took = 0
+	}
+	f.cfg.Directory.Observe(now, a.Grant, metadata.Load, took)
+	f.release(a, outcome)
 	f.cfg.Metrics.observeLatency(now.Sub(sentAt))
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Metadata: metadata, Body: body}, silltarget.Answered, true
 }
@@ -167,6 +174,7 @@
 	body      io.ReadCloser
 	cancel    context.CancelFunc
 	ctx       context.Context
+	status    int
 	// events is whether the body is a stream of events.
 	events  bool
 	checker sillevent.Checker
@@ -182,8 +190,9 @@
 		return 0, malformed
 	}
 	switch {
+	case err == io.EOF && b.outcome == silltarget.Abandoned:
+		b.outcome = b.forwarder.completeOutcome(b.attempt, b.status)
 	case err == io.EOF:
-		b.outcome = silltarget.Answered
 	case err != nil:
 		b.outcome = b.forwarder.failedOutcome(b.ctx, err)
 	}
--- a/internal/sillforwarder/forwarder.go
+++ b/internal/sillforwarder/forwarder.go
@@ -108,12 +108,13 @@
 	cfg     Config
 	crashes *crashMonitor
 	bodies  *bodyBuffer
+	errors  *errorMemory
 }
 
 // New returns a forwarder.
 func New(cfg Config) *Forwarder {
 	cfg.Log = cfg.Log.Named("forward")
-	f := &Forwarder{cfg: cfg, bodies: newBodyBuffer(cfg.BufferBytes)}
+	f := &Forwarder{cfg: cfg, bodies: newBodyBuffer(cfg.BufferBytes), errors: newErrorMemory()}
 	f.crashes = newCrashMonitor(cfg.Suspects)
 	f.crashes.onCrash, f.crashes.onCleared = f.recordCrash, f.recordCleared
 	return f
@@ -153,7 +154,7 @@
 // ends, the attempt at the target is cancelled too.
 func (f *Forwarder) Do(ctx context.Context, req *Request) (*Response, error) {
 	p := progress{content: req.content()}
-	tried := make(map[sillid.TargetID]bool)
+	tried := f.erroredTargets(req, p.content)
 	for {
 		remaining := time.Until(req.Deadline)
 		if ctx.Err() != nil {
--- a/internal/sillforwarder/metrics.go
+++ b/internal/sillforwarder/metrics.go
@@ -21,7 +21,7 @@
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
 		refusals:       sillmetric.CounterVec("wasabisill_direct_refusals_total", "Requests without an answer of a target, by reason.", "reason"),
-		failedAttempts: sillmetric.CounterVec("wasabisill_direct_failed_attempts_total", "Attempts at targets that gave no answer, by outcome.", "outcome"),
+		failedAttempts: sillmetric.CounterVec("wasabisill_direct_failed_attempts_total", "Attempts at targets that gave no answer or an error, by outcome.", "outcome"),
 		latency: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "wasabisill_direct_answer_seconds",
 			Help:    "Time from the sending of an attempt to its whole answer.",
--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/sillevent"
+	"github.com/wasabisill/wasabisill/internal/sillforwarder"
 	"github.com/wasabisill/wasabisill/internal/sillheader"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
@@ -149,7 +150,10 @@
 		return unprocessable, silltarget.Answered, nil
 	case resp.StatusCode == http.StatusInternalServerError:
 		discardBody(resp.Body)
-		return failed, silltarget.Answered, nil
+		return failed, r.erroredOutcome(it, g.ID), nil
+	case sillforwarder.IsTargetError(resp.StatusCode):
+		discardBody(resp.Body)
+		return unexpectedStatus, r.erroredOutcome(it, g.ID), nil
 	case resp.StatusCode >= http.StatusMultipleChoices:
 		discardBody(resp.Body)
 		return unexpectedStatus, silltarget.Answered, nil
--- /dev/null
+++ b/internal/silljob/error_test.go
@@ -0,0 +1,46 @@
+package silljob
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/wasabisill/wasabisill/internal/sillstandtarget"
+)
+
+// TestScorerWithErrorsLosesNoItems guards against items that are given up since one of several
+// scorers answers each request with an error at once: it always has free slots, and the score
+// requests use up their attempts there.
+func TestScorerWithErrorsLosesNoItems(t *testing.T) {
+	c := newCluster(t, 4, completeStream)
+	bad := sillstandtarget.Start("a-bad-scorer", func(call, int) behaviour {
+		return behaviour{Status: http.StatusInternalServerError}
+	})
+	t.Cleanup(bad.Close)
+	a := c.start("a")
+	a.directory.Apply(bad.Entry("scorers", 8, nil))
+	sub := submission("job", 24)
+	for i := range sub.Items {
+		sub.Items[i].ScoreRequest.Body = fmt.Appendf(nil, "text %d", i)
+	}
+	a.submit(t, sub)
+	checkComplete(t, sub, a.results(t, "job", len(sub.Items)), testEvents)
+}
+
+// TestEngineWithErrorsLosesNoItems guards against items that use up their attempts at one of
+// several engines.
+func TestEngineWithErrorsLosesNoItems(t *testing.T) {
+	c := newCluster(t, 3, func(engine int, ca call, n int) behaviour {
+		if engine == 0 {
+			return behaviour{Status: http.StatusInternalServerError}
+		}
+		return completeStream(engine, ca, n)
+	})
+	a := c.start("a")
+	sub := submission("job", 24)
+	a.submit(t, sub)
+	checkComplete(t, sub, a.results(t, "job", len(sub.Items)), testEvents)
+	if calls := len(c.engines[0].Calls()); calls > len(sub.Items)/2 {
+		t.Errorf("the failing engine got %d calls for %d items", calls, len(sub.Items))
+	}
+}
--- a/internal/silljob/item.go
+++ b/internal/silljob/item.go
@@ -38,6 +38,8 @@
 	attempts int
 	// failures counts the attempts that a target answered with status 500.
 	failures int
+	// errored is whether a target answered an attempt with an error.
+	errored bool
 	// scoreFailures counts the score requests that were answered with status 500.
 	scoreFailures int
 	// notBefore is the earliest time of the next attempt.
--- a/internal/silljob/stall.go
+++ b/internal/silljob/stall.go
@@ -96,6 +96,20 @@
 	it.avoid = silltarget.Excluding(it.avoid, target)
 }
 
+// erroredOutcome returns the outcome of an attempt that a target answered with an error, and
+// makes the item leave the target.
+func (r *Runner) erroredOutcome(it *itemRun, target sillid.TargetID) silltarget.Outcome {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	outcome := silltarget.Errored
+	if it.errored {
+		outcome = silltarget.ErroredAgain
+	}
+	it.errored = true
+	it.avoid = silltarget.Excluding(it.avoid, target)
+	return outcome
+}
+
 // shouldWait returns whether an item without an event should stay at its engine: the
 // engine makes progress with other generations, and no other engine has a free slot.
 func (r *Runner) shouldWait(now time.Time, it *itemRun, target sillid.TargetID) bool {
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -33,6 +33,9 @@
 type Config struct {
 	Notices NoticeHooks
 	Limits  LimitHooks
+	// OnEjection, if not nil, receives the decisions on targets with errors. It is called with
+	// the directory locked and must not call it.
+	OnEjection func(Ejection)
 	// Seed decides between targets of equal cost. Processes with different seeds
 	// decide differently; 0 takes the lowest id.
 	Seed uint64
@@ -221,6 +224,7 @@
 	defer d.mu.Unlock()
 	g.target.running--
 	g.target.recordOutcome(now, o)
+	d.recordErrors(now, g, o)
 	d.signalChange()
 }
 
--- a/internal/silltarget/pick.go
+++ b/internal/silltarget/pick.go
@@ -69,6 +69,8 @@
 	Limited bool
 
 	target *target
+	// probe is whether the attempt probes a target that was ejected.
+	probe bool
 	// utilisation is the utilisation of the target with this attempt counted.
 	utilisation float64
 }
@@ -104,9 +106,10 @@
 		return Grant{}, false
 	}
 	best.running++
+	probe := best.errors.startProbe()
 	return Grant{
 		ID: best.entry.ID, Address: best.entry.Address, StartedAt: best.entry.StartedAt, Versions: best.entry.Versions,
-		Limited: best.limited(), target: best, utilisation: best.utilisation(now, 0),
+		Limited: best.limited(), target: best, probe: probe, utilisation: best.utilisation(now, 0),
 	}, true
 }
 
@@ -200,6 +203,8 @@
 	switch {
 	case e.Pool != q.Pool, e.State != Ready, q.Exclude[e.ID], t.backingOff(now) && !q.IncludeBackingOff:
 		return false
+	case t.errors.leavesOut(now, q.Class) && !q.IncludeBackingOff:
+		return false
 	case !q.IgnoreLimits && t.denies(now, q.Class):
 		return false
 	case q.FreeOnly && t.load(now) >= max(e.Slots, 1):
--- a/internal/silltarget/target.go
+++ b/internal/silltarget/target.go
@@ -64,6 +64,11 @@
 	// Abandoned attempts were cancelled by the caller; they say nothing about
 	// the health of the target.
 	Abandoned
+	// Errored attempts got a complete response that says that the target failed.
+	Errored
+	// ErroredAgain attempts are Errored ones of a request that got an error at another
+	// target before. The request may be the cause.
+	ErroredAgain
 )
 
 const (
@@ -120,6 +125,8 @@
 	missingSince time.Time
 	// limit is what is known of the limit of the target's run; nil if nothing is.
 	limit *limitState
+	// errors is what is known of the errors that the target responds with.
+	errors errorRecord
 }
 
 // load returns the number of requests at the target, as far as known.
@@ -152,7 +159,7 @@
 // an attempt.
 func (t *target) recordOutcome(now time.Time, o Outcome) {
 	switch o {
-	case Answered:
+	case Answered, Errored, ErroredAgain:
 		t.failures, t.rejections = 0, 0
 		t.backoffUntil = time.Time{}
 	case Rejected:
@@ -212,6 +219,10 @@
 		return "silent"
 	case Abandoned:
 		return "abandoned"
+	case Errored:
+		return "error"
+	case ErroredAgain:
+		return "error-again"
 	}
 	return "unknown"
 }
