Read loads with a fourth figure

parseLoad took exactly three figures, so that the whole load of a target that reports a fourth one, how long work takes there now, was dropped.

--- a/internal/silltarget/target.go
+++ b/internal/silltarget/target.go
@@ -40,6 +40,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Duration is how long work takes at the target's instance now, in percent of the usual
+	// time; 0 if the target does not report it.
+	Duration int
 }
 
 // Outcome is how an attempt at a target ended.
