Pick targets by the expected finish time

The cost of a target mixed its speed with the queueing at that time, and took no notice of how long work takes now. Targets that report that share their instances with others and slow down for about half a second.

In pools whose targets report it, the usual and the current speed are kept apart, the cost is the expected finish time, and a gateway takes the better of two random targets among those that cost nearly the same. An item leaves out engines where it would miss its due time but not elsewhere, and migrates for the part of a slowdown that is expected to last. Pools without these reports are served as before.

--- a/internal/sillforwarder/pick.go
+++ b/internal/sillforwarder/pick.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/sillcatalog"
 	"github.com/wasabisill/wasabisill/internal/sillpermit"
 	"github.com/wasabisill/wasabisill/internal/sillrate"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
@@ -25,6 +26,7 @@
 func (f *Forwarder) pick(ctx context.Context, req *Request, tried map[sillid.TargetID]bool, p progress) (silltarget.Grant, bool) {
 	picker := &picker{Forwarder: f, request: req, query: silltarget.Query{
 		Pool: req.Pool, Zone: f.cfg.Zone, Exclude: tried, MaxResponseTime: maxResponseTime(req, p, time.Now()), Class: req.class(),
+		Batched: req.Route.Kind == sillcatalog.Stream,
 	}}
 	if req.class() == sillrate.Background && f.cfg.Directory.AnyLimited(req.Pool) {
 		return picker.inBackground(ctx)
--- a/internal/silljob/dispatch.go
+++ b/internal/silljob/dispatch.go
@@ -93,8 +93,9 @@
 	q := silltarget.Query{
 		Pool: required.pool, Zone: r.cfg.Zone, Model: required.model, MinVersion: required.min, ExactVersion: required.exact,
 		Prefer: it.job.groupTarget[it.item.Group], Exclude: it.avoid, FreeOnly: true, PreferNewest: it.job.sub.SingleVersion,
-		Class: sillrate.Background,
+		Class: sillrate.Background, Batched: true,
 	}
+	q.WorkTime, q.DueIn = r.workTime(now, it)
 	if len(q.Exclude) > 0 && !r.cfg.Directory.AnyEligible(now, q) {
 		q.Exclude = nil
 	}
@@ -161,11 +162,15 @@
 // resumes a generation.
 func (r *Runner) logSend(it *itemRun, grant silltarget.Grant) {
 	it.attempts++
+	if grant.MissesDue {
+		r.cfg.Metrics.sentLate.Inc()
+	}
 	level, message := zapcore.InfoLevel, "Item sent."
 	if it.attempts > 1 || len(it.events) > 0 {
 		level, message = zapcore.WarnLevel, "Item sent again."
 	}
 	r.cfg.Log.Log(level, message, zap.String("request", string(it.item.ID)), zap.String("job", string(it.job.sub.Job)),
 		zap.String("target", string(grant.ID)), zap.Int("events", len(it.events)),
+		zap.Float64("slowdown", grant.Slowdown), zap.Bool("misses-due", grant.MissesDue),
 		zap.Uint64("version", uint64(grant.Versions[it.job.sub.Model])), zap.Uint64("min-version", uint64(it.job.sub.MinVersion)))
 }
--- a/internal/silljob/metrics.go
+++ b/internal/silljob/metrics.go
@@ -11,6 +11,8 @@
 	results    prometheus.Counter
 	takeovers  prometheus.Counter
 	migrations prometheus.Counter
+	// sentLate counts items sent to targets where they are expected to miss their due time.
+	sentLate prometheus.Counter
 	// olderConfigs counts jobs that were accepted under a newer configuration than this
 	// process had.
 	olderConfigs prometheus.Counter
@@ -28,6 +30,7 @@
 		results:      sillmetric.Counter("wasabisill_job_results_total", "Results listed by this process."),
 		takeovers:    sillmetric.Counter("wasabisill_job_takeovers_total", "Jobs that this process took over."),
 		migrations:   sillmetric.Counter("wasabisill_job_moves_total", "Items that left a slow target for a faster one."),
+		sentLate:     sillmetric.Counter("wasabisill_job_sent_late_total", "Items sent to targets where they are expected to miss their due time."),
 		olderConfigs: sillmetric.Counter("wasabisill_job_older_config_total", "Jobs that this process ran while its configuration may have been older than theirs."),
 		undecoded:    sillmetric.Counter("wasabisill_job_undecoded_total", "Rows of jobs, or parts of them, that could not be decoded."),
 		loadRetries:  sillmetric.Counter("wasabisill_job_load_retries_total", "Failed reads of parts of a job that this process loads."),
@@ -35,7 +38,7 @@
 		aborted:      sillmetric.CounterVec("wasabisill_job_aborted_total", "Items given up, by reason.", "reason"),
 	}
 	if r != nil {
-		r.MustRegister(m.results, m.takeovers, m.migrations, m.olderConfigs, m.loadRetries, m.undecoded, m.attempts, m.aborted)
+		r.MustRegister(m.results, m.takeovers, m.migrations, m.sentLate, m.olderConfigs, m.loadRetries, m.undecoded, m.attempts, m.aborted)
 	}
 	return m
 }
--- a/internal/silljob/move.go
+++ b/internal/silljob/move.go
@@ -56,7 +56,7 @@
 // migrateIfSlow migrates one item if that pays off. free caches the number of free
 // slots at faster targets and counts the slots that this pass uses.
 func (r *Runner) migrateIfSlow(now time.Time, it *itemRun, free map[requirements]int) {
-	unitLatency, mean := r.cfg.Directory.UnitLatency(it.target), r.cfg.Directory.MeanUnitLatency(it.job.pool)
+	unitLatency, mean := r.cfg.Directory.UnitLatencies(now, it.target, remainingEvents(len(it.events)))
 	if !shouldMigrate(len(it.events), unitLatency, mean) {
 		return
 	}
--- a/internal/silljob/owned.go
+++ b/internal/silljob/owned.go
@@ -46,6 +46,9 @@
 	// groupOrder is the place of each group in the order of a crowded job; nil for
 	// others.
 	groupOrder map[string]int
+	// tokensMean is the mean of the expected tokens of the first tokensOf items.
+	tokensMean float64
+	tokensOf   int
 	// groupTarget is the target of the last item sent of each group. The items of a
 	// group prefer it because it has their prompt cached.
 	groupTarget map[string]sillid.TargetID
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"hash/fnv"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 	// limits holds what is known of the limits that runs name.
 	limits map[Run]*limitState
 	cfg    Config
+	random *rand.Rand
 }
 
 // Config holds the settings of a Directory. The zero Config is valid.
@@ -52,6 +54,7 @@
 	return &Directory{
 		targets: make(map[sillid.TargetID]*target), changed: make(chan struct{}),
 		leaving: make(map[Run]time.Time), limits: make(map[Run]*limitState), cfg: cfg,
+		random: rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 }
 
@@ -240,12 +243,16 @@
 		// and so does t.running.
 		t.otherLoad = max(0, load.Running+load.Waiting-t.running)
 		t.loadReportedAt = now
+		if load.Duration > 0 {
+			t.speed.report(now, load.Duration)
+		}
 		if load.Slots > 0 {
 			t.entry.Slots = load.Slots
 		}
 	}
 	if unitLatency > 0 {
 		t.progressAt = now
+		t.speed.observe(now, time.Duration(float64(unitLatency)/max(1, g.utilisation)))
 		t.unitLatency = average(t.unitLatency, unitLatency)
 		t.serviceTime = average(t.serviceTime, time.Duration(float64(unitLatency)/max(1, g.utilisation)))
 	}
--- a/internal/silltarget/pick.go
+++ b/internal/silltarget/pick.go
@@ -38,6 +38,11 @@
 	// MaxUnitLatency, if not 0, excludes targets whose unit latency is unknown or
 	// not below it.
 	MaxUnitLatency time.Duration
+	// WorkTime is the expected time of the request at a target of mean speed, and DueIn the
+	// time until it is due; 0 if unknown. A target that would miss it is picked last.
+	WorkTime, DueIn time.Duration
+	// Batched is whether requests that run beside each other at a target slow each other down.
+	Batched bool
 	// Class is the class of the requests.
 	Class sillrate.Class
 	// IgnoreLimits also accepts targets for which requests get no permit now.
@@ -68,6 +73,11 @@
 	// permit.
 	Limited bool
 
+	// Slowdown is how long work takes at the target as a multiple of the usual time, as far as
+	// reported. MissesDue is whether the request is expected to miss its due time there.
+	Slowdown  float64
+	MissesDue bool
+
 	target *target
 	// probe is whether the attempt probes a target that was ejected.
 	probe bool
@@ -80,16 +90,27 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	meanLatency, meanServiceTime := d.meanUnitLatency(q.Pool), d.meanServiceTime(q.Pool)
+	reports, meanUsual := d.reportsSpeed(q.Pool), d.meanUsual(q.Pool)
 	var best candidate
+	var list []candidate
 	for _, t := range d.targets {
 		if !t.isEligible(now, &q, meanServiceTime) {
 			continue
 		}
-		c := candidate{target: t, cost: d.cost(now, &q, meanLatency, t)}
+		c := candidate{target: t, misses: t.misses(now, &q, meanUsual)}
+		if reports {
+			c.cost = d.distanceFactor(&q, t) * t.finishCost(now, &q, meanUsual)
+			list = append(list, c)
+		} else {
+			c.cost = d.cost(now, &q, meanLatency, t)
+		}
 		if best.target == nil || c.isBetter(&q, &best) {
 			best = c
 		}
 	}
+	if len(list) > 1 {
+		best = sample(d.random, &q, &best, list)
+	}
 	return best.grant(now)
 }
 
@@ -97,6 +118,8 @@
 type candidate struct {
 	*target
 	cost float64
+	// misses is whether the request would not be finished there when it is due.
+	misses bool
 }
 
 // grant returns a grant of the candidate, or false if there is none.
@@ -109,7 +132,7 @@
 	probe := best.errors.startProbe()
 	return Grant{
 		ID: best.entry.ID, Address: best.entry.Address, StartedAt: best.entry.StartedAt, Versions: best.entry.Versions,
-		Limited: best.limited(), target: best, probe: probe, utilisation: best.utilisation(now, 0),
+		Limited: best.limited(), Slowdown: best.speed.current(now), MissesDue: c.misses, target: best, probe: probe, utilisation: best.utilisation(now, 0),
 	}, true
 }
 
@@ -227,6 +250,9 @@
 	if version, other := c.entry.Versions[q.Model], o.entry.Versions[q.Model]; q.PreferNewest && version != other {
 		return version > other
 	}
+	if c.misses != o.misses {
+		return o.misses
+	}
 	if preferred, other := c.entry.ID == q.Prefer, o.entry.ID == q.Prefer; preferred != other {
 		return preferred
 	}
@@ -259,11 +285,17 @@
 	if latency > 0 {
 		cost *= latency.Seconds()
 	}
+	return cost * d.distanceFactor(q, t)
+}
+
+// distanceFactor returns the factor for a target's zone and for a new connection.
+func (d *Directory) distanceFactor(q *Query, t *target) float64 {
+	factor := 1.0
 	if q.Zone != "" && t.entry.Zone != q.Zone {
-		cost *= 1 + crossZoneCost
+		factor *= 1 + crossZoneCost
 	}
 	if d.cfg.Connected != nil && !d.cfg.Connected(t.entry.Address) {
-		cost *= 1 + connectCost
+		factor *= 1 + connectCost
 	}
-	return cost
+	return factor
 }
--- a/internal/silltarget/target.go
+++ b/internal/silltarget/target.go
@@ -130,6 +130,7 @@
 	limit *limitState
 	// errors is what is known of the errors that the target responds with.
 	errors errorRecord
+	speed  speedRecord
 }
 
 // load returns the number of requests at the target, as far as known.
