Keep bursts of score requests out of the way of callers

Score requests queued at the targets of their service, which serve in order of arrival, so a caller waited behind the whole burst or was refused. They now wait at their gateway while no target has a free slot. Since many gateways send on the same report, each sends two on one report, and one at a time to a target whose report is old. After a second they queue as callers do, so that callers cannot starve them.

--- a/internal/sillforwarder/metrics.go
+++ b/internal/sillforwarder/metrics.go
@@ -14,6 +14,8 @@
 type Metrics struct {
 	refusals       *prometheus.CounterVec
 	failedAttempts *prometheus.CounterVec
+	// besideTimeouts counts requests without a caller that found no room beside those of callers.
+	besideTimeouts prometheus.Counter
 	latency        prometheus.Histogram
 }
 
@@ -22,6 +24,7 @@
 	m := &Metrics{
 		refusals:       sillmetric.CounterVec("wasabisill_direct_refusals_total", "Requests without an answer of a target, by reason.", "reason"),
 		failedAttempts: sillmetric.CounterVec("wasabisill_direct_failed_attempts_total", "Attempts at targets that gave no answer or an error, by outcome.", "outcome"),
+		besideTimeouts: sillmetric.Counter("wasabisill_direct_beside_timeouts_total", "Score requests that queued like those of callers after they found no room beside them."),
 		latency: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "wasabisill_direct_answer_seconds",
 			Help:    "Time from the sending of an attempt to its whole answer.",
@@ -29,7 +32,7 @@
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.refusals, m.failedAttempts, m.latency)
+		r.MustRegister(m.refusals, m.failedAttempts, m.besideTimeouts, m.latency)
 	}
 	return m
 }
--- a/internal/sillforwarder/pick.go
+++ b/internal/sillforwarder/pick.go
@@ -31,6 +31,9 @@
 	if req.class() == sillrate.Background && f.cfg.Directory.AnyLimited(req.Pool) {
 		return picker.inBackground(ctx)
 	}
+	if req.class() == sillrate.Background {
+		return picker.besideCallers(ctx)
+	}
 	return picker.forCaller(ctx)
 }
 
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -243,6 +243,7 @@
 		// and so does t.running.
 		t.otherLoad = max(0, load.Running+load.Waiting-t.running)
 		t.loadReportedAt = now
+		t.sentSinceReport = 0
 		if load.Duration > 0 {
 			t.speed.report(now, load.Duration)
 		}
--- a/internal/silltarget/outlier_test.go
+++ b/internal/silltarget/outlier_test.go
@@ -166,6 +166,13 @@
 	// poisoned is the share of the requests that get an error at every target.
 	poisoned float64
 
+	// bursts is whether score requests come in bursts, beside whether they wait at their gateway
+	// rather than in long queues.
+	bursts, beside bool
+	// took holds the times of the served requests by class, refused the callers without room.
+	took    [sillrate.Classes][]time.Duration
+	refused int
+
 	errors, callerErrors, lost, poisonedLost, ejections int
 }
 
@@ -213,12 +220,19 @@
 	class    sillrate.Class
 	poisoned bool
 	tried    map[sillid.TargetID]bool
+	// arrived is the time of the first attempt.
+	arrived time.Time
 }
 
 func (s *scoreSimulation) schedule(r *scoreRequest) {
 	r.gateway = s.gateways[s.random.IntN(len(s.gateways))]
 	r.poisoned = s.random.Float64() < s.poisoned
-	s.after(time.Duration(s.random.Float64()*float64(scoreDuration)), func() { s.attempt(r) })
+	at := time.Duration(s.random.Float64() * float64(scoreDuration))
+	if s.bursts && r.class == sillrate.Background {
+		at = at.Truncate(scoreBurstEvery)
+	}
+	r.arrived = s.now.Add(at)
+	s.after(at, func() { s.attempt(r) })
 }
 
 func (s *scoreSimulation) attempt(r *scoreRequest) {
@@ -226,7 +240,11 @@
 	if s.judges {
 		q.Exclude = r.tried
 	}
-	g, ok := r.gateway.Pick(s.now, q)
+	g, ok := s.pick(r, q)
+	if !ok && s.bursts && r.class == sillrate.Interactive && s.now.Sub(r.arrived) >= scoreObjective/5 {
+		s.refused++
+		return
+	}
 	if !ok {
 		s.after(10*time.Millisecond, func() { s.attempt(r) })
 		return
@@ -240,9 +258,30 @@
 	s.serve(g.ID)
 }
 
+// pick picks a target as a gateway does for callers, and for score requests as it does if beside
+// is set, and did before otherwise.
+func (s *scoreSimulation) pick(r *scoreRequest, q Query) (Grant, bool) {
+	if !s.bursts {
+		return r.gateway.Pick(s.now, q)
+	}
+	if s.beside && r.class == sillrate.Background && s.now.Sub(r.arrived) < scoreBesideWait {
+		q.MaxUtilisation = scoreUtilisation
+		return r.gateway.Pick(s.now, q)
+	}
+	free := q
+	free.FreeOnly = true
+	if g, ok := r.gateway.Pick(s.now, free); ok {
+		return g, true
+	}
+	if r.class == sillrate.Interactive {
+		q.MaxResponseTime = scoreObjective*8/10 - s.now.Sub(r.arrived)
+	}
+	return r.gateway.Pick(s.now, q)
+}
+
 func (s *scoreSimulation) fails(id sillid.TargetID) bool {
 	since := s.now.Sub(start) - scoreFaultFrom
-	return id == "t03" && since >= 0 && since < scoreFaultLength
+	return !s.bursts && id == "t03" && since >= 0 && since < scoreFaultLength
 }
 
 func (s *scoreSimulation) fail(r *scoreRequest, g Grant) {
@@ -290,6 +329,7 @@
 		r.gateway.Observe(s.now, g, s.load(g.ID), s.now.Sub(sentAt))
 		s.running[g.ID]--
 		r.gateway.Release(s.now, g, Answered)
+		s.took[r.class] = append(s.took[r.class], s.now.Sub(r.arrived))
 		s.serve(g.ID)
 	})
 }
--- a/internal/silltarget/pick.go
+++ b/internal/silltarget/pick.go
@@ -30,6 +30,10 @@
 	// FreeOnly excludes targets without a free slot. Otherwise a request may
 	// queue at its target.
 	FreeOnly bool
+	// MaxUtilisation, if not 0, excludes targets whose requests, with this one counted, exceed
+	// that share of their slots, and bounds the requests sent since the load was reported:
+	// other gateways send on the same report.
+	MaxUtilisation float64
 	// MaxResponseTime, if not 0, excludes targets whose expected response time is
 	// longer. It is for targets whose unit of work is a whole request.
 	MaxResponseTime time.Duration
@@ -129,6 +133,7 @@
 		return Grant{}, false
 	}
 	best.running++
+	best.sentSinceReport++
 	probe := best.errors.startProbe()
 	return Grant{
 		ID: best.entry.ID, Address: best.entry.Address, StartedAt: best.entry.StartedAt, Versions: best.entry.Versions,
@@ -232,6 +237,8 @@
 		return false
 	case q.FreeOnly && t.load(now) >= max(e.Slots, 1):
 		return false
+	case q.MaxUtilisation > 0 && !t.hasRoom(now, q.MaxUtilisation):
+		return false
 	case q.MaxResponseTime > 0 && t.expectedResponseTime(now, meanServiceTime) > q.MaxResponseTime:
 		return false
 	case q.MaxUnitLatency > 0 && (t.unitLatency == 0 || t.unitLatency >= q.MaxUnitLatency):
--- a/internal/silltarget/target.go
+++ b/internal/silltarget/target.go
@@ -115,6 +115,8 @@
 	// of its last load report.
 	otherLoad      int
 	loadReportedAt time.Time
+	// sentSinceReport counts this process's attempts since then.
+	sentSinceReport int
 	// unitLatency is the moving average of the time that the target takes for
 	// one unit of work, such as an event of a stream; 0 if unknown.
 	unitLatency time.Duration
