--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"hash/fnv"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -33,6 +34,7 @@
 	// evacuated holds the availability zones whose targets get no requests.
 	evacuated map[sillid.ZoneID]bool
 	cfg       Config
+	random    *rand.Rand
 }
 
 // Config holds the settings of a Directory. The zero Config is valid.
@@ -45,6 +47,9 @@
 	ColdOvershoot, ColdSlack float64
 	// Now returns the current time; nil stands for time.Now.
 	Now func() time.Time
+	// OnEjection, if not nil, receives the decisions on targets with errors. It is called with
+	// the directory locked and must not call it.
+	OnEjection func(Ejection)
 	// Seed decides between targets of equal cost. Processes with different seeds
 	// decide differently; 0 takes the lowest id.
 	Seed uint64
@@ -64,6 +69,7 @@
 	return &Directory{
 		targets: make(map[sillid.TargetID]*target), changed: make(chan struct{}),
 		leaving: make(map[Run]time.Time), limits: make(map[Run]*limitState), cfg: cfg,
+		random: rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 }
 
@@ -243,6 +249,7 @@
 	defer d.mu.Unlock()
 	g.target.running--
 	g.target.recordOutcome(now, o)
+	d.recordErrors(now, g, o)
 	d.signalChange()
 }
 
@@ -258,12 +265,17 @@
 		// and so does t.running.
 		t.otherLoad = max(0, load.Running+load.Waiting-t.running)
 		t.loadReportedAt = now
+		t.sentSinceReport = 0
+		if load.Duration > 0 {
+			t.speed.report(now, load.Duration)
+		}
 		if load.Slots > 0 {
 			t.entry.Slots = load.Slots
 		}
 	}
 	if unitLatency > 0 {
 		t.progressAt = now
+		t.speed.observe(now, time.Duration(float64(unitLatency)/max(1, g.utilisation)))
 		t.unitLatency = average(t.unitLatency, unitLatency)
 		t.serviceTime = average(t.serviceTime, time.Duration(float64(unitLatency)/max(1, g.utilisation)))
 	}
--- a/internal/silltarget/pick.go
+++ b/internal/silltarget/pick.go
@@ -31,6 +31,10 @@
 	// FreeOnly excludes targets without a free slot. Otherwise a request may
 	// queue at its target.
 	FreeOnly bool
+	// MaxUtilisation, if not 0, excludes targets whose requests, with this one counted, exceed
+	// that share of their slots, and bounds the requests sent since the load was reported:
+	// other gateways send on the same report.
+	MaxUtilisation float64
 	// MaxResponseTime, if not 0, excludes targets whose expected response time is
 	// longer. It is for targets whose unit of work is a whole request.
 	MaxResponseTime time.Duration
@@ -39,6 +43,11 @@
 	// MaxUnitLatency, if not 0, excludes targets whose unit latency is unknown or
 	// not below it.
 	MaxUnitLatency time.Duration
+	// WorkTime is the expected time of the request at a target of mean speed, and DueIn the
+	// time until it is due; 0 if unknown. A target that would miss it is picked last.
+	WorkTime, DueIn time.Duration
+	// Batched is whether requests that run beside each other at a target slow each other down.
+	Batched bool
 	// Class is the class of the requests.
 	Class sillrate.Class
 	// Fills is whether the requests fill free slots as soon as there are any. This process
@@ -77,7 +86,14 @@
 	// permittedAt is when the permit of the attempt was asked for.
 	permittedAt time.Time
 
+	// Slowdown is how long work takes at the target as a multiple of the usual time, as far as
+	// reported. MissesDue is whether the request is expected to miss its due time there.
+	Slowdown  float64
+	MissesDue bool
+
 	target *target
+	// probe is whether the attempt probes a target that was ejected.
+	probe bool
 	// utilisation is the utilisation of the target with this attempt counted.
 	utilisation float64
 }
@@ -87,37 +103,54 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	meanLatency, meanServiceTime := d.meanUnitLatency(q.Pool), d.meanServiceTime(q.Pool)
+	reports, meanUsual := d.reportsSpeed(q.Pool), d.meanUsual(q.Pool)
 	var best candidate
+	var list []candidate
 	for _, t := range d.targets {
 		if !t.isEligible(now, &q, meanServiceTime) {
 			continue
 		}
-		c := candidate{target: t, cost: d.cost(now, &q, meanLatency, t)}
+		c := candidate{target: t, misses: t.misses(now, &q, meanUsual)}
+		if reports {
+			c.cost = d.distanceFactor(&q, t) * t.finishCost(now, &q, meanUsual)
+			list = append(list, c)
+		} else {
+			c.cost = d.cost(now, &q, meanLatency, t)
+		}
 		if best.target == nil || c.isBetter(&q, &best) {
 			best = c
 		}
 	}
-	return d.grant(now, &q, best.target)
+	if len(list) > 1 {
+		best = sample(d.random, &q, &best, list)
+	}
+	return d.grant(now, &q, &best)
 }
 
 // candidate is an eligible target with its cost.
 type candidate struct {
 	*target
 	cost float64
+	// misses is whether the request would not be finished there when it is due.
+	misses bool
 }
 
-// grant returns a grant of a target, or false if there is none. The caller holds d.mu.
-func (d *Directory) grant(now time.Time, q *Query, best *target) (Grant, bool) {
+// grant returns a grant of a candidate, or false if there is none. The caller holds d.mu.
+func (d *Directory) grant(now time.Time, q *Query, c *candidate) (Grant, bool) {
+	best := c.target
 	if best == nil {
 		return Grant{}, false
 	}
 	best.running++
+	best.sentSinceReport++
+	probe := best.errors.startProbe()
 	if q.Fills && best.recordFill(now) {
 		time.AfterFunc(fillSpan, d.notifyChange)
 	}
 	return Grant{
 		ID: best.entry.ID, Address: best.entry.Address, StartedAt: best.entry.StartedAt, Versions: best.entry.Versions,
-		Limited: best.needsPermit(now), Cold: best.coldGrant(now), target: best, utilisation: best.utilisation(now, 0),
+		Limited: best.needsPermit(now), Cold: best.coldGrant(now), Slowdown: best.speed.current(now), MissesDue: c.misses,
+		target: best, probe: probe, utilisation: best.utilisation(now, 0),
 	}, true
 }
 
@@ -225,12 +258,16 @@
 	switch {
 	case e.Pool != q.Pool, e.State != Ready, t.evacuated, q.Exclude[e.ID], t.backingOff(now) && !q.IncludeBackingOff:
 		return false
+	case t.errors.leavesOut(now, q.Class) && !q.IncludeBackingOff:
+		return false
 	case !q.IgnoreLimits && t.denies(now, q.Class):
 		return false
 	case q.Fills && !q.IgnoreLimits && !t.mayBeCold(now) && !t.mayFill(now):
 		return false
 	case q.FreeOnly && t.load(now) >= max(e.Slots, 1):
 		return false
+	case q.MaxUtilisation > 0 && !t.hasRoom(now, q.MaxUtilisation):
+		return false
 	case q.MaxResponseTime > 0 && t.expectedResponseTime(now, meanServiceTime) > q.MaxResponseTime:
 		return false
 	case q.MaxUnitLatency > 0 && (t.unitLatency == 0 || t.unitLatency >= q.MaxUnitLatency):
@@ -249,6 +286,9 @@
 	if version, other := c.entry.Versions[q.Model], o.entry.Versions[q.Model]; q.PreferNewest && version != other {
 		return version > other
 	}
+	if c.misses != o.misses {
+		return o.misses
+	}
 	if c.cost != o.cost {
 		return c.cost < o.cost
 	}
@@ -278,14 +318,20 @@
 	if latency > 0 {
 		cost *= latency.Seconds()
 	}
+	return cost * d.distanceFactor(q, t)
+}
+
+// distanceFactor returns the factor for a target's zone and for a new connection.
+func (d *Directory) distanceFactor(q *Query, t *target) float64 {
+	factor := 1.0
 	if q.Zone != "" && t.entry.Zone != q.Zone {
-		cost *= 1 + crossZoneCost
+		factor *= 1 + crossZoneCost
 	}
 	if d.cfg.Connected != nil && !d.cfg.Connected(t.entry.Address) {
-		cost *= 1 + connectCost
+		factor *= 1 + connectCost
 	}
 	if t.entry.ID == q.Cached {
-		cost *= 1 - q.CachedSaving
+		factor *= 1 - q.CachedSaving
 	}
-	return cost
+	return factor
 }
--- a/internal/silltarget/target.go
+++ b/internal/silltarget/target.go
@@ -44,6 +44,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Duration is how long work takes at the target's instance now, in percent of the usual
+	// time; 0 if the target does not report it.
+	Duration int
 }
 
 // Outcome is how an attempt at a target ended.
@@ -71,6 +74,11 @@
 	// Withdrawn attempts were not sent because the target may not get the request any
 	// more.
 	Withdrawn
+	// Errored attempts got a complete response that says that the target failed.
+	Errored
+	// ErroredAgain attempts are Errored ones of a request that got an error at another
+	// target before. The request may be the cause.
+	ErroredAgain
 )
 
 const (
@@ -114,6 +122,8 @@
 	// of its last load report.
 	otherLoad      int
 	loadReportedAt time.Time
+	// sentSinceReport counts this process's attempts since then.
+	sentSinceReport int
 	// unitLatency is the moving average of the time that the target takes for
 	// one unit of work, such as an event of a stream; 0 if unknown.
 	unitLatency time.Duration
@@ -132,6 +142,9 @@
 	cold coldState
 	// evacuated is whether the target's availability zone is evacuated.
 	evacuated bool
+	// errors is what is known of the errors that the target responds with.
+	errors errorRecord
+	speed  speedRecord
 }
 
 // load returns the number of requests at the target, as far as known.
@@ -164,7 +177,7 @@
 // an attempt.
 func (t *target) recordOutcome(now time.Time, o Outcome) {
 	switch o {
-	case Answered:
+	case Answered, Errored, ErroredAgain:
 		t.failures, t.rejections = 0, 0
 		t.backoffUntil = time.Time{}
 	case Rejected:
@@ -227,6 +240,10 @@
 		return "abandoned"
 	case Withdrawn:
 		return "withdrawn"
+	case Errored:
+		return "error"
+	case ErroredAgain:
+		return "error-again"
 	}
 	return "unknown"
 }
