Decide by expected earnings who waits when slots are short

Cause: when engines are lost or the store is away, old jobs go first although they can no longer be in time, each owner takes all free slots that it sees, and callers' requests that wait for a target take a free one in random order.

Change: package sillschedule orders groups by what they can still earn, divides the slots of a pool among owners, and queues requests that wait for a target. Priorities of routes and organisations are read. Pools with room are served as before.

--- a/internal/sillcatalog/catalog.go
+++ b/internal/sillcatalog/catalog.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/sillschedule"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -49,6 +50,8 @@
 	// AbandonAfter is the time after a job's submission at which its remaining items
 	// may be abandoned; 0 for never.
 	AbandonAfter time.Duration
+	// Priority is the priority of the route's requests; nil if none is configured.
+	Priority *sillschedule.Priority
 }
 
 // Share is the share of a route's requests that a pool serves.
@@ -61,6 +64,8 @@
 type Organisation struct {
 	ID   sillid.OrganisationID
 	Keys []string
+	// Priority is the priority of the organisation's requests; nil if none is configured.
+	Priority *sillschedule.Priority
 }
 
 // Model is a model that the targets of a pool serve.
@@ -99,6 +104,7 @@
 
 	byHost map[string][]*Route
 	byKey  map[string]*Organisation
+	byID   map[sillid.OrganisationID]*Organisation
 }
 
 // Index builds the look-up tables of the catalog and returns it.
@@ -109,7 +115,9 @@
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
 	}
 	c.byKey = make(map[string]*Organisation)
+	c.byID = make(map[sillid.OrganisationID]*Organisation)
 	for i := range c.Organisations {
+		c.byID[c.Organisations[i].ID] = &c.Organisations[i]
 		for _, k := range c.Organisations[i].Keys {
 			c.byKey[k] = &c.Organisations[i]
 		}
--- a/internal/sillforwarder/forwarder.go
+++ b/internal/sillforwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillheader"
 	"github.com/wasabisill/wasabisill/internal/sillpermit"
 	"github.com/wasabisill/wasabisill/internal/sillrate"
+	"github.com/wasabisill/wasabisill/internal/sillschedule"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
@@ -30,6 +31,7 @@
 	Version      sillid.BundleVersion
 	Pool         sillid.PoolID
 	Organisation sillid.OrganisationID
+	Priority     sillschedule.Priority
 	Method       string
 	// RequestURI is the path and query, unchanged as the caller sent them.
 	RequestURI string
@@ -108,12 +110,13 @@
 	cfg     Config
 	crashes *crashMonitor
 	bodies  *bodyBuffer
+	queues  *queues
 }
 
 // New returns a forwarder.
 func New(cfg Config) *Forwarder {
 	cfg.Log = cfg.Log.Named("forward")
-	f := &Forwarder{cfg: cfg, bodies: newBodyBuffer(cfg.BufferBytes)}
+	f := &Forwarder{cfg: cfg, bodies: newBodyBuffer(cfg.BufferBytes), queues: newQueues()}
 	f.crashes = newCrashMonitor(cfg.Suspects)
 	f.crashes.onCrash, f.crashes.onCleared = f.recordCrash, f.recordCleared
 	return f
--- a/internal/sillforwarder/metrics.go
+++ b/internal/sillforwarder/metrics.go
@@ -15,6 +15,8 @@
 	refusals       *prometheus.CounterVec
 	failedAttempts *prometheus.CounterVec
 	latency        prometheus.Histogram
+	// waits counts requests that waited for a target, by class and how the wait ended.
+	waits *prometheus.CounterVec
 }
 
 // NewMetrics returns the metrics and registers them with r, unless r is nil.
@@ -22,6 +24,7 @@
 	m := &Metrics{
 		refusals:       sillmetric.CounterVec("wasabisill_direct_refusals_total", "Requests without an answer of a target, by reason.", "reason"),
 		failedAttempts: sillmetric.CounterVec("wasabisill_direct_failed_attempts_total", "Attempts at targets that gave no answer, by outcome.", "outcome"),
+		waits:          sillmetric.CounterVec("wasabisill_direct_waits_total", "Requests that waited for a target, by class and outcome.", "class", "outcome"),
 		latency: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "wasabisill_direct_answer_seconds",
 			Help:    "Time from the sending of an attempt to its whole answer.",
@@ -29,7 +32,7 @@
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.refusals, m.failedAttempts, m.latency)
+		r.MustRegister(m.refusals, m.failedAttempts, m.latency, m.waits)
 	}
 	return m
 }
--- a/internal/sillforwarder/pick.go
+++ b/internal/sillforwarder/pick.go
@@ -32,35 +32,50 @@
 	return picker.forCaller(ctx)
 }
 
-// forCaller waits as pick says.
+// forCaller waits as pick says, in the order of the pool's queue.
 func (p *picker) forCaller(ctx context.Context) (silltarget.Grant, bool) {
 	d, req := p.cfg.Directory, p.request
 	end := time.Now().Add(min(time.Duration(pickWaitShare*float64(req.Route.LatencyObjective)), time.Until(req.Deadline)))
+	w := newWait(p)
 	for {
 		changed := d.Changed()
-		if g, ok := p.permitted(ctx, freeOnly(p.query)); ok {
-			return g, true
-		}
-		if g, ok := p.permitted(ctx, p.query); ok {
-			return g, true
+		if g, ok := w.take(changed); ok {
+			if p.permit(ctx, g) {
+				return w.finish(g, waitServed)
+			}
+			if ctx.Err() != nil {
+				return w.finish(silltarget.Grant{}, waitCancelled)
+			}
+			continue
 		}
 		until, limited := d.LimitedUntil(time.Now(), p.query)
 		if limited && until.Before(p.limitDeadline()) && until.After(end) {
 			end = until
 		}
+		if w.displaced() {
+			return w.finish(silltarget.Grant{}, waitDisplaced)
+		}
 		if d.AllLeaving(req.Pool) || (limited && until.After(end)) {
-			return silltarget.Grant{}, false
+			return w.stop(ctx, waitRefused)
 		}
 		if !time.Now().Before(end) {
-			p.query.IncludeBackingOff = true
-			return p.permitted(ctx, p.query)
+			return p.atEnd(ctx, w)
 		}
-		if !awaitChange(ctx, changed, end) {
-			return silltarget.Grant{}, false
+		if !w.await(ctx, changed, end) {
+			return w.stop(ctx, waitCancelled)
 		}
 	}
 }
 
+// atEnd ends a wait whose time is over: it also accepts a target in backoff.
+func (p *picker) atEnd(ctx context.Context, w *wait) (silltarget.Grant, bool) {
+	if g, ok := w.stop(ctx, waitExpired); ok {
+		return g, true
+	}
+	p.query.IncludeBackingOff = true
+	return p.permitted(ctx, p.query)
+}
+
 // limitDeadline returns the time until which a caller's request waits for the limits of
 // targets.
 func (p *picker) limitDeadline() time.Time {
@@ -91,28 +106,39 @@
 // targets for which there is none.
 func (p *picker) permitted(ctx context.Context, q silltarget.Query) (silltarget.Grant, bool) {
 	for {
+		q.Exclude = p.query.Exclude
 		g, ok := p.cfg.Directory.Pick(time.Now(), q)
-		if !ok || !g.Limited {
+		if !ok || p.permit(ctx, g) {
 			return g, ok
 		}
-		v := p.cfg.AcquirePermit(ctx, sillpermit.Ask{Run: g.Run(), Class: q.Class, Organisation: p.request.Organisation})
-		if v.Granted {
-			return g, true
-		}
-		now := time.Now()
-		p.cfg.Directory.Release(now, g, silltarget.Abandoned)
 		if ctx.Err() != nil {
 			return silltarget.Grant{}, false
 		}
-		if v.OverShare {
-			p.query.Exclude = silltarget.Excluding(p.query.Exclude, g.ID)
-			q.Exclude = p.query.Exclude
-			continue
-		}
-		p.cfg.Directory.Deny(now, g.Run(), q.Class, v.RetryAfter)
 	}
 }
 
+// permit gets a permit for a grant if its target names a limit. If there is none, it returns
+// the grant and keeps the request from asking there again for a while.
+func (p *picker) permit(ctx context.Context, g silltarget.Grant) bool {
+	if !g.Limited {
+		return true
+	}
+	v := p.cfg.AcquirePermit(ctx, sillpermit.Ask{Run: g.Run(), Class: p.query.Class, Organisation: p.request.Organisation})
+	if v.Granted {
+		return true
+	}
+	now := time.Now()
+	p.cfg.Directory.Release(now, g, silltarget.Abandoned)
+	switch {
+	case ctx.Err() != nil:
+	case v.OverShare:
+		p.query.Exclude = silltarget.Excluding(p.query.Exclude, g.ID)
+	default:
+		p.cfg.Directory.Deny(now, g.Run(), p.query.Class, v.RetryAfter)
+	}
+	return false
+}
+
 // awaitChange waits until a channel is closed, or for a time. It returns false if ctx ends
 // before.
 func awaitChange(ctx context.Context, changed <-chan struct{}, end time.Time) bool {
--- a/internal/silljob/dispatch.go
+++ b/internal/silljob/dispatch.go
@@ -23,17 +23,19 @@
 	}
 	r.applyRoutes()
 	r.orderGroups(now)
+	r.updateShortages(now)
 	full := make(map[requirements]bool)
 	for _, it := range r.waitingItems(now) {
 		r.discardUnresumable(now, it)
 		required := requirementsOf(it)
-		if full[required] {
+		if full[required] || r.awaitsShare(it) {
 			continue
 		}
 		grant, ok := r.cfg.Directory.Pick(now, r.query(now, it))
 		switch {
 		case ok:
 			r.start(it, grant)
+			r.countStart(it)
 		case len(it.avoid) == 0:
 			full[required] = true
 		}
@@ -107,7 +109,7 @@
 	return silltarget.Query{Pool: j.pool, Model: j.sub.Model, MinVersion: j.sub.MinVersion, FreeOnly: true, Class: sillrate.Background}
 }
 
-// waitingItems returns the items that may be sent now, in the order of byUrgency.
+// waitingItems returns the items that may be sent now, in their order.
 func (r *Runner) waitingItems(now time.Time) []*itemRun {
 	var list []*itemRun
 	for _, j := range r.jobs {
@@ -120,7 +122,7 @@
 			}
 		}
 	}
-	slices.SortFunc(list, byUrgency)
+	slices.SortFunc(list, r.order())
 	return list
 }
 
--- a/internal/silljob/metrics.go
+++ b/internal/silljob/metrics.go
@@ -20,6 +20,12 @@
 	loadRetries prometheus.Counter
 	attempts    *prometheus.CounterVec
 	aborted     *prometheus.CounterVec
+	// delayedGroups counts groups that other groups go before, by what they are expected to
+	// earn.
+	delayedGroups *prometheus.CounterVec
+	// shareWaits counts items that were not started because the process used its share of a
+	// pool.
+	shareWaits prometheus.Counter
 }
 
 // NewMetrics returns the metrics and registers them with r unless r is nil.
@@ -33,9 +39,11 @@
 		loadRetries:  sillmetric.Counter("wasabisill_job_load_retries_total", "Failed reads of parts of a job that this process loads."),
 		attempts:     sillmetric.CounterVec("wasabisill_job_attempts_total", "Attempts at items, by outcome.", "outcome"),
 		aborted:      sillmetric.CounterVec("wasabisill_job_aborted_total", "Items given up, by reason.", "reason"),
+		delayedGroups: sillmetric.CounterVec("wasabisill_job_delayed_groups_total", "Groups that others go before in a pool short of slots, by what they are expected to earn.", "standing"),
+		shareWaits:    sillmetric.Counter("wasabisill_job_share_waits_total", "Times that an item waited because this process used its share of a pool short of slots."),
 	}
 	if r != nil {
-		r.MustRegister(m.results, m.takeovers, m.migrations, m.olderConfigs, m.loadRetries, m.undecoded, m.attempts, m.aborted)
+		r.MustRegister(m.results, m.takeovers, m.migrations, m.olderConfigs, m.loadRetries, m.undecoded, m.attempts, m.aborted, m.delayedGroups, m.shareWaits)
 	}
 	return m
 }
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -67,6 +67,8 @@
 	// attemptTime is the moving average of the time that a complete attempt takes at an
 	// engine; 0 if unknown.
 	attemptTime time.Duration
+	// shortages are the decisions on the pools of owned jobs.
+	shortages map[sillid.PoolID]*shortage
 	// stopping is set once the process releases its jobs.
 	stopping bool
 	// dispatchSignal notifies the dispatch loop; it buffers one signal.
@@ -93,6 +95,7 @@
 		jobs:           make(map[ID]*ownedJob),
 		loading:        make(map[ID]bool),
 		orphanSince:    make(map[ID]time.Time),
+		shortages:      make(map[sillid.PoolID]*shortage),
 		dispatchSignal: make(chan struct{}, 1),
 		// Attempts go on after the context of Run ends, until their jobs are released.
 		group: sillgroup.New(context.Background()),
--- /dev/null
+++ b/internal/silljob/shortage.go
@@ -0,0 +1,337 @@
+package silljob
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wasabisill/wasabisill/internal/sillrate"
+	"github.com/wasabisill/wasabisill/internal/sillschedule"
+	"github.com/wasabisill/wasabisill/internal/silltarget"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
+)
+
+// The jobs of all owners share the engines of a pool. While these can complete the open jobs in
+// time, each owner fills the free slots that it sees, the oldest job first. While they can't,
+// the pool is short: each owner keeps to its share of the slots, and orders the groups of all
+// its jobs by what they can still earn.
+
+const (
+	// planInterval is the time between two orders of the groups of a short pool.
+	planInterval = 50 * time.Millisecond
+	// simultaneous is the difference of the submission times of jobs that count as equally
+	// old: trainers submit at about the same moment.
+	simultaneous = time.Second
+	// usualGiveUp is when a trainer is expected to give up if its route does not tell, as a
+	// multiple of the time until its job is due.
+	usualGiveUp = 1.6
+	// shortageLogInterval is the time between two log lines on a pool that stays short.
+	shortageLogInterval = time.Second
+)
+
+// shortage holds what this process decides on a pool while its slots are short.
+type shortage struct {
+	// short is whether the open jobs can't be complete in time.
+	short     bool
+	plannedAt time.Time
+	loggedAt  time.Time
+	places    map[groupName]sillschedule.Place
+	// slots is the number of the pool's slots, and share how many of them this process may
+	// use.
+	slots     int
+	share     int
+	demands   []sillschedule.Demand
+	allotment sillschedule.Allotment
+	// allowed is the number of items that may still be started in this pass.
+	allowed int
+}
+
+type groupName struct {
+	job   ID
+	group string
+}
+
+// updateShortages finds the pools that are short of slots and decides on those. The caller
+// holds r.mu.
+func (r *Runner) updateShortages(now time.Time) {
+	if r.cfg.Board == nil {
+		return
+	}
+	pools := make(map[sillid.PoolID][]*ownedJob)
+	for _, j := range r.jobsByAge() {
+		pools[j.pool] = append(pools[j.pool], j)
+	}
+	for pool := range r.shortages {
+		if pools[pool] == nil {
+			delete(r.shortages, pool)
+		}
+	}
+	for pool, jobs := range pools {
+		s := r.shortages[pool]
+		if s == nil {
+			s = &shortage{}
+			r.shortages[pool] = s
+		}
+		if now.Sub(s.plannedAt) >= planInterval {
+			s.plannedAt = now
+			r.plan(now, pool, jobs, s)
+		}
+		if s.short {
+			free := r.cfg.Directory.FreeSlots(now, poolQuery(pool))
+			s.allowed = s.allotment.Allow(now, s.share, countRunning(jobs), free)
+		}
+	}
+}
+
+func poolQuery(pool sillid.PoolID) silltarget.Query {
+	return silltarget.Query{Pool: pool, Class: sillrate.Background, IgnoreLimits: true}
+}
+
+func countRunning(jobs []*ownedJob) int {
+	n := 0
+	for _, j := range jobs {
+		n += j.load().running
+	}
+	return n
+}
+
+// plan decides on one pool.
+func (r *Runner) plan(now time.Time, pool sillid.PoolID, jobs []*ownedJob, s *shortage) {
+	s.slots = r.cfg.Directory.Slots(now, poolQuery(pool))
+	open := r.openJobs(pool, jobs)
+	needed := r.shareOfTimeNeededByAll(now, jobs, open, s.slots)
+	wasShort := s.short
+	s.short = s.short && needed >= roomyShare || needed > crowdedShare
+	if !s.short {
+		s.places, s.demands = nil, nil
+	} else {
+		s.demands = r.demands(now, jobs, open)
+		s.share = sillschedule.Share(s.slots, s.demands, string(r.cfg.Self))
+		r.place(now, jobs, s)
+	}
+	if s.short != wasShort || (s.short && now.Sub(s.loggedAt) >= shortageLogInterval) {
+		s.loggedAt = now
+		r.logShortage(pool, jobs, s, needed)
+	}
+}
+
+// openJob is an open job of any owner as its state row tells, or as this process knows if it is
+// the owner.
+type openJob struct {
+	owner       GatewayRun
+	submittedMS int64
+	load        modelLoad
+}
+
+// openJobs returns the open jobs of a pool.
+func (r *Runner) openJobs(pool sillid.PoolID, jobs []*ownedJob) []openJob {
+	var open []openJob
+	for job, v := range r.cfg.Board.OpenJobs() {
+		if v.Pool != pool || r.jobs[job] != nil {
+			continue
+		}
+		unpublished := v.Total - v.Published
+		waiting := min(v.Waiting, unpublished)
+		open = append(open, openJob{v.Owner, v.SubmittedMS, modelLoad{waiting: waiting, running: unpublished - waiting}})
+	}
+	for _, j := range jobs {
+		open = append(open, openJob{r.cfg.Self, j.sub.SubmittedMS, j.load()})
+	}
+	return open
+}
+
+// shareOfTimeNeededByAll returns the time that the slots take for a job of this process and
+// all that are not newer, as a share of the time until the job is due, for the job for which
+// that is the highest; 0 if it is not known.
+func (r *Runner) shareOfTimeNeededByAll(now time.Time, jobs []*ownedJob, open []openJob, slots int) float64 {
+	highest := 0.0
+	for _, j := range jobs {
+		due := j.sub.DueAt()
+		if due.IsZero() || r.attemptTime == 0 || j.load() == (modelLoad{}) {
+			continue
+		}
+		var ahead modelLoad
+		for _, o := range open {
+			if o.submittedMS <= j.sub.SubmittedMS+simultaneous.Milliseconds() {
+				ahead = ahead.add(o.load)
+			}
+		}
+		if ahead.waiting+ahead.running <= slots {
+			continue
+		}
+		left := max(due.Sub(now), time.Duration(minHorizonShare*float64(j.sub.DueAfterMS))*time.Millisecond)
+		highest = max(highest, timeToComplete(ahead, slots, r.attemptTime).Seconds()/left.Seconds())
+	}
+	return highest
+}
+
+// demands returns the demand of each owner. The times of jobs of others are taken from the
+// oldest job of this process, since state rows do not tell them.
+func (r *Runner) demands(now time.Time, jobs []*ownedJob, open []openJob) []sillschedule.Demand {
+	byOwner := make(map[GatewayRun]sillschedule.Demand)
+	for _, o := range open {
+		times := *jobs[0].sub
+		times.SubmittedMS = o.submittedMS
+		d := byOwner[o.owner]
+		items := o.load.waiting + o.load.running
+		d.Owner = string(o.owner)
+		d.Items += items
+		d.Weight += float64(items) * sillschedule.Worth(now, times.DueAt(), times.giveUpAt())
+		byOwner[o.owner] = d
+	}
+	demands := make([]sillschedule.Demand, 0, len(byOwner))
+	for _, d := range byOwner {
+		if d.Items > 0 {
+			demands = append(demands, d)
+		}
+	}
+	return demands
+}
+
+// giveUpAt returns when the trainer is expected to give the job up; zero if that is not known.
+func (s *Submission) giveUpAt() time.Time {
+	usual := time.Duration(usualGiveUp*float64(s.DueAfterMS)) * time.Millisecond
+	limit := time.Duration(s.AbandonAfterMS) * time.Millisecond
+	switch {
+	case usual == 0 && limit == 0:
+		return time.Time{}
+	case usual == 0 || (limit > 0 && limit < usual):
+		usual = limit
+	}
+	return time.UnixMilli(s.SubmittedMS).Add(usual)
+}
+
+// place orders the groups of a pool's jobs, and counts those that are now expected to be late.
+func (r *Runner) place(now time.Time, jobs []*ownedJob, s *shortage) {
+	var groups []sillschedule.Group
+	names := make(map[string]groupName)
+	for _, j := range jobs {
+		for _, g := range r.groupsOf(j) {
+			name := groupName{j.sub.Job, g.Name}
+			g.Name = string(j.sub.Job) + "\x00" + g.Name
+			names[g.Name] = name
+			groups = append(groups, g)
+		}
+	}
+	before := s.places
+	s.places = make(map[groupName]sillschedule.Place, len(groups))
+	for full, p := range sillschedule.Order(now, s.share, groups) {
+		name := names[full]
+		s.places[name] = p
+		if p.Standing != sillschedule.InTime && before[name].Standing != p.Standing {
+			r.cfg.Metrics.delayedGroups.WithLabelValues(p.Standing.String()).Inc()
+		}
+	}
+}
+
+// groupsOf returns the unfinished groups of a job. An item takes the usual time of an attempt
+// in proportion to its expected length.
+func (r *Runner) groupsOf(j *ownedJob) []sillschedule.Group {
+	work := 0
+	for _, it := range j.items {
+		work += max(it.item.ExpectedTokens, 1)
+	}
+	priority, index := r.priority(j), make(map[string]int)
+	var groups []sillschedule.Group
+	for _, it := range j.items {
+		if it.phase == finished {
+			continue
+		}
+		i, ok := index[it.item.Group]
+		if !ok {
+			i = len(groups)
+			index[it.item.Group] = i
+			groups = append(groups, sillschedule.Group{
+				Name: it.item.Group, Due: j.sub.DueAt(), GiveUp: j.sub.giveUpAt(), Submitted: time.UnixMilli(j.sub.SubmittedMS), Priority: priority,
+			})
+		}
+		left := time.Duration(it.workLeft() * float64(len(j.items)) / float64(work) * float64(r.attemptTime))
+		g := &groups[i]
+		g.Left += left
+		g.Longest = max(g.Longest, left)
+		switch it.phase {
+		case waiting:
+			g.Waiting++
+		case running:
+			g.Running++
+		case scoring, finished:
+		}
+	}
+	return groups
+}
+
+// anyShort returns whether a pool is short of slots.
+func (r *Runner) anyShort() bool {
+	for _, s := range r.shortages {
+		if s.short {
+			return true
+		}
+	}
+	return false
+}
+
+// order returns the order of waiting items: byUrgency, or by the places of their groups in
+// pools that are short.
+func (r *Runner) order() func(a, b *itemRun) int {
+	if !r.anyShort() {
+		return byUrgency
+	}
+	return func(a, b *itemRun) int {
+		return cmp.Or(cmp.Compare(a.job.pool, b.job.pool), cmp.Compare(r.rank(a), r.rank(b)), byUrgency(a, b))
+	}
+}
+
+// rank returns the rank of an item's group in a pool that is short. Groups that are not placed
+// yet come last.
+func (r *Runner) rank(it *itemRun) int {
+	s := r.shortages[it.job.pool]
+	if s == nil || !s.short {
+		return 0
+	}
+	p, ok := s.places[groupName{it.job.sub.Job, it.item.Group}]
+	if !ok {
+		return math.MaxInt
+	}
+	return p.Rank
+}
+
+// awaitsShare returns whether an item waits because this process uses its share of a pool that
+// is short.
+func (r *Runner) awaitsShare(it *itemRun) bool {
+	s := r.shortages[it.job.pool]
+	if s == nil || !s.short || s.allowed > 0 {
+		return false
+	}
+	r.cfg.Metrics.shareWaits.Inc()
+	return true
+}
+
+// countStart counts an item that was started against the share.
+func (r *Runner) countStart(it *itemRun) {
+	if s := r.shortages[it.job.pool]; s != nil {
+		s.allowed--
+	}
+}
+
+func (r *Runner) logShortage(pool sillid.PoolID, jobs []*ownedJob, s *shortage, needed float64) {
+	message := "Pool is short of slots; running the groups that can be complete in time first."
+	if !s.short {
+		message = "Pool is no longer short of slots."
+	}
+	standings := make(map[sillschedule.Standing]int)
+	for _, p := range s.places {
+		standings[p.Standing]++
+	}
+	owners := make([]string, len(s.demands))
+	for i, d := range s.demands {
+		owners[i] = d.Owner
+	}
+	slices.Sort(owners)
+	r.cfg.Log.Info(message, zap.String("pool", string(pool)), zap.Int("jobs", len(jobs)), zap.Float64("time-needed", needed),
+		zap.Duration("attempt-time", r.attemptTime), zap.Int("slots", s.slots), zap.Int("share", s.share), zap.Int("running", countRunning(jobs)),
+		zap.Int("in-time", standings[sillschedule.InTime]), zap.Int("late", standings[sillschedule.Late]), zap.Int("lost", standings[sillschedule.Lost]),
+		zap.Strings("owners", owners))
+}
