--- a/internal/silljob/metrics.go
+++ b/internal/silljob/metrics.go
@@ -31,14 +31,14 @@
 // NewMetrics returns the metrics and registers them with r unless r is nil.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		results:      sillmetric.Counter("wasabisill_job_results_total", "Results listed by this process."),
-		takeovers:    sillmetric.Counter("wasabisill_job_takeovers_total", "Jobs that this process took over."),
-		migrations:   sillmetric.Counter("wasabisill_job_moves_total", "Items that left a slow target for a faster one."),
-		olderConfigs: sillmetric.Counter("wasabisill_job_older_config_total", "Jobs that this process ran while its configuration may have been older than theirs."),
-		undecoded:    sillmetric.Counter("wasabisill_job_undecoded_total", "Rows of jobs, or parts of them, that could not be decoded."),
-		loadRetries:  sillmetric.Counter("wasabisill_job_load_retries_total", "Failed reads of parts of a job that this process loads."),
-		attempts:     sillmetric.CounterVec("wasabisill_job_attempts_total", "Attempts at items, by outcome.", "outcome"),
-		aborted:      sillmetric.CounterVec("wasabisill_job_aborted_total", "Items given up, by reason.", "reason"),
+		results:       sillmetric.Counter("wasabisill_job_results_total", "Results listed by this process."),
+		takeovers:     sillmetric.Counter("wasabisill_job_takeovers_total", "Jobs that this process took over."),
+		migrations:    sillmetric.Counter("wasabisill_job_moves_total", "Items that left a slow target for a faster one."),
+		olderConfigs:  sillmetric.Counter("wasabisill_job_older_config_total", "Jobs that this process ran while its configuration may have been older than theirs."),
+		undecoded:     sillmetric.Counter("wasabisill_job_undecoded_total", "Rows of jobs, or parts of them, that could not be decoded."),
+		loadRetries:   sillmetric.Counter("wasabisill_job_load_retries_total", "Failed reads of parts of a job that this process loads."),
+		attempts:      sillmetric.CounterVec("wasabisill_job_attempts_total", "Attempts at items, by outcome.", "outcome"),
+		aborted:       sillmetric.CounterVec("wasabisill_job_aborted_total", "Items given up, by reason.", "reason"),
 		delayedGroups: sillmetric.CounterVec("wasabisill_job_delayed_groups_total", "Groups that others go before in a pool short of slots, by what they are expected to earn.", "standing"),
 		shareWaits:    sillmetric.Counter("wasabisill_job_share_waits_total", "Times that an item waited because this process used its share of a pool short of slots."),
 	}
--- a/internal/sillschedule/order.go
+++ b/internal/sillschedule/order.go
@@ -67,6 +67,11 @@
 	// finishMargin is the time from the end of a generation until its result is listed: the
 	// score request and the write.
 	finishMargin = 300 * time.Millisecond
+	// longestOptimism and workOptimism are the shares of the estimates that decide whether a
+	// group yields. The longest of several estimates is too high on average, and a group that
+	// yields in error loses more than one that is run in vain.
+	longestOptimism = 0.8
+	workOptimism    = 0.9
 	// minLeft is the least work of a group that a density is computed with.
 	minLeft = 10 * time.Millisecond
 	// LongWait is the time since its job's submission after which a group is served out of
@@ -80,13 +85,31 @@
 	return credit * g.Priority.Worth() / max(g.Left, minLeft).Seconds()
 }
 
-// byDue orders groups by a time limit, those without one last, then the least work first.
-func byDue(limit func(*Group) time.Time) func(a, b *Group) int {
+// byLimit orders groups by when the last of their work must start to be complete before a
+// limit, those without one last, then the least work first. If any order keeps all limits,
+// this one does.
+func (l *line) byLimit(limit func(*Group) time.Time) func(a, b *Group) int {
 	return func(a, b *Group) int {
-		return cmp.Or(compareLimits(limit(a), limit(b)), cmp.Compare(a.Left, b.Left), a.Submitted.Compare(b.Submitted), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(compareLimits(l.startLimit(limit(a), a), l.startLimit(limit(b), b)), cmp.Compare(a.Left, b.Left), a.Submitted.Compare(b.Submitted), cmp.Compare(a.Name, b.Name))
 	}
 }
 
+// startLimit returns the limit less the time that the longest item takes beyond the time in
+// which all slots do the group's work.
+func (l *line) startLimit(limit time.Time, g *Group) time.Time {
+	if limit.IsZero() {
+		return limit
+	}
+	return limit.Add(-max(longest(g)-l.duration(g.Left), 0))
+}
+
+// duration returns the time that the slots take for some work.
+func (l *line) duration(work time.Duration) time.Duration {
+	return time.Duration(workOptimism * float64(work) / float64(l.slots))
+}
+
+func longest(g *Group) time.Duration { return time.Duration(longestOptimism * float64(g.Longest)) }
+
 func compareLimits(a, b time.Time) int {
 	switch {
 	case a.IsZero() && b.IsZero():
@@ -101,9 +124,9 @@
 
 // Order returns the place of each group by its name, for a number of slots that they share.
 //
-// Groups that can be complete when they are due come first, the earliest due first. As long as
-// they can't all be, the one that earns least for its work yields: it is delayed behind the
-// rest. The groups that yield are ordered in the same way for the smaller credit, and those
+// Groups that can be complete when they are due come first, those first that must start first.
+// As long as they can't all be, the one that earns least for its work yields: it is delayed
+// behind the rest. The groups that yield are ordered in the same way for the smaller credit, and those
 // that can't earn that either come last.
 func Order(now time.Time, slots int, groups []Group) map[string]Place {
 	all := make([]*Group, len(groups))
@@ -168,16 +191,15 @@
 
 // finish returns when a group is expected to be complete behind some work.
 func (l *line) finish(ahead time.Duration, g *Group) time.Time {
-	slots := time.Duration(l.slots)
-	return l.now.Add(ahead/slots + max(g.Longest, g.Left/slots) + finishMargin)
+	return l.now.Add(l.duration(ahead) + max(longest(g), l.duration(g.Left)) + finishMargin)
 }
 
-// admit divides groups into those that can be complete before a limit, in the order of the
-// limits, and the rest. If a group can't be, the admitted one with the lowest density up to it
+// admit divides groups into those that can be complete before a limit, in the order of
+// byLimit, and the rest. If a group can't be, the admitted one with the lowest density up to it
 // yields, which keeps the earned credit highest (Moore and Hodgson's rule with weights).
 func (l *line) admit(groups []*Group, credit float64, limit func(*Group) time.Time) (admitted, rest []*Group) {
 	sorted := slices.Clone(groups)
-	slices.SortFunc(sorted, byDue(limit))
+	slices.SortFunc(sorted, l.byLimit(limit))
 	ahead := l.ahead
 	for _, g := range sorted {
 		if !limit(g).IsZero() && l.finish(l.ahead, g).After(limit(g)) {
@@ -199,10 +221,42 @@
 			ahead += g.Left
 		}
 	}
-	l.ahead = ahead
+	admitted, rest = l.fill(admitted, rest, credit, limit)
+	for _, g := range admitted {
+		l.ahead += g.Left
+	}
 	return admitted, rest
 }
 
+// fill admits groups of the rest that fit beside the admitted ones, the highest density first:
+// a large group that yielded may have left room for several small ones.
+func (l *line) fill(admitted, rest []*Group, credit float64, limit func(*Group) time.Time) (more, remaining []*Group) {
+	slices.SortStableFunc(rest, func(a, b *Group) int { return cmp.Compare(b.density(credit), a.density(credit)) })
+	order := l.byLimit(limit)
+	for _, g := range rest {
+		i, _ := slices.BinarySearchFunc(admitted, g, order)
+		with := slices.Insert(slices.Clone(admitted), i, g)
+		if l.feasible(with, limit) {
+			admitted = with
+		} else {
+			remaining = append(remaining, g)
+		}
+	}
+	return admitted, remaining
+}
+
+// feasible returns whether groups can be complete before their limits in the given order.
+func (l *line) feasible(groups []*Group, limit func(*Group) time.Time) bool {
+	ahead := l.ahead
+	for _, g := range groups {
+		if !limit(g).IsZero() && l.finish(ahead, g).After(limit(g)) {
+			return false
+		}
+		ahead += g.Left
+	}
+	return true
+}
+
 // lowestDensity returns the index of the group that earns least for its work; of equal ones,
 // the last.
 func lowestDensity(groups []*Group, credit float64) int {
