--- a/internal/sillschedule/order.go
+++ b/internal/sillschedule/order.go
@@ -86,11 +86,11 @@
 }
 
 // byLimit orders groups by when the last of their work must start to be complete before a
-// limit, those without one last, then the least work first. If any order keeps all limits,
+// limit, those without one last, then by priority, then the least work first. If any order keeps all limits,
 // this one does.
 func (l *line) byLimit(limit func(*Group) time.Time) func(a, b *Group) int {
 	return func(a, b *Group) int {
-		return cmp.Or(compareLimits(l.startLimit(limit(a), a), l.startLimit(limit(b), b)), cmp.Compare(a.Left, b.Left), a.Submitted.Compare(b.Submitted), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(compareLimits(l.startLimit(limit(a), a), l.startLimit(limit(b), b)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Left, b.Left), a.Submitted.Compare(b.Submitted), cmp.Compare(a.Name, b.Name))
 	}
 }
 
