Count waits for a share once a pass

Cause: each waiting item was counted in each pass, so the counter told the number of passes times the items.

Change: a pass is counted once. Result: the tests of silljob pass.

--- a/internal/silljob/shortage.go
+++ b/internal/silljob/shortage.go
@@ -45,8 +45,10 @@
 	share     int
 	demands   []sillschedule.Demand
 	allotment sillschedule.Allotment
-	// allowed is the number of items that may still be started in this pass.
+	// allowed is the number of items that may still be started in this pass, and counted
+	// whether the pass is counted as one that waits for the share.
 	allowed int
+	counted bool
 }
 
 type groupName struct {
@@ -81,6 +83,7 @@
 		}
 		if s.short {
 			free := r.cfg.Directory.FreeSlots(now, poolQuery(pool))
+			s.counted = false
 			s.allowed = s.allotment.Allow(now, s.share, countRunning(jobs), free)
 		}
 	}
@@ -305,7 +308,10 @@
 	if s == nil || !s.short || s.allowed > 0 {
 		return false
 	}
-	r.cfg.Metrics.shareWaits.Inc()
+	if !s.counted {
+		s.counted = true
+		r.cfg.Metrics.shareWaits.Inc()
+	}
 	return true
 }
 
