--- a/internal/sillforwarder/metrics.go
+++ b/internal/sillforwarder/metrics.go
@@ -17,6 +17,8 @@
 	// besideTimeouts counts requests without a caller that found no room beside those of callers.
 	besideTimeouts prometheus.Counter
 	latency        prometheus.Histogram
+	// waits counts requests that waited for a target, by class and how the wait ended.
+	waits *prometheus.CounterVec
 }
 
 // NewMetrics returns the metrics and registers them with r, unless r is nil.
@@ -25,6 +27,7 @@
 		refusals:       sillmetric.CounterVec("wasabisill_direct_refusals_total", "Requests without an answer of a target, by reason.", "reason"),
 		failedAttempts: sillmetric.CounterVec("wasabisill_direct_failed_attempts_total", "Attempts at targets that gave no answer or an error, by outcome.", "outcome"),
 		besideTimeouts: sillmetric.Counter("wasabisill_direct_beside_timeouts_total", "Score requests that queued like those of callers after they found no room beside them."),
+		waits:          sillmetric.CounterVec("wasabisill_direct_waits_total", "Requests that waited for a target, by class and outcome.", "class", "outcome"),
 		latency: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "wasabisill_direct_answer_seconds",
 			Help:    "Time from the sending of an attempt to its whole answer.",
@@ -32,7 +35,7 @@
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.refusals, m.failedAttempts, m.besideTimeouts, m.latency)
+		r.MustRegister(m.refusals, m.failedAttempts, m.besideTimeouts, m.latency, m.waits)
 	}
 	return m
 }
