Reset no connection that is established while a listener closes

A call of a peer got no answer during a stop: a connection could be established between the last call of accept and the close of the listener, and the kernel reset it under its first request. A stopping listener now has the kernel drop segments that ask for a connection (a socket filter; listeners don't use MPTCP, which has no filters), and accepts for another 30 ms those whose establishment had begun. Who connects in that time is refused after a second.

--- a/internal/sillserver/listener.go
+++ b/internal/sillserver/listener.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// settleTime is how long connections are accepted whose establishment had begun when the
+	// listener was stopped: more than a round trip between instances of a region.
+	settleTime = 30 * time.Millisecond
 	// acceptRetry is the time limit of accepting a connection that is known to wait.
 	acceptRetry = 20 * time.Millisecond
 	// maxWaiting bounds the connections that are accepted after stop, so that callers who
@@ -71,11 +74,14 @@
 	}
 }
 
-// stop makes Accept return once no connection waits.
+// stop makes Accept return once no connection waits. The kernel ignores attempts to connect
+// from here on: connections that were established between the last call of Accept and the end
+// of the listener would be closed under their first request.
 func (l *listener) stop() {
 	l.stopping.Store(true)
-	// It fails if the listener is closed; then Accept returns as well.
-	_ = l.SetDeadline(time.Now())
+	// Both fail if the listener is closed; then Accept returns as well.
+	_ = sillsocket.IgnoreNew(l.TCPListener)
+	_ = l.SetDeadline(time.Now().Add(settleTime))
 }
 
 func (l *listener) add(tcp *net.TCPConn) *conn {
--- a/internal/sillserver/server.go
+++ b/internal/sillserver/server.go
@@ -53,7 +53,10 @@
 
 // Listen opens the address. The caller calls Serve, and Shutdown or Close.
 func Listen(cfg Config) (*Server, error) {
-	socket, err := net.Listen("tcp", cfg.Address)
+	var listen net.ListenConfig
+	// The kernel can't ignore attempts to connect to a listener that uses MPTCP.
+	listen.SetMultipathTCP(false)
+	socket, err := listen.Listen(context.Background(), "tcp", cfg.Address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "sillserver.Listen: can't listen on %s; choose a free address of this instance", cfg.Address)
 	}
