Read the limits of targets before a starting gateway is ready

A gateway was ready as soon as it had a configuration, so it sent its first requests without what the rows of the other gateways tell of targets that name limits. Readiness now waits for the first read of those rows, for 2 s at most, and requests that come before that are held for half a second at most.

TestRequestsWaitForTheRowsOfGateways guards the hold.

--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -42,6 +42,9 @@
 	evidence  *crashEvidence
 	leaving   *leavingTargets
 	limits    *targetLimits
+	// read is closed once the rows of the gateways were read.
+	read     chan struct{}
+	readOnce sync.Once
 	// restored is whether what the row of the process's last run tells is merged.
 	restored bool
 
@@ -53,7 +56,7 @@
 }
 
 func newMembership(s *Settings, e *crashEvidence, l *leavingTargets, limits *targetLimits, r *prometheus.Registry, log *zap.Logger) *membership {
-	m := &membership{settings: s, log: log.Named("members"), run: sillcluster.Run(sillid.Fresh("run")), evidence: e, leaving: l, limits: limits}
+	m := &membership{settings: s, log: log.Named("members"), run: sillcluster.Run(sillid.Fresh("run")), evidence: e, leaving: l, limits: limits, read: make(chan struct{})}
 	m.members = sillcluster.NewMembers(m.mergeKnowledge)
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "wasabisill_live_gateways", Help: "Gateways that this process knows to be alive.",
@@ -114,6 +117,7 @@
 }
 
 func (m *membership) reset(rows []silltable.Row, _ time.Duration) {
+	defer m.readOnce.Do(func() { close(m.read) })
 	if err := m.members.Reset(sillclock.Boot(), rows); err != nil {
 		m.log.Error("Row of a gateway can't be decoded; skipping it.", silllog.Err(err))
 	}
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
+	"github.com/wasabisill/wasabisill/internal/sillclock"
 	"github.com/wasabisill/wasabisill/internal/sillforwarder"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/sillgroupcommit"
@@ -75,7 +76,9 @@
 	controlTasks *controlTasks
 	registry     *prometheus.Registry
 	stopping     atomic.Bool
-	stopTime     *stopTime
+	// startedAt is when the gateway began to read the platform's tables.
+	startedAt time.Time
+	stopTime  *stopTime
 	// work holds the goroutines that end first at a stop, when other gateways take
 	// over jobs and control tasks; background holds those that run until its end.
 	work, background *sillgroup.Group
@@ -117,10 +120,6 @@
 // is already registered.
 func (s *Service) Register(c prometheus.Collector) { s.registry.MustRegister(c) }
 
-// Ready returns whether the gateway accepts new callers: it is not stopping and has a
-// configuration.
-func (s *Service) Ready() bool { return !s.stopping.Load() && s.Catalog() != nil }
-
 // Stopping returns whether the gateway has begun to stop.
 func (s *Service) Stopping() bool { return s.stopping.Load() }
 
@@ -145,6 +144,7 @@
 	if err := s.listen(); err != nil {
 		return err
 	}
+	s.startedAt = sillclock.Boot()
 	s.members.address = s.Addresses.Peers
 	s.members.poolLoads = s.view.poolLoads
 	s.members.committer = s.committer
@@ -216,7 +216,7 @@
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
 	err := s.servers.open(
-		listenSpec{&s.servers.callers, s.settings.CallerAddress, s.adapter.Handler(s)},
+		listenSpec{&s.servers.callers, s.settings.CallerAddress, s.holdUntilRead(s.adapter.Handler(s))},
 		listenSpec{&s.servers.ready, s.settings.ReadyAddress, s.adapter.ReadyHandler(s)},
 		listenSpec{&s.servers.peers, s.settings.peerAddress(), s.peerHandler()},
 		listenSpec{&s.servers.metrics, s.settings.MetricsAddress, metrics},
