--- a/internal/sillsoak/audit.go
+++ b/internal/sillsoak/audit.go
@@ -64,11 +64,13 @@
 	// pending are requests without an answer and refused are those that were answered as
 	// not run; both are judged once all processes have ended.
 	pending, refused []*Exchange
+	// ended holds all requests that have ended.
+	ended map[RequestID]*Exchange
 }
 
 // NewAudit returns an audit without findings.
 func NewAudit(cfg AuditConfig) *Audit {
-	return &Audit{cfg: cfg, counts: make(map[string]int), faults: make(map[faultKind][]string)}
+	return &Audit{cfg: cfg, counts: make(map[string]int), faults: make(map[faultKind][]string), ended: make(map[RequestID]*Exchange)}
 }
 
 // Count adds to a count of the report.
@@ -87,6 +89,7 @@
 // record records a request that has ended; got is its answer, if there is a complete one.
 func (a *Audit) record(e *Exchange, got *Answer) {
 	a.Count("requests", 1)
+	a.recordEnded(e)
 	switch {
 	case e.err == nil:
 		a.answered(e, got)
@@ -101,6 +104,19 @@
 	}
 }
 
+func (a *Audit) recordEnded(e *Exchange) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ended[e.ID] = e
+}
+
+// Ended returns a request that has ended, or nil.
+func (a *Audit) Ended(id RequestID) *Exchange {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ended[id]
+}
+
 func (a *Audit) answered(e *Exchange, got *Answer) {
 	switch v := a.cfg.Judge(e.ID, got); {
 	case v.Served:
--- a/internal/sillsoak/exchange.go
+++ b/internal/sillsoak/exchange.go
@@ -62,6 +62,14 @@
 		e.sent.UTC().Format(time.RFC3339Nano), e.gap.Round(time.Microsecond), e.ended.Sub(e.sent).Round(time.Microsecond), e.err)
 }
 
+// AnsweredAt returns when the whole answer had come, and false if none did.
+func (e *Exchange) AnsweredAt() (time.Time, bool) {
+	if e.err != nil {
+		return time.Time{}, false
+	}
+	return e.ended, true
+}
+
 // do sends the request and reads the answer until the deadline.
 func (e *Exchange) do(conn *net.TCPConn, reader *bufio.Reader, request string, timeout time.Duration) (*Answer, error) {
 	a, err := e.send(conn, reader, request, timeout)
