Add wasabisill route, which tells where a request would go now

A gateway without agents answers at POST /explain/route of its metrics address where a request or the items of a job would go: route, organisation, the decision for each pool, all targets with cost or the reason why they are left out, and the age of what it knows. Nothing is sent, counted or reserved.

isEligible becomes exclusion, which returns a reason of a typed list and is used by both Pick and Explain; sillforwarder.Explain shares the query and the end of the wait with pick. TestExplainAgreesWithPick compares 2,000 random decisions, TestExplainAgreesWithDo the refusals, TestExplainRoute the answers of a gateway. TestRouteCommand checks output, exit codes and that the key is not printed.

--- a/cmd/wasabisill/main.go
+++ b/cmd/wasabisill/main.go
@@ -26,6 +26,7 @@
 		newBundleCommand(),
 		newSettingsCommand(),
 		newLogCommand(),
+		newRouteCommand(),
 		newVersionCommand(),
 	}))
 }
--- a/internal/silldirectgateway/adapter.go
+++ b/internal/silldirectgateway/adapter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
 	"github.com/wasabisill/wasabisill/internal/sillheader"
@@ -44,6 +45,8 @@
 	SendUsage    func(ctx context.Context, w sillmeter.Window, counts sillmeter.Counts, fence sillid.Epoch) error
 	// SendScaleOrder orders a number of targets for a pool in an availability zone.
 	SendScaleOrder func(ctx context.Context, p sillscaler.PoolZone, count int, fence sillid.Epoch) error
+	// MaxRequestTime bounds the time of every request; 0 for no bound beside the route's.
+	MaxRequestTime time.Duration
 	// Handler returns the handler of callers' requests.
 	Handler func(s *Service) http.Handler
 	// ReadyHandler returns the handler of the load balancer's readiness checks.
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -14,6 +14,7 @@
 
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
 	"github.com/wasabisill/wasabisill/internal/sillclock"
+	"github.com/wasabisill/wasabisill/internal/sillexplanation"
 	"github.com/wasabisill/wasabisill/internal/sillforwarder"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/sillgroupcommit"
@@ -45,6 +46,8 @@
 	Callers string
 	Ready   string
 	Peers   string
+	// Metrics is empty if metrics are not served.
+	Metrics string
 }
 
 // Service is a gateway that calls targets directly, without agents.
@@ -215,6 +218,7 @@
 func (s *Service) listen() error {
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
+	metrics.HandleFunc("POST "+sillexplanation.Path, s.serveExplanation)
 	err := s.servers.open(
 		listenSpec{&s.servers.callers, s.settings.CallerAddress, s.holdUntilRead(s.adapter.Handler(s))},
 		listenSpec{&s.servers.ready, s.settings.ReadyAddress, s.adapter.ReadyHandler(s)},
@@ -227,6 +231,9 @@
 	s.Addresses = Addresses{
 		Callers: s.servers.callers.Address(), Ready: s.servers.ready.Address(), Peers: s.servers.peers.Address(),
 	}
+	if s.servers.metrics != nil {
+		s.Addresses.Metrics = s.servers.metrics.Address()
+	}
 	return nil
 }
 
--- a/internal/sillforwarder/pick.go
+++ b/internal/sillforwarder/pick.go
@@ -23,9 +23,7 @@
 // of the pool leave, or if their limits allow none of them the request in time: none of
 // them will accept the request.
 func (f *Forwarder) pick(ctx context.Context, req *Request, tried map[sillid.TargetID]bool, p progress) (silltarget.Grant, bool) {
-	picker := &picker{Forwarder: f, request: req, query: silltarget.Query{
-		Pool: req.Pool, Zone: f.cfg.Zone, Exclude: tried, MaxResponseTime: maxResponseTime(req, p, time.Now()), Class: req.class(),
-	}}
+	picker := &picker{Forwarder: f, request: req, query: f.query(time.Now(), req, tried, p)}
 	if req.class() == sillrate.Background && f.cfg.Directory.AnyLimited(req.Pool) {
 		return picker.inBackground(ctx)
 	}
@@ -34,21 +32,17 @@
 
 // forCaller waits as pick says.
 func (p *picker) forCaller(ctx context.Context) (silltarget.Grant, bool) {
-	d, req := p.cfg.Directory, p.request
-	end := time.Now().Add(min(time.Duration(pickWaitShare*float64(req.Route.LatencyObjective)), time.Until(req.Deadline)))
+	end := p.firstEnd(time.Now())
 	for {
-		changed := d.Changed()
+		changed := p.cfg.Directory.Changed()
 		if g, ok := p.permitted(ctx, freeOnly(p.query)); ok {
 			return g, true
 		}
 		if g, ok := p.permitted(ctx, p.query); ok {
 			return g, true
 		}
-		until, limited := d.LimitedUntil(time.Now(), p.query)
-		if limited && until.Before(p.limitDeadline()) && until.After(end) {
-			end = until
-		}
-		if d.AllLeaving(req.Pool) || (limited && until.After(end)) {
+		var ok bool
+		if end, ok = p.waitEnd(time.Now(), end); !ok {
 			return silltarget.Grant{}, false
 		}
 		if !time.Now().Before(end) {
--- /dev/null
+++ b/internal/silltarget/exclusion.go
@@ -0,0 +1,75 @@
+package silltarget
+
+import "time"
+
+// Exclusion is why a target may not serve a query's requests.
+type Exclusion string
+
+// The exclusions, in the order in which they are looked for.
+const (
+	// NotExcluded is for eligible targets.
+	NotExcluded Exclusion = ""
+	// OtherPool is for targets of other pools.
+	OtherPool Exclusion = "other-pool"
+	// NotReady is for targets that drain or leave.
+	NotReady Exclusion = "draining"
+	// AlreadyTried is for targets that the query excludes.
+	AlreadyTried Exclusion = "already-tried"
+	// InBackoff is for targets that failed or rejected requests a short time ago.
+	InBackoff Exclusion = "backing-off"
+	// AtLimit is for targets whose limit gives the requests no permit now.
+	AtLimit Exclusion = "limited"
+	// Full is for targets without a free slot.
+	Full Exclusion = "full"
+	// TooSlow is for targets that are not expected to respond in time.
+	TooSlow Exclusion = "too-slow"
+	// NotFaster is for targets whose unit latency is unknown or too long.
+	NotFaster Exclusion = "not-faster"
+	// WrongVersion is for targets that don't have the weight version.
+	WrongVersion Exclusion = "wrong-version"
+)
+
+// isEligible returns whether a target may serve the query's requests. meanServiceTime replaces
+// an unknown service time.
+func (t *target) isEligible(now time.Time, q *Query, meanServiceTime time.Duration) bool {
+	return t.exclusion(now, q, meanServiceTime) == NotExcluded
+}
+
+// exclusion returns the first reason why a target may not serve the query's requests.
+// meanServiceTime replaces an unknown service time.
+func (t *target) exclusion(now time.Time, q *Query, meanServiceTime time.Duration) Exclusion {
+	e := &t.entry
+	switch {
+	case e.Pool != q.Pool:
+		return OtherPool
+	case e.State != Ready:
+		return NotReady
+	case q.Exclude[e.ID]:
+		return AlreadyTried
+	case t.backingOff(now) && !q.IncludeBackingOff:
+		return InBackoff
+	case t.denies(now, q.Class) && !q.IgnoreLimits:
+		return AtLimit
+	case q.FreeOnly && t.load(now) >= max(e.Slots, 1):
+		return Full
+	case q.MaxResponseTime > 0 && t.expectedResponseTime(now, meanServiceTime) > q.MaxResponseTime:
+		return TooSlow
+	case q.MaxUnitLatency > 0 && (t.unitLatency == 0 || t.unitLatency >= q.MaxUnitLatency):
+		return NotFaster
+	case !t.hasVersion(q):
+		return WrongVersion
+	}
+	return NotExcluded
+}
+
+// hasVersion returns whether the target has a weight version that the query accepts.
+func (t *target) hasVersion(q *Query) bool {
+	version := t.entry.Versions[q.Model]
+	switch {
+	case q.Model == "":
+		return true
+	case q.ExactVersion != 0 && version != q.ExactVersion:
+		return false
+	}
+	return version >= q.MinVersion
+}
--- a/internal/silltarget/pick.go
+++ b/internal/silltarget/pick.go
@@ -193,29 +193,6 @@
 	return sum / time.Duration(known)
 }
 
-// isEligible returns whether a target may serve the query's requests.
-// meanServiceTime replaces an unknown service time.
-func (t *target) isEligible(now time.Time, q *Query, meanServiceTime time.Duration) bool {
-	e := &t.entry
-	switch {
-	case e.Pool != q.Pool, e.State != Ready, q.Exclude[e.ID], t.backingOff(now) && !q.IncludeBackingOff:
-		return false
-	case !q.IgnoreLimits && t.denies(now, q.Class):
-		return false
-	case q.FreeOnly && t.load(now) >= max(e.Slots, 1):
-		return false
-	case q.MaxResponseTime > 0 && t.expectedResponseTime(now, meanServiceTime) > q.MaxResponseTime:
-		return false
-	case q.MaxUnitLatency > 0 && (t.unitLatency == 0 || t.unitLatency >= q.MaxUnitLatency):
-		return false
-	case q.Model == "":
-		return true
-	case q.ExactVersion != 0 && e.Versions[q.Model] != q.ExactVersion:
-		return false
-	}
-	return e.Versions[q.Model] >= q.MinVersion
-}
-
 // isBetter returns whether c is picked before o. Among equally preferred targets
 // the one with the lower cost wins, so slow targets get fewer requests.
 func (c *candidate) isBetter(q *Query, o *candidate) bool {
