--- a/internal/sillcluster/members.go
+++ b/internal/sillcluster/members.go
@@ -5,18 +5,12 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-	"github.com/rotisserie/eris"
-
 	"github.com/wasabisill/wasabisill/internal/silllease"
 	"github.com/wasabisill/wasabisill/internal/silltable"
-	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -32,45 +26,6 @@
 	MemberTimeout = 1700 * time.Millisecond
 )
 
-// Run identifies one run of a gateway process. It is new at every start.
-type Run string
-
-// Member is the row that a process writes about itself.
-type Member struct {
-	Instance sillid.InstanceID `cbor:"instance"`
-	Run      Run               `cbor:"run"`
-	// Address is where other gateways reach the process.
-	Address string        `cbor:"address"`
-	Zone    sillid.ZoneID `cbor:"zone"`
-	// Leaving is whether the process is stopping and accepts no new work.
-	Leaving bool `cbor:"leaving"`
-	// Capacity is the number of processor cores that the process may use; 0 if unknown.
-	Capacity float64 `cbor:"capacity,omitempty"`
-	// GroupCommit is whether the process commits the rows of others with its own.
-	GroupCommit bool `cbor:"group-commit,omitempty"`
-	// PoolLoads holds the process's running requests in the autoscaled pools.
-	PoolLoads []PoolLoad `cbor:"busy,omitempty"`
-	// Renewal counts the renewals of this run.
-	Renewal uint64 `cbor:"renewal"`
-	// CrashEvidence is the process's evidence on requests that crash targets, encoded
-	// by package sillcrash.
-	CrashEvidence []byte `cbor:"crash-evidence,omitempty"`
-	// LeavingTargets are runs of targets that said in a response that they leave.
-	LeavingTargets []silltarget.Run `cbor:"leaving-targets,omitempty"`
-	// GrantsPermits is whether the process grants permits for targets that name a limit on
-	// requests. TargetLimits are the limits of those for which it does.
-	GrantsPermits bool                  `cbor:"grants-permits,omitempty"`
-	TargetLimits  []silltarget.RunLimit `cbor:"target-limits,omitempty"`
-}
-
-// PoolLoad is the number of running requests of one process at the targets of a
-// pool in an availability zone.
-type PoolLoad struct {
-	Pool     sillid.PoolID `cbor:"pool"`
-	Zone     sillid.ZoneID `cbor:"zone"`
-	Requests int           `cbor:"count"`
-}
-
 // memberRow is a row with the time of its last known renewal.
 type memberRow struct {
 	Member
@@ -92,29 +47,6 @@
 	return &Members{onRow: onRow, rows: make(map[sillid.InstanceID]memberRow)}
 }
 
-// Key returns the key of an instance's row.
-func Key(zone sillid.ZoneID, instance sillid.InstanceID) string {
-	return Table + "/" + string(zone) + "/" + string(instance)
-}
-
-// instanceOf returns the instance whose row has a key.
-func instanceOf(key string) sillid.InstanceID {
-	return sillid.InstanceID(key[strings.LastIndexByte(key, '/')+1:])
-}
-
-// Encode returns the write that stores the row of a member.
-func Encode(m Member) (silltable.Write, error) {
-	b, err := cbor.Marshal(m)
-	return silltable.Write{Key: Key(m.Zone, m.Instance), Value: b}, eris.Wrap(err, "sillcluster.Encode")
-}
-
-// Decode decodes the row of a member.
-func Decode(row silltable.Row) (Member, error) {
-	var m Member
-	err := cbor.Unmarshal(row.Value, &m)
-	return m, eris.Wrapf(err, "sillcluster.Decode: row %q", row.Key)
-}
-
 // Reset replaces all rows. Every process gets the full MemberTimeout from now, since
 // the time of its last renewal is unknown. Of an instance with rows in two partitions,
 // the newer one counts. It returns errors as Apply does.
@@ -278,71 +210,3 @@
 	}
 	return known
 }
-
-// Rank returns the rank that an instance has or would have among the live ones for a
-// name, and whether it is live.
-func (s *Members) Rank(now time.Time, name string, self sillid.InstanceID) (int, bool) {
-	live := s.Live(now)
-	own, found := Member{Instance: self}, false
-	if i := slices.IndexFunc(live, func(m Member) bool { return m.Instance == self }); i >= 0 {
-		own, found = live[i], true
-	}
-	rank := 0
-	for _, m := range live {
-		if isAhead(name, m, own) {
-			rank++
-		}
-	}
-	return rank, found
-}
-
-// First returns the live process with rank 0 for a name, and false if no process
-// is live.
-func (s *Members) First(now time.Time, name string) (Member, bool) {
-	live := s.Live(now)
-	if len(live) == 0 {
-		return Member{}, false
-	}
-	return first(live, name), true
-}
-
-// first returns the member with rank 0 for a name; there must be one member at least.
-func first(members []Member, name string) Member {
-	best := members[0]
-	for _, m := range members[1:] {
-		if isAhead(name, m, best) {
-			best = m
-		}
-	}
-	return best
-}
-
-// isAhead returns whether a ranks before b for a name, by weighted rendezvous hashing:
-// every process with the same rows computes the same order, and a process that leaves
-// changes only the ranks behind its own.
-func isAhead(name string, a, b Member) bool {
-	priorityA, priorityB := priority(name, a), priority(name, b)
-	if priorityA != priorityB {
-		return priorityA > priorityB
-	}
-	return a.Instance > b.Instance
-}
-
-const (
-	// unknownCapacity stands for the capacity of processes that tell none.
-	unknownCapacity = 0.5
-	// capacityExponent makes processes of small instances rarely the first: the
-	// work that goes to one process can need more than a small instance has.
-	capacityExponent = 3
-)
-
-// priority returns the place of a member in the order for a name; the highest comes first.
-func priority(name string, m Member) float64 {
-	capacity := m.Capacity
-	if capacity <= 0 {
-		capacity = unknownCapacity
-	}
-	hash := silllease.Score(name, sillid.GatewayID(m.Instance))
-	uniform := (float64(hash) + 0.5) / (1 << 64)
-	return math.Pow(capacity, capacityExponent) / -math.Log(uniform)
-}
