--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -13,6 +13,8 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
+	"github.com/wasabisill/wasabisill/internal/sillclock"
+	"github.com/wasabisill/wasabisill/internal/sillexplanation"
 	"github.com/wasabisill/wasabisill/internal/sillforwarder"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/sillgroupcommit"
@@ -44,6 +46,8 @@
 	Callers string
 	Ready   string
 	Peers   string
+	// Metrics is empty if metrics are not served.
+	Metrics string
 }
 
 // Service is a gateway that calls targets directly, without agents.
@@ -76,7 +80,9 @@
 	controlTasks *controlTasks
 	registry     *prometheus.Registry
 	stopping     atomic.Bool
-	stopTime     *stopTime
+	// startedAt is when the gateway began to read the platform's tables.
+	startedAt time.Time
+	stopTime  *stopTime
 	// work holds the goroutines that end first at a stop, when other gateways take
 	// over jobs and control tasks; background holds those that run until its end.
 	work, background *sillgroup.Group
@@ -118,10 +124,6 @@
 // is already registered.
 func (s *Service) Register(c prometheus.Collector) { s.registry.MustRegister(c) }
 
-// Ready returns whether the gateway accepts new callers: it is not stopping and has a
-// configuration.
-func (s *Service) Ready() bool { return !s.stopping.Load() && s.Catalog() != nil }
-
 // Stopping returns whether the gateway has begun to stop.
 func (s *Service) Stopping() bool { return s.stopping.Load() }
 
@@ -146,6 +148,7 @@
 	if err := s.listen(); err != nil {
 		return err
 	}
+	s.startedAt = sillclock.Boot()
 	s.members.address = s.Addresses.Peers
 	s.members.poolLoads = s.view.poolLoads
 	s.members.committer = s.committer
@@ -217,8 +220,9 @@
 func (s *Service) listen() error {
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
+	metrics.HandleFunc("POST "+sillexplanation.Path, s.serveExplanation)
 	err := s.servers.open(
-		listenSpec{&s.servers.callers, s.settings.CallerAddress, s.adapter.Handler(s)},
+		listenSpec{&s.servers.callers, s.settings.CallerAddress, s.holdUntilRead(s.adapter.Handler(s))},
 		listenSpec{&s.servers.ready, s.settings.ReadyAddress, s.adapter.ReadyHandler(s)},
 		listenSpec{&s.servers.peers, s.settings.peerAddress(), s.peerHandler()},
 		listenSpec{&s.servers.metrics, s.settings.MetricsAddress, metrics},
@@ -229,6 +233,9 @@
 	s.Addresses = Addresses{
 		Callers: s.servers.callers.Address(), Ready: s.servers.ready.Address(), Peers: s.servers.peers.Address(),
 	}
+	if s.servers.metrics != nil {
+		s.Addresses.Metrics = s.servers.metrics.Address()
+	}
 	return nil
 }
 
--- a/internal/sillforwarder/pick.go
+++ b/internal/sillforwarder/pick.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/wasabisill/wasabisill/internal/sillcatalog"
 	"github.com/wasabisill/wasabisill/internal/sillpermit"
 	"github.com/wasabisill/wasabisill/internal/sillrate"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
@@ -24,10 +23,7 @@
 // of the pool leave, or if their limits allow none of them the request in time: none of
 // them will accept the request.
 func (f *Forwarder) pick(ctx context.Context, req *Request, tried map[sillid.TargetID]bool, p progress) (silltarget.Grant, bool) {
-	picker := &picker{Forwarder: f, request: req, query: silltarget.Query{
-		Pool: req.Pool, Zone: f.cfg.Zone, Exclude: tried, MaxResponseTime: maxResponseTime(req, p, time.Now()), Class: req.class(),
-		Batched: req.Route.Kind == sillcatalog.Stream,
-	}}
+	picker := &picker{Forwarder: f, request: req, query: f.query(time.Now(), req, tried, p)}
 	if req.class() == sillrate.Background && f.cfg.Directory.AnyLimited(req.Pool) {
 		return picker.inBackground(ctx)
 	}
@@ -39,11 +35,10 @@
 
 // forCaller waits as pick says, in the order of the pool's queue.
 func (p *picker) forCaller(ctx context.Context) (silltarget.Grant, bool) {
-	d, req := p.cfg.Directory, p.request
-	end := time.Now().Add(min(time.Duration(pickWaitShare*float64(req.Route.LatencyObjective)), time.Until(req.Deadline)))
+	end := p.firstEnd(time.Now())
 	w := newWait(p)
 	for {
-		changed := d.Changed()
+		changed := p.cfg.Directory.Changed()
 		if g, ok := w.take(changed); ok {
 			if permitted, ok := p.permit(ctx, g); ok {
 				return w.finish(permitted, waitServed)
@@ -53,14 +48,11 @@
 			}
 			continue
 		}
-		until, limited := d.LimitedUntil(time.Now(), p.query)
-		if limited && until.Before(p.limitDeadline()) && until.After(end) {
-			end = until
-		}
 		if w.displaced() {
 			return w.finish(silltarget.Grant{}, waitDisplaced)
 		}
-		if d.AllLeaving(req.Pool) || (limited && until.After(end)) {
+		var ok bool
+		if end, ok = p.waitEnd(time.Now(), end); !ok {
 			return w.stop(ctx, waitRefused)
 		}
 		if !time.Now().Before(end) {
--- a/internal/silltarget/pick.go
+++ b/internal/silltarget/pick.go
@@ -102,20 +102,17 @@
 func (d *Directory) Pick(now time.Time, q Query) (Grant, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	meanLatency, meanServiceTime := d.meanUnitLatency(q.Pool), d.meanServiceTime(q.Pool)
-	reports, meanUsual := d.reportsSpeed(q.Pool), d.meanUsual(q.Pool)
+	meanServiceTime := d.meanServiceTime(q.Pool)
+	m := d.costModel(now, &q)
 	var best candidate
 	var list []candidate
 	for _, t := range d.targets {
 		if !t.isEligible(now, &q, meanServiceTime) {
 			continue
 		}
-		c := candidate{target: t, misses: t.misses(now, &q, meanUsual)}
-		if reports {
-			c.cost = d.distanceFactor(&q, t) * t.finishCost(now, &q, meanUsual)
+		c := m.candidate(t)
+		if m.byFinish {
 			list = append(list, c)
-		} else {
-			c.cost = d.cost(now, &q, meanLatency, t)
 		}
 		if best.target == nil || c.isBetter(&q, &best) {
 			best = c
@@ -127,6 +124,35 @@
 	return d.grant(now, &q, &best)
 }
 
+// costModel compares the targets of a query.
+type costModel struct {
+	directory *Directory
+	now       time.Time
+	query     *Query
+	// byFinish is whether the targets of the pool report how long work takes. They are then
+	// compared by the expected finish time.
+	byFinish               bool
+	meanLatency, meanUsual time.Duration
+}
+
+// costModel returns the model for the targets of a query. The caller holds d.mu.
+func (d *Directory) costModel(now time.Time, q *Query) costModel {
+	return costModel{
+		directory: d, now: now, query: q, byFinish: d.reportsSpeed(q.Pool),
+		meanLatency: d.meanUnitLatency(q.Pool), meanUsual: d.meanUsual(q.Pool),
+	}
+}
+
+func (m *costModel) candidate(t *target) candidate {
+	c := candidate{target: t, misses: t.misses(m.now, m.query, m.meanUsual)}
+	if m.byFinish {
+		c.cost = m.directory.distanceFactor(m.query, t) * t.finishCost(m.now, m.query, m.meanUsual)
+		return c
+	}
+	c.cost = m.directory.cost(m.now, m.query, m.meanLatency, t)
+	return c
+}
+
 // candidate is an eligible target with its cost.
 type candidate struct {
 	*target
@@ -251,35 +277,6 @@
 	return sum / time.Duration(known)
 }
 
-// isEligible returns whether a target may serve the query's requests.
-// meanServiceTime replaces an unknown service time.
-func (t *target) isEligible(now time.Time, q *Query, meanServiceTime time.Duration) bool {
-	e := &t.entry
-	switch {
-	case e.Pool != q.Pool, e.State != Ready, t.evacuated, q.Exclude[e.ID], t.backingOff(now) && !q.IncludeBackingOff:
-		return false
-	case t.errors.leavesOut(now, q.Class) && !q.IncludeBackingOff:
-		return false
-	case !q.IgnoreLimits && t.denies(now, q.Class):
-		return false
-	case q.Fills && !q.IgnoreLimits && !t.mayBeCold(now) && !t.mayFill(now):
-		return false
-	case q.FreeOnly && t.load(now) >= max(e.Slots, 1):
-		return false
-	case q.MaxUtilisation > 0 && !t.hasRoom(now, q.MaxUtilisation):
-		return false
-	case q.MaxResponseTime > 0 && t.expectedResponseTime(now, meanServiceTime) > q.MaxResponseTime:
-		return false
-	case q.MaxUnitLatency > 0 && (t.unitLatency == 0 || t.unitLatency >= q.MaxUnitLatency):
-		return false
-	case q.Model == "":
-		return true
-	case q.ExactVersion != 0 && e.Versions[q.Model] != q.ExactVersion:
-		return false
-	}
-	return e.Versions[q.Model] >= q.MinVersion
-}
-
 // isBetter returns whether c is picked before o. Among equally preferred targets
 // the one with the lower cost wins, so slow targets get fewer requests.
 func (c *candidate) isBetter(q *Query, o *candidate) bool {
