Bound what a client takes of a listener

Cause: a listener takes any number of connections, heads of 1 MB, bodies and readers without a least rate, and whole bodies before anything bounds their sum. Bodies and readers that stall or drip are cut, by one look a second at all connections. If there are too many connections in total or of one address, those that stall are closed for new ones, then the longest idle one, and never one with a running request. Heads are bounded in bytes and fields while they are read, and requests sent ahead of their answers are counted. Each limit has a counter by reason and a log line at most every 10 s. Measured: sillserver's tests pass with the race detector.

--- a/internal/sillserver/conn.go
+++ b/internal/sillserver/conn.go
@@ -52,10 +52,16 @@
 	// since when.
 	ending      bool
 	endingSince time.Time
+
+	activity activity
 }
 
 func newConn(tcp *net.TCPConn, l *listener) *conn {
-	return &conn{TCPConn: tcp, listener: l, since: time.Now()}
+	c := &conn{TCPConn: tcp, listener: l, since: time.Now()}
+	if a, ok := tcp.RemoteAddr().(*net.TCPAddr); ok {
+		c.activity.address = a.AddrPort().Addr()
+	}
+	return c
 }
 
 // recordState follows the state that net/http gives a connection. It is called by the
@@ -72,6 +78,8 @@
 	case http.StateActive:
 		own.enter(phaseHandling)
 	case http.StateIdle:
+		own.activity.head = headCount{}
+		own.activity.bodyBegan.Store(0)
 		own.enter(phaseIdle)
 	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
@@ -120,7 +128,7 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.deadline = t
+	c.deadline = c.listener.head.cap(c.phase, time.Now(), t)
 	return c.applyDeadline()
 }
 
@@ -157,7 +165,9 @@
 	for {
 		n, err := c.TCPConn.Read(p)
 		if n > 0 {
-			c.recordRead()
+			if fault := c.recordRead(p[:n]); fault != "" {
+				return 0, c.refuseHead(fault)
+			}
 			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -169,18 +179,76 @@
 	}
 }
 
-func (c *conn) recordRead() {
+// recordRead records a read. It returns the reason for which the head that is being read is
+// refused, or "".
+func (c *conn) recordRead(p []byte) string {
+	now := time.Now()
+	c.activity.reads.Add(1)
+	c.activity.readAt.Store(now.UnixNano())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == phaseHandling {
-		return
+		return ""
+	}
+	if c.phase != phaseReading || c.ending {
+		c.phase, c.since = phaseReading, now
 	}
-	c.phase, c.since = phaseReading, time.Now()
 	if c.ending {
 		_ = c.applyDeadline()
 	}
+	// Encrypted bytes can't be counted; net/http bounds their heads.
+	if c.listener.encrypted {
+		return ""
+	}
+	c.activity.head.add(p)
+	return c.activity.head.fault(&c.listener.limits, c.listener.head.bytes())
 }
 
+// headRefusal is the answer to a head that is too long.
+const headRefusal = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// refuseHead answers a head that is too long and ends the connection.
+func (c *conn) refuseHead(reason string) error {
+	c.listener.count(reason, c.activity.address)
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, _ = c.TCPConn.Write([]byte(headRefusal))
+	_ = c.TCPConn.Close()
+	return errEnded
+}
+
+// refusalTimeout is the time limit of a refusal, which the socket's buffer takes.
+const refusalTimeout = time.Second
+
+// writeStep is the size of the parts in which an answer is written: each must be read in time.
+const writeStep = 64 << 10
+
+// Write writes to the client, and records since when the client does not read.
+func (c *conn) Write(p []byte) (int, error) {
+	defer c.activity.writingSince.Store(0)
+	sent := 0
+	for {
+		now := time.Now()
+		c.activity.writingSince.Store(now.UnixNano())
+		if sent > 0 {
+			c.activity.account.Load().Progress(now)
+		}
+		n, err := c.TCPConn.Write(p[sent:min(len(p), sent+writeStep)])
+		sent += n
+		if err != nil || sent == len(p) {
+			return sent, err
+		}
+	}
+}
+
+// cut closes the connection under whatever happens on it.
+func (c *conn) cut(reason string) {
+	c.listener.count(reason, c.activity.address)
+	c.drop()
+}
+
+// drop closes the connection without a lock of the listener; net/http then closes it, too.
+func (c *conn) drop() { _ = c.TCPConn.Close() }
+
 // expire handles a deadline that has passed. It returns nil if the read is to be repeated.
 func (c *conn) expire(now time.Time) error {
 	c.mu.Lock()
--- a/internal/sillserver/listener.go
+++ b/internal/sillserver/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -23,6 +24,12 @@
 // listener accepts connections and keeps those that are open.
 type listener struct {
 	*net.TCPListener
+	limits Limits
+	head   headLimits
+	// encrypted is whether the bytes of connections are encrypted.
+	encrypted bool
+	// counts counts the connections that were closed, by reason.
+	counts *counts
 	// stopping is whether no connection is accepted but those that wait already.
 	stopping atomic.Bool
 	// waiting is the number of connections that were accepted after stop. Accept alone
@@ -32,6 +39,8 @@
 	mu sync.Mutex
 	// open holds the connections that are not closed.
 	open map[*conn]struct{}
+	// byAddress is the number of open connections of each address.
+	byAddress map[netip.Addr]int
 	// ending is whether idle connections are ended.
 	ending bool
 	// ended is the number of connections that were ended while idle.
@@ -41,7 +50,10 @@
 }
 
 func newListener(l *net.TCPListener) *listener {
-	return &listener{TCPListener: l, open: make(map[*conn]struct{}), emptied: make(chan struct{}, 1)}
+	return &listener{
+		TCPListener: l, limits: Limits{}.withDefaults(), counts: newCounts(), open: make(map[*conn]struct{}), byAddress: make(map[netip.Addr]int),
+		emptied: make(chan struct{}, 1),
+	}
 }
 
 // Accept returns the next connection. After stop, it returns those that wait already,
@@ -56,7 +68,10 @@
 			if l.stopping.Load() {
 				l.waiting++
 			}
-			return l.add(tcp), nil
+			if c := l.add(tcp); c != nil {
+				return c, nil
+			}
+			continue
 		}
 		if !l.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
@@ -78,11 +93,17 @@
 	_ = l.SetDeadline(time.Now())
 }
 
+// add returns the connection; nil if it was closed, since there are too many.
 func (l *listener) add(tcp *net.TCPConn) *conn {
 	c := newConn(tcp, l)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.makeRoom(c.activity.address) {
+		_ = tcp.Close()
+		return nil
+	}
 	l.open[c] = struct{}{}
+	l.byAddress[c.activity.address]++
 	if l.ending {
 		c.end()
 	}
@@ -92,7 +113,7 @@
 func (l *listener) remove(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.open, c)
+	l.forget(c)
 	if c.isEnded() {
 		l.ended++
 	}
@@ -105,6 +126,19 @@
 	}
 }
 
+// forget removes a connection from those that are open.
+func (l *listener) forget(c *conn) {
+	if _, ok := l.open[c]; !ok {
+		return
+	}
+	delete(l.open, c)
+	if a := c.activity.address; l.byAddress[a] > 1 {
+		l.byAddress[a]--
+	} else {
+		delete(l.byAddress, a)
+	}
+}
+
 // endIdle ends the connections on which no request is, now and from now on.
 func (l *listener) endIdle() {
 	l.mu.Lock()
