Bound what clients take of wasabisill platform

Cause: routes, submissions and peers' calls read whole bodies with no bound on their sum; max_fds, max_header_bytes, header_timeout_ms and idle_timeout_ms were not read, and a job's items and an item's headers took many times their bytes. Change: a quarter of memory_mb is the budget of bodies and unread answers of all listeners. Listeners take shares of max_fds; the rest is for targets, peers and the store. The limits on heads follow the configuration while the process runs. Bodies are read by one function that trusts an announced length only in steps.

--- a/internal/sillcatalog/catalog.go
+++ b/internal/sillcatalog/catalog.go
@@ -83,6 +83,12 @@
 type Limits struct {
 	// BodyBytes bounds the body of a request; 0 for no configured bound.
 	BodyBytes int64
+	// HeaderBytes, HeaderTimeout and IdleTimeout bound the header of a request, the time in
+	// which it arrives, and the time for which a connection may be idle; 0 for no configured
+	// bound.
+	HeaderBytes   int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Catalog is one version of the configuration. It is immutable after Index.
--- a/internal/silldirectgateway/listen.go
+++ b/internal/silldirectgateway/listen.go
@@ -4,6 +4,9 @@
 	"context"
 	"net/http"
 
+	"go.uber.org/zap"
+
+	"github.com/wasabisill/wasabisill/internal/sillbudget"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/sillserver"
 )
@@ -16,22 +19,31 @@
 // listenSpec describes a listener to open; an empty address opens none.
 type listenSpec struct {
 	server  **sillserver.Server
+	name    string
 	address string
 	handler http.Handler
+	limits  sillserver.Limits
 }
 
-func (s *servers) open(list ...listenSpec) error {
+// headLimits are those of the platform's clients until the configuration is known, and those
+// of all other listeners.
+var headLimits = sillserver.HeadLimits{Timeout: sillserver.DefaultHeaderTimeout, Bytes: maxHeaderBytes}
+
+func (s *servers) open(budget *sillbudget.Budget, metrics *sillserver.Metrics, log *zap.Logger, list ...listenSpec) error {
 	for _, o := range list {
 		if o.address == "" {
 			continue
 		}
+		o.limits.Budget = budget
 		server, err := sillserver.Listen(sillserver.Config{
 			Address: o.address, Handler: o.handler, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+			MaxHeaderBytes: maxHeaderBytesLimit, Limits: o.limits, Metrics: metrics, Name: o.name, Log: log,
 		})
 		if err != nil {
 			s.close()
 			return err
 		}
+		server.SetHeadLimits(headLimits)
 		*o.server = server
 	}
 	return nil
--- a/internal/silldirectgateway/peercall.go
+++ b/internal/silldirectgateway/peercall.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/sillserver"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
 )
 
@@ -52,7 +53,7 @@
 
 // servePeerMessage reads a message of a peer and passes it to merge.
 func servePeerMessage(w http.ResponseWriter, r *http.Request, merge func(body []byte) error) error {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPeerMessageBytes))
+	body, err := sillserver.ReadBody(w, r, maxPeerMessageBytes)
 	if err == nil {
 		err = merge(body)
 	}
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -12,6 +12,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"github.com/wasabisill/wasabisill/internal/sillbudget"
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
 	"github.com/wasabisill/wasabisill/internal/sillforwarder"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
@@ -20,11 +21,16 @@
 	"github.com/wasabisill/wasabisill/internal/sillmeter"
 	"github.com/wasabisill/wasabisill/internal/sillpermit"
 	"github.com/wasabisill/wasabisill/internal/sillrelay"
+	"github.com/wasabisill/wasabisill/internal/sillserver"
 )
 
 const (
-	// headerTimeout is the time limit for reading a request header.
+	// headerTimeout is the largest time limit for reading a request header.
 	headerTimeout = 10 * time.Second
+	// maxHeaderBytes is the size limit of a request header if the configuration sets none, and
+	// maxHeaderBytesLimit is the largest that it may set.
+	maxHeaderBytes      = 16 << 10
+	maxHeaderBytesLimit = 64 << 10
 	// callerIdleTimeout is how long a caller's connection may be idle. It is longer
 	// than the idle timeout of callers, so that they close their connections first.
 	callerIdleTimeout = 75 * time.Second
@@ -39,6 +45,10 @@
 	stopMargin = 800 * time.Millisecond
 )
 
+// bodyShare is the share of the process's memory that bodies and unread answers may take. A
+// body of 32 MB fits into 144 MB, beside the copy that its last growth makes.
+const bodyShare = 0.25
+
 // Addresses are the addresses that a started gateway listens on.
 type Addresses struct {
 	Callers string
@@ -205,21 +215,42 @@
 		s.broker.Forget()
 		s.adapter.TargetPool.CloseExpired(now)
 		s.adapter.PeerPool.CloseExpired(now)
+		s.applyHeadLimits()
 		for _, id := range s.view.directory.Expire(now) {
 			s.Log.Info("Target did not register again.", zap.String("target", string(id)))
 		}
 	})
 }
 
+// applyHeadLimits applies the limits of the configuration to callers' requests.
+func (s *Service) applyHeadLimits() {
+	c := s.Catalog()
+	if c == nil {
+		return
+	}
+	l := headLimits
+	l.Idle = c.Limits.IdleTimeout
+	if t := c.Limits.HeaderTimeout; t > 0 {
+		l.Timeout = t
+	}
+	if n := c.Limits.HeaderBytes; n > 0 {
+		l.Bytes = n
+	}
+	s.servers.callers.SetHeadLimits(l)
+}
+
 // listen opens the listeners and sets s.Addresses.
 func (s *Service) listen() error {
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
-	err := s.servers.open(
-		listenSpec{&s.servers.callers, s.settings.CallerAddress, s.adapter.Handler(s)},
-		listenSpec{&s.servers.ready, s.settings.ReadyAddress, s.adapter.ReadyHandler(s)},
-		listenSpec{&s.servers.peers, s.settings.peerAddress(), s.peerHandler()},
-		listenSpec{&s.servers.metrics, s.settings.MetricsAddress, metrics},
+	budget := sillbudget.New(int64(bodyShare*float64(s.settings.MemoryBytes)), sillbudget.NewMetrics(s.registry))
+	n := s.settings.MaxDescriptors
+	control := sillserver.ControlLimits(n)
+	err := s.servers.open(budget, sillserver.NewMetrics(s.registry), s.Log,
+		listenSpec{&s.servers.callers, "callers", s.settings.CallerAddress, s.adapter.Handler(s), sillserver.CallerLimits(n)},
+		listenSpec{&s.servers.ready, "readiness", s.settings.ReadyAddress, s.adapter.ReadyHandler(s), control},
+		listenSpec{&s.servers.peers, "peers", s.settings.peerAddress(), s.peerHandler(), sillserver.PeerLimits(n)},
+		listenSpec{&s.servers.metrics, "metrics", s.settings.MetricsAddress, metrics, control},
 	)
 	if err != nil {
 		return err
--- a/internal/sillgroupcommit/wire.go
+++ b/internal/sillgroupcommit/wire.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/fxamacker/cbor/v2"
@@ -10,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/silllog"
+	"github.com/wasabisill/wasabisill/internal/sillserver"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 )
 
@@ -33,7 +33,7 @@
 // ServeHTTP takes the writes of another gateway. It responds with status 204 once they
 // are committed, and with 503 if they may not be.
 func (c *Committer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
+	body, err := sillserver.ReadBody(w, r, maxMessageBytes)
 	var message wireWrites
 	if err == nil {
 		err = cbor.Unmarshal(body, &message)
--- a/internal/sillpermit/call.go
+++ b/internal/sillpermit/call.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wasabisill/wasabisill/internal/sillrate"
+	"github.com/wasabisill/wasabisill/internal/sillserver"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
@@ -79,7 +80,7 @@
 
 // ServeHTTP grants permits to other gateways.
 func (b *Broker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, maxMessageBytes))
+	body, err := sillserver.ReadBody(rw, r, maxMessageBytes)
 	var w wireAsk
 	if err == nil {
 		err = cbor.Unmarshal(body, &w)
--- a/internal/sillrelay/relay.go
+++ b/internal/sillrelay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/sillmetric"
+	"github.com/wasabisill/wasabisill/internal/sillserver"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
 )
@@ -308,7 +309,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, req *http.Request) {
 		var c wireCall
-		body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxCallBytes))
+		body, err := sillserver.ReadBody(w, req, maxCallBytes)
 		if err == nil {
 			err = cbor.Unmarshal(body, &c)
 		}
