Bound what clients take of a gateway with agents

Cause: callers' and trainers' bodies had no bound on their sum, JSON of many short values took many times its bytes, and connections had no bound. Change: gateways and agents have settings under limits, with checked defaults. The memory and descriptors come from the environment if the settings name none. Completions, trainers' calls and administration bound the number of JSON values.

--- a/internal/silladmin/server.go
+++ b/internal/silladmin/server.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -17,6 +16,8 @@
 
 	"github.com/wasabisill/wasabisill/internal/sillbundle"
 	"github.com/wasabisill/wasabisill/internal/sillbundlestore"
+	"github.com/wasabisill/wasabisill/internal/silljson"
+	"github.com/wasabisill/wasabisill/internal/sillserver"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
@@ -183,13 +184,17 @@
 // maxBodyBytes bounds a call: a bundle and its signatures.
 const maxBodyBytes = sillbundle.MaxBytes + 1<<20
 
+// maxValues bounds the JSON values of a call: a bundle names organisations, keys and routes.
+const maxValues = 1 << 18
+
 func readBody(r *http.Request) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
-	if err != nil {
-		return nil, sillproblem.New(sillproblem.BadRequest, "the body broke off: %v", err)
-	}
-	if len(data) > maxBodyBytes {
+	data, err := sillserver.ReadBody(nil, r, maxBodyBytes)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, sillproblem.New(sillproblem.BodyTooLarge, "the body is above %d bytes", maxBodyBytes)
+	case err != nil:
+		return nil, sillproblem.New(sillproblem.BadRequest, "the body broke off: %v", err)
 	}
 	return data, nil
 }
@@ -200,6 +205,9 @@
 	if err != nil {
 		return err
 	}
+	if err := silljson.Check(data, maxValues); err != nil {
+		return sillproblem.New(sillproblem.BadRequest, "the body holds too many values: %v", err)
+	}
 	d := json.NewDecoder(strings.NewReader(string(data)))
 	d.DisallowUnknownFields()
 	if err := d.Decode(value); err != nil {
--- a/internal/sillapp/admin.go
+++ b/internal/sillapp/admin.go
@@ -13,6 +13,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillfleet"
 	"github.com/wasabisill/wasabisill/internal/sillmembership"
 	"github.com/wasabisill/wasabisill/internal/sillpresence"
+	"github.com/wasabisill/wasabisill/internal/sillserver"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
 	"github.com/wasabisill/wasabisill/internal/sillwire"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
@@ -31,6 +32,7 @@
 	Presence  *sillpresence.Presence
 	Fleet     *sillfleet.Fleet
 	Metrics   *silladmin.Metrics
+	Listening *listening
 	Log       *zap.Logger
 }
 
@@ -58,7 +60,7 @@
 		Log:     p.Log,
 		Metrics: p.Metrics,
 	})
-	srv, err := listen(s.Listen.Admin, s.Admin, h)
+	srv, err := p.Listening.listen("admin", sillserver.ControlLimits(p.Listening.descriptors), s.Listen.Admin, s.Admin, h)
 	if err != nil {
 		return err
 	}
--- a/internal/sillapp/agent.go
+++ b/internal/sillapp/agent.go
@@ -19,6 +19,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillgossip"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllimit"
+	"github.com/wasabisill/wasabisill/internal/sillserver"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
 	"github.com/wasabisill/wasabisill/internal/silltls"
 	"github.com/wasabisill/wasabisill/internal/sillusage"
@@ -46,6 +47,7 @@
 // NewAgent wires an agent from valid settings.
 func NewAgent(settings *sillsettings.Agent, log *zap.Logger) *Agent {
 	a := &Agent{}
+	a.limits = settings.Limits
 	a.drain = settings.Control.DrainLimit.Duration()
 	a.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxLogger(log) }),
@@ -53,6 +55,7 @@
 		fx.Supply(settings, log),
 		fx.Provide(
 			newRegistry,
+			newAgentListening,
 			newAgentID,
 			newAgentTLS,
 			newInnerListener,
@@ -206,8 +209,8 @@
 }
 
 // startOperatorPort serves metrics and health.
-func (a *Agent) startOperatorPort(lc fx.Lifecycle, s *sillsettings.Agent, r *prometheus.Registry, agent *sillagent.Agent, l *sillwire.Listener) error {
-	srv, err := listen(s.Listen.Metrics, sillsettings.ServerTLS{}, operatorHandler(r, func() error { return agentReady(agent) }))
+func (a *Agent) startOperatorPort(lc fx.Lifecycle, s *sillsettings.Agent, r *prometheus.Registry, agent *sillagent.Agent, l *sillwire.Listener, open *listening) error {
+	srv, err := open.listen("metrics", sillserver.ControlLimits(open.descriptors), s.Listen.Metrics, sillsettings.ServerTLS{}, operatorHandler(r, func() error { return agentReady(agent) }))
 	if err != nil {
 		return err
 	}
--- a/internal/sillapp/agentweight.go
+++ b/internal/sillapp/agentweight.go
@@ -16,6 +16,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillbundle"
 	"github.com/wasabisill/wasabisill/internal/sillcall"
 	"github.com/wasabisill/wasabisill/internal/sillengine"
+	"github.com/wasabisill/wasabisill/internal/sillserver"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
 	"github.com/wasabisill/wasabisill/internal/silltls"
 	"github.com/wasabisill/wasabisill/internal/sillweight"
@@ -94,9 +95,9 @@
 }
 
 // startWeights serves weights to the engine and executes the weight plans.
-func startWeights(lc fx.Lifecycle, s *sillsettings.Agent, w *weights, a *sillagent.Agent) error {
+func startWeights(lc fx.Lifecycle, l *listening, s *sillsettings.Agent, w *weights, a *sillagent.Agent) error {
 	if s.Target.Kind == sillbundle.ModelRoute {
-		srv, err := listen(s.Listen.Weights, sillsettings.ServerTLS{}, w.runner.Handler())
+		srv, err := l.listen("weights", sillserver.PeerLimits(l.descriptors), s.Listen.Weights, sillsettings.ServerTLS{}, w.runner.Handler())
 		if err != nil {
 			return err
 		}
--- a/internal/sillapp/gateway.go
+++ b/internal/sillapp/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillgateway"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 	"github.com/wasabisill/wasabisill/internal/silllease"
+	"github.com/wasabisill/wasabisill/internal/sillserver"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
@@ -46,6 +47,7 @@
 // NewGateway wires a gateway from valid settings.
 func NewGateway(settings *sillsettings.Gateway, log *zap.Logger) *Gateway {
 	g := &Gateway{}
+	g.limits = settings.Limits
 	g.drain = settings.Control.StopNotice.Duration() + settings.Control.DrainLimit.Duration()
 	g.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxLogger(log) }),
@@ -53,6 +55,7 @@
 		fx.Supply(settings, log),
 		fx.Provide(
 			newRegistry,
+			newGatewayListening,
 			newRegisterer,
 			newGatewayID,
 			newBackground,
@@ -131,8 +134,8 @@
 }
 
 // startOperatorPort serves metrics and health.
-func (g *Gateway) startOperatorPort(lc fx.Lifecycle, s *sillsettings.Gateway, r *prometheus.Registry, c *sillbundlestore.Service) error {
-	srv, err := listen(s.Listen.Metrics, sillsettings.ServerTLS{}, operatorHandler(r, func() error { return g.ready(c) }))
+func (g *Gateway) startOperatorPort(lc fx.Lifecycle, l *listening, s *sillsettings.Gateway, r *prometheus.Registry, c *sillbundlestore.Service) error {
+	srv, err := l.listen("metrics", sillserver.ControlLimits(l.descriptors), s.Listen.Metrics, sillsettings.ServerTLS{}, operatorHandler(r, func() error { return g.ready(c) }))
 	if err != nil {
 		return err
 	}
@@ -153,8 +156,8 @@
 
 // startCallersPort serves callers. It starts last and stops first, after the
 // requests that run.
-func (g *Gateway) startCallersPort(lc fx.Lifecycle, s *sillsettings.Gateway, c *sillgateway.Gateway) error {
-	srv, err := listen(s.Listen.Callers, s.Callers, c.Handler())
+func (g *Gateway) startCallersPort(lc fx.Lifecycle, l *listening, s *sillsettings.Gateway, c *sillgateway.Gateway) error {
+	srv, err := l.listen("callers", sillserver.CallerLimits(l.descriptors), s.Listen.Callers, s.Callers, c.Handler())
 	if err != nil {
 		return err
 	}
--- a/internal/sillapp/listen.go
+++ b/internal/sillapp/listen.go
@@ -24,14 +24,8 @@
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
 )
 
-const (
-	// headerTimeout bounds the time for which a caller sends a header.
-	headerTimeout = 10 * time.Second
-	// idleTimeout bounds the time for which a caller's connection rests.
-	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes bounds the header of a request.
-	maxHeaderBytes = 64 << 10
-)
+// idleTimeout bounds the time for which a caller's connection rests.
+const idleTimeout = 2 * time.Minute
 
 // server is one HTTP listener.
 type server struct {
@@ -39,11 +33,13 @@
 	group *sillgroup.Group
 }
 
-// listen opens an address; TLS is used if the files are named.
-func listen(address sillsettings.Address, files sillsettings.ServerTLS, h http.Handler) (*server, error) {
+// listen opens an address; TLS is used if the files are named. The name is that of the
+// listener in metrics.
+func (l *listening) listen(name string, limits sillserver.Limits, address sillsettings.Address, files sillsettings.ServerTLS, h http.Handler) (*server, error) {
 	cfg := sillserver.Config{
 		Address: string(address), Handler: h,
-		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		HeaderTimeout: l.settings.HeaderTimeout.Duration(), IdleTimeout: idleTimeout, MaxHeaderBytes: l.settings.MaxHeaderBytes,
+		Limits: l.with(limits), Metrics: l.metrics, Name: name, Log: l.log,
 	}
 	if files.CertificateFile != "" {
 		cert, err := tls.LoadX509KeyPair(files.CertificateFile, files.KeyFile)
@@ -120,6 +116,8 @@
 type program struct {
 	app   *fx.App
 	drain time.Duration
+	// limits are those of the process's settings.
+	limits sillsettings.Limits
 }
 
 // Start starts every part in order. If one fails, those before it are stopped.
@@ -137,6 +135,7 @@
 // Run starts the program, calls ready, waits until ctx ends and stops it.
 func (p *program) Run(ctx context.Context, ready func() error) error {
 	debug.SetGCPercent(gcPercent)
+	applyMemoryLimit(p.limits)
 	// A start that has opened listeners is completed, so that the stop is orderly.
 	startCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), fx.DefaultTimeout)
 	defer cancel()
--- a/internal/sillapp/listen_test.go
+++ b/internal/sillapp/listen_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/sillserver"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
 )
 
@@ -36,7 +37,7 @@
 		useTime = 200 * time.Millisecond
 		limit   = 10 * time.Second
 	)
-	s, err := listen("127.0.0.1:0", sillsettings.ServerTLS{}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s, err := (&listening{}).listen("callers", sillserver.Limits{}, "127.0.0.1:0", sillsettings.ServerTLS{}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
 	}))
 	if err != nil {
--- a/internal/sillgateway/callers.go
+++ b/internal/sillgateway/callers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"path"
@@ -15,6 +14,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/silldispatch"
 	"github.com/wasabisill/wasabisill/internal/sillroute"
+	"github.com/wasabisill/wasabisill/internal/sillserver"
 	"github.com/wasabisill/wasabisill/internal/sillwire"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
@@ -23,6 +23,8 @@
 const (
 	// notReadyRetry tells a caller when to come back to a gateway without a bundle.
 	notReadyRetry = 2 * time.Second
+	// memoryRetry tells a caller when to come back to a gateway whose memory is taken.
+	memoryRetry = time.Second
 	// openOrganisation stands for callers without a key on open routes.
 	openOrganisation sillid.OrganisationID = "open"
 	// openMaxConcurrent bounds the running requests without a key.
@@ -163,11 +165,14 @@
 	// A connection that takes no deadline is bounded by its own.
 	_ = control.SetReadDeadline(deadline)
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	body, err := sillserver.ReadBody(w, r, int64(limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, sillproblem.New(sillproblem.BodyTooLarge, "the route takes %d bytes.", limit)
 	}
+	if errors.Is(err, sillserver.ErrNoMemory) {
+		return nil, sillproblem.New(sillproblem.Overload, "other requests take the memory for bodies.").WithRetryAfter(memoryRetry)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, sillproblem.New(sillproblem.DeadlinePassed, "the body did not come in time")
 	}
--- a/internal/sillgateway/completion.go
+++ b/internal/sillgateway/completion.go
@@ -1,6 +1,7 @@
 package sillgateway
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/wasabisill/wasabisill/internal/silldispatch"
+	"github.com/wasabisill/wasabisill/internal/silljson"
 	"github.com/wasabisill/wasabisill/internal/sillwire"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
@@ -19,6 +21,9 @@
 	chatPath        = "/v1/chat/completions"
 )
 
+// maxValues bounds the JSON values of a request: a chat of thousands of messages has fewer.
+const maxValues = 1 << 16
+
 // completionRequest holds the fields of a caller's request that the gateway reads.
 type completionRequest struct {
 	Model    string          `json:"model"`
@@ -33,6 +38,9 @@
 // parseCompletion checks a caller's body against its path and model.
 func parseCompletion(path string, model sillid.ModelID, body []byte) (*completionRequest, *sillproblem.Problem) {
 	var c completionRequest
+	if err := silljson.Check(body, maxValues); err != nil {
+		return nil, sillproblem.New(sillproblem.BadRequest, "the body holds too many values: %v.", err)
+	}
 	if err := json.Unmarshal(body, &c); err != nil {
 		return nil, sillproblem.New(sillproblem.BadRequest, "the body is no JSON object of the completions API: %v.", err)
 	}
@@ -59,8 +67,9 @@
 }
 
 func isList(raw json.RawMessage) bool {
-	var l []json.RawMessage
-	return json.Unmarshal(raw, &l) == nil && len(l) > 0
+	// It is valid JSON already, so that its first two bytes tell.
+	rest, ok := bytes.CutPrefix(raw, []byte("["))
+	return ok && !bytes.HasPrefix(bytes.TrimLeft(rest, " \t\r\n"), []byte("]"))
 }
 
 // promptBytes returns what the engine's prefix cache is keyed by.
--- a/internal/sillsettings/defaults.go
+++ b/internal/sillsettings/defaults.go
@@ -22,6 +22,12 @@
 	defaultMaxConcurrent            = 32
 	defaultMaxQueued                = 256
 	defaultRolloutFloor             = 0.2
+	defaultHeaderTimeout    Seconds = 10
+	defaultBodyTimeout      Seconds = 60
+	defaultStallTimeout     Seconds = 10
+	defaultMaxHeaderBytes           = 64 << 10
+	defaultMaxHeaderFields          = 512
+	defaultMaxPipelined             = 32
 )
 
 // DefaultGateway returns the settings of a gateway with every default.
@@ -42,7 +48,8 @@
 			ScaleDownHold:    defaultScaleDownHold,
 			DrainLimit:       defaultDrainLimit,
 		},
-		Log: Log{Level: "info"},
+		Limits: defaultLimits(),
+		Log:    Log{Level: "info"},
 	}
 }
 
@@ -62,6 +69,18 @@
 			DrainLimit:  defaultDrainLimit,
 			SwapTimeout: defaultSwapTimeout,
 		},
-		Log: Log{Level: "info"},
+		Limits: defaultLimits(),
+		Log:    Log{Level: "info"},
+	}
+}
+
+func defaultLimits() Limits {
+	return Limits{
+		HeaderTimeout:   defaultHeaderTimeout,
+		BodyTimeout:     defaultBodyTimeout,
+		StallTimeout:    defaultStallTimeout,
+		MaxHeaderBytes:  defaultMaxHeaderBytes,
+		MaxHeaderFields: defaultMaxHeaderFields,
+		MaxPipelined:    defaultMaxPipelined,
 	}
 }
--- a/internal/sillsettings/settings.go
+++ b/internal/sillsettings/settings.go
@@ -90,6 +90,7 @@
 	Operators   []Operator    `json:"operators"`
 	Credentials []Credential  `json:"admin-credentials"`
 	Control     Control       `json:"control"`
+	Limits      Limits        `json:"limits"`
 	Log         Log           `json:"log"`
 }
 
@@ -135,6 +136,26 @@
 	DrainLimit Seconds `json:"drain-limit-seconds"`
 }
 
+// Limits bound what the clients of a process may take of it.
+type Limits struct {
+	// MemoryMB is the memory of the process; 0 if the environment limits it.
+	MemoryMB int64 `json:"memory-mb"`
+	// MaxDescriptors is the number of descriptors that the process may open; 0 for the limit
+	// of the operating system.
+	MaxDescriptors int `json:"max-descriptors"`
+	// HeaderTimeout bounds the time of a header, and BodyTimeout that of a body.
+	HeaderTimeout Seconds `json:"header-timeout-seconds"`
+	BodyTimeout   Seconds `json:"body-timeout-seconds"`
+	// StallTimeout is the time for which a client may make no progress with a body or an
+	// answer.
+	StallTimeout Seconds `json:"stall-timeout-seconds"`
+	// MaxHeaderBytes and MaxHeaderFields bound a header.
+	MaxHeaderBytes  int `json:"max-header-bytes"`
+	MaxHeaderFields int `json:"max-header-fields"`
+	// MaxPipelined bounds the requests that a client sends before the answers to those before.
+	MaxPipelined int `json:"max-pipelined"`
+}
+
 // Agent holds the settings of an agent.
 type Agent struct {
 	Place
@@ -144,6 +165,7 @@
 	Platform  Platform     `json:"platform"`
 	Operators []Operator   `json:"operators"`
 	Control   AgentControl `json:"control"`
+	Limits    Limits       `json:"limits"`
 	Log       Log          `json:"log"`
 }
 
--- a/internal/sillsettings/validate.go
+++ b/internal/sillsettings/validate.go
@@ -42,6 +42,7 @@
 	c.operators(g.Operators)
 	c.credentials(g.Credentials)
 	c.control(g.Control)
+	c.limits(g.Limits)
 	c.level(g.Log)
 	return c.err()
 }
@@ -63,6 +64,7 @@
 	c.positive("control.usage-window-seconds", a.Control.UsageWindow)
 	c.positive("control.drain-limit-seconds", a.Control.DrainLimit)
 	c.positive("control.swap-timeout-seconds", a.Control.SwapTimeout)
+	c.limits(a.Limits)
 	c.level(a.Log)
 	return c.err()
 }
@@ -221,3 +223,37 @@
 		c.add("log.level", strconv.Quote(l.Level)+" is not known", "write debug, info, warn or error")
 	}
 }
+
+// Least values of limits: below them, clients that behave are refused.
+const (
+	minMemoryMB     = 64
+	minDescriptors  = 128
+	minHeaderBytes  = 16 << 10
+	minHeaderFields = 128
+	minPipelined    = 8
+	minTimeout      = Seconds(3)
+	minBodyTimeout  = Seconds(10)
+)
+
+func (c *checker) limits(l Limits) {
+	c.zeroOrAtLeast("limits.memory-mb", l.MemoryMB, minMemoryMB)
+	c.zeroOrAtLeast("limits.max-descriptors", int64(l.MaxDescriptors), minDescriptors)
+	c.atLeast("limits.header-timeout-seconds", float64(l.HeaderTimeout), float64(minTimeout))
+	c.atLeast("limits.body-timeout-seconds", float64(l.BodyTimeout), float64(minBodyTimeout))
+	c.atLeast("limits.stall-timeout-seconds", float64(l.StallTimeout), float64(minTimeout))
+	c.atLeast("limits.max-header-bytes", float64(l.MaxHeaderBytes), minHeaderBytes)
+	c.atLeast("limits.max-header-fields", float64(l.MaxHeaderFields), minHeaderFields)
+	c.atLeast("limits.max-pipelined", float64(l.MaxPipelined), minPipelined)
+}
+
+func (c *checker) zeroOrAtLeast(path string, value, least int64) {
+	if value != 0 {
+		c.atLeast(path, float64(value), float64(least))
+	}
+}
+
+func (c *checker) atLeast(path string, value, least float64) {
+	if !(value >= least) {
+		c.add(path, "is below "+strconv.FormatFloat(least, 'g', -1, 64), "raise it: clients that behave are refused below")
+	}
+}
--- a/internal/silltrainer/wire.go
+++ b/internal/silltrainer/wire.go
@@ -4,12 +4,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/silljson"
 	"github.com/wasabisill/wasabisill/internal/sillrollout"
+	"github.com/wasabisill/wasabisill/internal/sillserver"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
@@ -17,8 +18,10 @@
 // Limits of requests and batches. A training step of the largest trainer has 2,048
 // samples.
 const (
-	maxSamples         = 1 << 16
-	maxGroups          = 1 << 14
+	maxSamples = 1 << 16
+	maxGroups  = 1 << 14
+	// maxValues bounds the JSON values of a call.
+	maxValues          = 8 * maxGroups
 	maxGroupSize       = 1 << 10
 	maxMaxTokens       = 1 << 20
 	maxDeadlineSeconds = 24 * 60 * 60
@@ -120,12 +123,16 @@
 
 // decode reads a JSON body. The problem that it returns names the invalid field.
 func decode(r *http.Request, into any) error {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
-	if err != nil {
+	body, err := sillserver.ReadBody(nil, r, maxBodyBytes)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return sillproblem.New(sillproblem.BodyTooLarge, "body: more than %d bytes", maxBodyBytes)
+	case err != nil:
 		return malformed("body", "could not be read")
 	}
-	if len(body) > maxBodyBytes {
-		return sillproblem.New(sillproblem.BodyTooLarge, "body: more than %d bytes", maxBodyBytes)
+	if err := silljson.Check(body, maxValues); err != nil {
+		return malformed("body", "holds too many values: %v", err)
 	}
 	err = json.Unmarshal(body, into)
 	var typeError *json.UnmarshalTypeError
