Take memory for answers before they are read from targets

Change: a caller's request takes memory for its answer before it is read, waits a second for clients that do not read to give way, and keeps it until the client has read. An announced length is trusted after 64 KiB, which avoids half of the copies. The budget is 0.28 of the memory, so that a body of 32 MB passes at 144 MB beside small requests.

--- a/internal/sillbudget/budget.go
+++ b/internal/sillbudget/budget.go
@@ -52,6 +52,8 @@
 	// The fields below are guarded by the mutex of the budget.
 
 	held int64
+	// answer is the part of held that was taken for an answer.
+	answer int64
 	// progressed is when the account last took bytes or its answer was read.
 	progressed time.Time
 	// exposed is whether the client still sends the body, or reads the answer, for which the
@@ -89,7 +91,11 @@
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.tryTake(a, now, n)
+	outcome := b.tryTake(a, now, n)
+	if outcome == Taken {
+		a.exposed = true
+	}
+	return outcome
 }
 
 func (b *Budget) tryTake(a *Account, now time.Time, n int64) Outcome {
@@ -120,12 +126,15 @@
 }
 
 func (b *Budget) add(a *Account, now time.Time, n int64) {
+	if n == 0 {
+		return
+	}
 	if a.held == 0 {
 		b.accounts[a] = struct{}{}
 	}
 	a.held += n
 	b.taken += n
-	a.progressed, a.exposed = now, true
+	a.progressed = now
 }
 
 // worst returns the exposed account that holds most for the longest time without progress;
@@ -166,6 +175,30 @@
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.take(a, n, patience) {
+		return false
+	}
+	a.exposed = true
+	return true
+}
+
+// TakeAnswer is Take for an answer that is about to be read. The account is not evicted before
+// Deliver.
+func (a *Account) TakeAnswer(n int64, patience time.Duration) bool {
+	if a == nil || n <= 0 {
+		return true
+	}
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.take(a, n, patience) {
+		return false
+	}
+	a.answer += n
+	return true
+}
+
+func (b *Budget) take(a *Account, n int64, patience time.Duration) bool {
 	now := time.Now()
 	for end := now.Add(patience); ; now = time.Now() {
 		outcome := b.tryTake(a, now, n)
@@ -199,9 +232,10 @@
 	return true
 }
 
-// Charge adds bytes of an answer that wait for a slow reader. They exist already, so that
-// they are not refused; accounts are evicted for them, perhaps this one.
-func (a *Account) Charge(now time.Time, n int64) {
+// Deliver records that an answer of a number of bytes waits until its client has read it. What
+// was not taken for it is added: it exists already, so that it is not refused; accounts are
+// evicted for it, perhaps this one.
+func (a *Account) Deliver(now time.Time, n int64) {
 	if a == nil {
 		return
 	}
@@ -211,7 +245,10 @@
 	if a.evicted {
 		return
 	}
-	b.add(a, now, n)
+	missing := max(0, n-a.answer)
+	a.answer += missing
+	b.add(a, now, missing)
+	a.exposed = true
 	for b.taken-b.leaving > b.size {
 		worst := b.worst(a, now)
 		if worst == nil || b.taken-b.leaving == worst.held {
@@ -251,6 +288,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n = min(n, a.held)
+	a.answer = min(a.answer, a.held-n)
 	a.held -= n
 	b.taken -= n
 	if a.evicted {
--- a/internal/sillbudget/budget_test.go
+++ b/internal/sillbudget/budget_test.go
@@ -91,14 +91,33 @@
 func TestUnreadAnswers(t *testing.T) {
 	b, now := New(testSize, nil), time.Unix(100, 0)
 	idle, read := open(b), open(b)
-	idle.Charge(now, 40*Step)
+	idle.Deliver(now, 40*Step)
 	now = now.Add(time.Second)
-	read.Charge(now, 40*Step)
+	read.Deliver(now, 40*Step)
 	if !idle.evicted.Load() || read.evicted.Load() {
 		t.Errorf("evicted: idle %v, read %v; want the idle one", idle.evicted.Load(), read.evicted.Load())
 	}
 }
 
+// TestAnswersTakeMemoryOnce guards against an answer that counts twice, and against one that is
+// evicted before its client could read it.
+func TestAnswersTakeMemoryOnce(t *testing.T) {
+	b, now := New(testSize, nil), time.Now()
+	slow, other := open(b), open(b)
+	if !slow.TakeAnswer(40*Step, 0) {
+		t.Fatal("not taken")
+	}
+	checkTake(t, other, now, 30*Step, Refused)
+	slow.Deliver(now, 40*Step)
+	checkTaken(t, b, 40*Step)
+	checkTake(t, other, now.Add(time.Second), 30*Step, Wait)
+	if !slow.evicted.Load() {
+		t.Error("an answer that is not read was kept")
+	}
+	slow.Close()
+	checkTaken(t, b, 0)
+}
+
 // TestTakeWaits guards against a request that is refused although bytes become free for it,
 // and against one that waits without end.
 func TestTakeWaits(t *testing.T) {
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -47,7 +47,7 @@
 
 // bodyShare is the share of the process's memory that bodies and unread answers may take. A
 // body of 32 MB fits into 144 MB, beside the copy that its last growth makes.
-const bodyShare = 0.25
+const bodyShare = 0.28
 
 // Addresses are the addresses that a started gateway listens on.
 type Addresses struct {
--- a/internal/sillforwarder/attempt.go
+++ b/internal/sillforwarder/attempt.go
@@ -121,7 +121,7 @@
 		body := &streamBody{forwarder: f, attempt: a, body: resp.Body, cancel: cancel, ctx: ctx, outcome: silltarget.Abandoned, events: isEventStream(resp)}
 		return &Response{Status: resp.StatusCode, Header: resp.Header, Metadata: metadata, Stream: body}, silltarget.Answered, true
 	}
-	body, err := f.bodies.read(resp.Body, resp.ContentLength)
+	body, err := f.readBody(req, resp)
 	resp.Body.Close()
 	now := time.Now()
 	if err != nil {
@@ -135,6 +135,15 @@
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Metadata: metadata, Body: body}, silltarget.Answered, true
 }
 
+// readBody reads a response into the memory of the caller's request, or else of the shared
+// buffer.
+func (f *Forwarder) readBody(req *Request, resp *http.Response) ([]byte, error) {
+	if req.Reserve == nil {
+		return f.bodies.read(resp.Body, resp.ContentLength)
+	}
+	return readBody(resp.Body, resp.ContentLength, req.Reserve)
+}
+
 // isSuccess returns whether a status is a success, which counts only if it is signed:
 // anything else may come from something that is not the target.
 func isSuccess(status int) bool {
--- a/internal/sillforwarder/body.go
+++ b/internal/sillforwarder/body.go
@@ -53,17 +53,29 @@
 // read reads the body of a response whose announced length is -1 if unknown. Errors: errResponseTooLong, errBufferFull and those
 // of the connection.
 func (b *bodyBuffer) read(r io.Reader, length int64) ([]byte, error) {
+	taken := int64(0)
+	defer func() { b.free.Add(taken) }()
+	return readBody(r, length, func(n int64) bool {
+		if !b.take(n) {
+			return false
+		}
+		taken += n
+		return true
+	})
+}
+
+// readBody is read with a function that takes memory for a number of bytes.
+func readBody(r io.Reader, length int64, take func(int64) bool) ([]byte, error) {
 	capacity := int64(firstBodyBytes)
 	if length >= firstBodyBytes {
 		// One more byte lets the last read find the end.
 		capacity = min(length+1, freeBodyBytes)
 	}
 	taken := int64(0)
-	defer func() { b.free.Add(taken) }()
 	var body []byte
 	for {
 		if needed := max(0, capacity-freeBodyBytes) - taken; needed > 0 {
-			if !b.take(needed) {
+			if !take(needed) {
 				return nil, errBufferFull
 			}
 			taken += needed
@@ -77,7 +89,7 @@
 		case len(body) > maxResponseBytes:
 			return nil, errResponseTooLong
 		}
-		capacity = min(2*capacity, maxResponseBytes+1)
+		capacity = min(max(2*capacity, length+1), maxResponseBytes+1)
 	}
 }
 
--- a/internal/sillforwarder/forwarder.go
+++ b/internal/sillforwarder/forwarder.go
@@ -47,6 +47,10 @@
 	// Owed is whether the request belongs to an accepted item. Such a request never
 	// crashes targets by itself, and is not refused if targets crash under it.
 	Owed bool
+	// Reserve takes memory for bytes of the response before they are read, and returns false
+	// if there is none; the caller gives it back once the response is delivered. If it is nil,
+	// responses share a buffer while they are read.
+	Reserve func(bytes int64) bool
 }
 
 // field returns the log field with the request's id.
--- a/internal/sillserver/response.go
+++ b/internal/sillserver/response.go
@@ -70,7 +70,7 @@
 	}
 	// A long answer takes memory until it is read.
 	account := w.conn.activity.account.Load()
-	account.Charge(time.Now(), int64(len(b)))
+	account.Deliver(time.Now(), int64(len(b)))
 	defer account.Release(int64(len(b)))
 	defer account.Settle()
 	return w.ResponseWriter.Write(b)
