--- a/internal/sillserver/conn.go
+++ b/internal/sillserver/conn.go
@@ -128,7 +128,7 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.deadline = c.listener.head.cap(c.phase, time.Now(), t)
+	c.deadline = c.listener.head.cap(c.phase, t)
 	return c.applyDeadline()
 }
 
--- a/internal/sillserver/limits.go
+++ b/internal/sillserver/limits.go
@@ -87,7 +87,7 @@
 type headLimits struct{ atomic.Pointer[HeadLimits] }
 
 // cap returns the earlier of a deadline and the limit of the phase.
-func (h *headLimits) cap(p phase, now, deadline time.Time) time.Time {
+func (h *headLimits) cap(p phase, deadline time.Time) time.Time {
 	l := h.Load()
 	if l == nil || deadline.IsZero() {
 		return deadline
@@ -100,7 +100,10 @@
 		limit = l.Timeout
 	case phaseHandling, phaseEnded:
 	}
-	if end := now.Add(limit); limit > 0 && end.Before(deadline) {
+	if limit == 0 {
+		return deadline
+	}
+	if end := time.Now().Add(limit); end.Before(deadline) {
 		return end
 	}
 	return deadline
