Count a body as slow only while its handler reads it

Change: a body begins with its first read, and its rest counts once the handler has ended. Few descriptors make small shares. Measured: sillserver.TestUnreadBodyIsNotSlow fails without the change of the first read and passes with it.

--- a/internal/silldirectgateway/settings.go
+++ b/internal/silldirectgateway/settings.go
@@ -52,10 +52,6 @@
 	MaxDescriptors int
 }
 
-// minDescriptors are what the listeners and the connections to targets, peers and the store
-// need.
-const minDescriptors = 128
-
 // peerAddress returns the address to listen on for calls of other gateways.
 func (s *Settings) peerAddress() string {
 	return net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort))
@@ -77,7 +73,7 @@
 	require(!s.ReportsUsage || s.UsageWindow > 0, "the length of usage windows must be above 0 s")
 	require(s.JobRetention > 0, "the time for which ended jobs are kept must be above 0 s")
 	require(s.Capacity >= 0, "the number of cores to use must not be negative")
-	require(s.MaxDescriptors == 0 || s.MaxDescriptors >= minDescriptors, "the process must have 128 descriptors at least")
+	require(s.MaxDescriptors >= 0, "the number of descriptors must not be negative")
 	require(s.FirstPort <= s.LastPort, "the ports for calls between gateways must be in ascending order")
 	if len(faults) == 0 {
 		return nil
--- a/internal/sillserver/body.go
+++ b/internal/sillserver/body.go
@@ -32,6 +32,8 @@
 	// free is the memory that was taken and not yet used.
 	free  int64
 	short bool
+	// begun is whether the handler has begun to read, and ended whether it has read to the end.
+	begun, ended bool
 }
 
 func newBody(c *conn, a *sillbudget.Account, r *http.Request) *body {
@@ -43,6 +45,10 @@
 	if len(p) == 0 {
 		return b.ReadCloser.Read(p)
 	}
+	if !b.begun {
+		b.begun = true
+		b.conn.activity.bodyBegan.Store(time.Now().UnixNano())
+	}
 	if b.free == 0 && !b.take() {
 		return 0, ErrNoMemory
 	}
@@ -54,9 +60,7 @@
 	if b.unread > 0 {
 		b.unread -= min(int64(n), b.unread)
 	}
-	if b.conn != nil {
-		b.conn.activity.bodyBytes.Add(int64(n))
-	}
+	b.conn.activity.bodyBytes.Add(int64(n))
 	if err != nil {
 		b.settle()
 	}
@@ -81,10 +85,8 @@
 func (b *body) settle() {
 	b.account.Settle()
 	b.account.Release(b.free)
-	b.free = 0
-	if b.conn != nil {
-		b.conn.activity.bodyBegan.Store(0)
-	}
+	b.free, b.ended = 0, true
+	b.conn.activity.bodyBegan.Store(0)
 }
 
 // AccountOf returns the account of a request that a Server passed on, which it closes; nil
--- a/internal/sillserver/limits_test.go
+++ b/internal/sillserver/limits_test.go
@@ -147,6 +147,29 @@
 	}
 }
 
+// TestUnreadBodyIsNotSlow guards against the cut of a request whose handler takes long and does
+// not read its body, and against a rest of it that keeps the connection.
+func TestUnreadBodyIsNotSlow(t *testing.T) {
+	l := newListener(nil)
+	l.limits.StallTimeout = time.Millisecond
+	c := &conn{listener: l, phase: phaseHandling}
+	w := &responseWriter{}
+	r, err := http.NewRequest(http.MethodPost, "/", io.MultiReader(strings.NewReader("x")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	end := c.begin(w, r)
+	s := c.state(time.Now().Add(time.Minute))
+	if reason := s.fault(&l.limits); reason != "" {
+		t.Errorf("cut as %s while the handler runs", reason)
+	}
+	end()
+	s = c.state(time.Now().Add(time.Minute))
+	if reason := s.fault(&l.limits); reason != reasonSlowBody {
+		t.Errorf("reason %q for a rest that does not come, want %q", reason, reasonSlowBody)
+	}
+}
+
 // TestConnectionsGiveWay guards against connections that do nothing and keep new ones out, and
 // against the cut of running requests for new ones.
 func TestConnectionsGiveWay(t *testing.T) {
--- a/internal/sillserver/server.go
+++ b/internal/sillserver/server.go
@@ -147,12 +147,14 @@
 	c.activity.account.Store(a)
 	if r.Body != nil && r.Body != http.NoBody {
 		c.activity.bodyBytes.Store(0)
-		c.activity.bodyBegan.Store(time.Now().UnixNano())
 		w.body = newBody(c, a, r)
 		r.Body = w.body
 	}
 	return func() {
-		// net/http reads the rest of a body that the handler has not read.
+		if w.body != nil && !w.body.ended {
+			// net/http reads the rest.
+			c.activity.bodyBegan.Store(time.Now().UnixNano())
+		}
 		c.activity.account.Store(nil)
 		a.Close()
 	}
