--- a/internal/sillserver/limits_test.go
+++ b/internal/sillserver/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -18,7 +19,8 @@
 // serveLimited serves a handler that answers 200 with the number of bytes of the body.
 func serveLimited(t *testing.T, limits Limits) *Server {
 	t.Helper()
-	s, err := Listen(Config{Address: "127.0.0.1:0", HeaderTimeout: time.Minute, IdleTimeout: time.Minute, MaxHeaderBytes: 64 << 10, Limits: limits,
+	s, err := Listen(Config{
+		Address: "127.0.0.1:0", HeaderTimeout: time.Minute, IdleTimeout: time.Minute, MaxHeaderBytes: 64 << 10, Limits: limits,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			body, err := ReadBody(w, r, 1<<20)
 			if err != nil {
@@ -26,7 +28,8 @@
 				return
 			}
 			_, _ = fmt.Fprint(w, len(body))
-		})})
+		}),
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -53,8 +56,15 @@
 	return c
 }
 
+// answerHead is what tests look at in an answer beside its status.
+type answerHead struct {
+	Header http.Header
+	// Close is whether the answer is the last one of its connection.
+	Close bool
+}
+
 // checkStatus reads an answer.
-func checkStatus(t *testing.T, r *bufio.Reader, want int) *http.Response {
+func checkStatus(t *testing.T, r *bufio.Reader, want int) answerHead {
 	t.Helper()
 	resp, err := http.ReadResponse(r, nil)
 	if err != nil {
@@ -65,7 +75,7 @@
 	if resp.StatusCode != want {
 		t.Errorf("status %d, want %d", resp.StatusCode, want)
 	}
-	return resp
+	return answerHead{Header: resp.Header, Close: resp.Close}
 }
 
 // checkClosed fails unless the server closes the connection.
@@ -78,8 +88,8 @@
 }
 
 func isTimeout(err error) bool {
-	failure, ok := err.(net.Error)
-	return ok && failure.Timeout()
+	var failure net.Error
+	return errors.As(err, &failure) && failure.Timeout()
 }
 
 const small = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx"
