Keep the beginnings of long bodies in the record of the service's stand-in

Cause: TestDev/service_route/json passed in two of seven runs with peaks of 93 MB and less, and failed in five with 103 to 123 MB: the stand-in in the process keeps the body and the answer of every call. Change: it keeps 64 KiB of each. Answers are as before.

--- a/internal/sillstandservice/service.go
+++ b/internal/sillstandservice/service.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -156,7 +157,25 @@
 	defer s.mu.Unlock()
 	run.End = time.Now().UnixMilli()
 	run.Complete = true
-	run.Answer = answer
+	run.Answer = cut(answer)
+}
+
+// keptBytes is what the record keeps of a body and of an answer: it grows with every call.
+const keptBytes = 64 << 10
+
+// cut returns the part of a text that the record keeps.
+func cut(text string) string {
+	if len(text) <= keptBytes {
+		return text
+	}
+	return strings.Clone(text[:keptBytes])
+}
+
+// shorten leaves the record the part of a body that it keeps.
+func (s *Service) shorten(run *Run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run.Seen.Body = cut(run.Seen.Body)
 }
 
 type bookingAnswer struct {
@@ -213,6 +232,7 @@
 		sillstandin.Refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	defer s.shorten(run)
 	if sillstandin.AnswerIsLost(w) {
 		s.loseAnswer(run)
 	}
--- a/internal/sillstandservice/service_test.go
+++ b/internal/sillstandservice/service_test.go
@@ -39,3 +39,19 @@
 		t.Fatalf("seen %+v", seen)
 	}
 }
+
+// TestRecordOfLongBodies guards against a record that fills the memory of `wasabisill dev`, and
+// against an answer that lacks a part of the body.
+func TestRecordOfLongBodies(t *testing.T) {
+	s := New(Config{ServiceID: "s"})
+	body := `"` + strings.Repeat("x", 4*keptBytes) + `"`
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/bookings", strings.NewReader(body)))
+	if !strings.Contains(w.Body.String(), body) {
+		t.Error("the answer lacks a part of the body")
+	}
+	run := s.Runs("")[0]
+	if len(run.Seen.Body) != keptBytes || len(run.Answer) != keptBytes {
+		t.Errorf("kept %d bytes of the body and %d of the answer, want %d", len(run.Seen.Body), len(run.Answer), keptBytes)
+	}
+}
