Serve a large body beside small requests, and take less for bodies with agents

Cause: a body that is larger than the budget passed only while nothing else held a byte; bodies are copied several times on the way to agents and back. Change: an account may take more than there is while all others hold an eighth at most. With agents, 0.15 of the heap is for bodies. Measured: sillbudget.TestLargestAloneIsServed has a small request beside the large one; it fails with the rule before.

--- a/internal/sillapp/limits.go
+++ b/internal/sillapp/limits.go
@@ -18,8 +18,8 @@
 	// is for stacks, socket buffers and the program itself.
 	heapShare = 0.6
 	// bodyShare is the share of the heap that bodies and unread answers may take. They are
-	// copied once on their way to agents.
-	bodyShare = 0.3
+	// copied several times on their way to agents and back.
+	bodyShare = 0.15
 	// defaultBodyBytes is what they may take if the memory is not limited.
 	defaultBodyBytes = 256 << 20
 )
--- a/internal/sillbudget/budget.go
+++ b/internal/sillbudget/budget.go
@@ -102,17 +102,18 @@
 	if a.evicted {
 		return Refused
 	}
-	limit := b.size
+	limit, reserve := b.size, int64(smallShare*float64(b.size))
 	if a.held+n > Step {
-		limit -= int64(smallShare * float64(b.size))
+		limit -= reserve
 	}
-	// A single account may take all that is left: one legal request is always served alone.
-	if b.taken+n <= limit || b.taken == a.held {
+	// An account beside small ones only may take more than there is: one legal request is
+	// always served when load is low.
+	if b.taken+n <= limit || b.taken-a.held <= reserve {
 		b.add(a, now, n)
 		return Taken
 	}
 	for b.taken-b.leaving+n > limit {
-		if b.taken-b.leaving == a.held {
+		if b.taken-b.leaving-a.held <= reserve {
 			break
 		}
 		worst := b.worst(a, now)
--- a/internal/sillbudget/budget_test.go
+++ b/internal/sillbudget/budget_test.go
@@ -77,7 +77,8 @@
 // it is larger than the budget of a small process.
 func TestLargestAloneIsServed(t *testing.T) {
 	b, now := New(testSize, nil), time.Unix(100, 0)
-	large, other := open(b), open(b)
+	large, other, small := open(b), open(b), open(b)
+	checkTake(t, small, now, Step, Taken)
 	for range 80 {
 		checkTake(t, large, now, Step, Taken)
 	}
