Bound the requests that wait for memory

Cause: each waiting request looks again whenever bytes are given back, which takes the processor of a small instance if a thousand wait. Change: 64 wait at most; the others are refused at once. Measured: sillbudget.TestFewWait.

--- a/internal/sillbudget/budget.go
+++ b/internal/sillbudget/budget.go
@@ -14,6 +14,9 @@
 	// smallShare is the share of the budget that only accounts with a single step may use,
 	// so that ordinary requests pass beside large ones.
 	smallShare = 0.125
+	// maxWaiting bounds the accounts that wait for bytes: each looks again whenever some are
+	// given back.
+	maxWaiting = 64
 )
 
 // Budget is a number of bytes that the accounts of a process share. It is safe for concurrent
@@ -214,9 +217,9 @@
 }
 
 // await waits until bytes are given back, with the lock released. It returns false after the
-// time.
+// time, or if too many wait already.
 func (b *Budget) await(limit time.Duration) bool {
-	if limit <= 0 {
+	if limit <= 0 || b.waiting >= maxWaiting {
 		return false
 	}
 	freed := b.freed
--- a/internal/sillbudget/budget_test.go
+++ b/internal/sillbudget/budget_test.go
@@ -1,10 +1,13 @@
 package sillbudget
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/wasabisill/wasabisill/internal/sillgroup"
 )
 
 const testSize = 64 * Step
@@ -141,6 +144,32 @@
 	})
 }
 
+// TestFewWait guards against a flood of requests that wait for memory and take the processor
+// from those that have it.
+func TestFewWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(testSize, nil)
+		stalled := open(b)
+		checkTake(t, stalled, time.Now(), testSize, Taken)
+		time.Sleep(time.Second)
+		var refused atomic.Int32
+		group := sillgroup.New(t.Context())
+		for range 3 * maxWaiting {
+			group.Go(func(context.Context) {
+				if !open(b).Take(20*Step, time.Second) {
+					refused.Add(1)
+				}
+			})
+		}
+		synctest.Wait()
+		if n := refused.Load(); n != 2*maxWaiting {
+			t.Errorf("%d were refused at once, want %d", n, 2*maxWaiting)
+		}
+		stalled.Close()
+		group.Wait()
+	})
+}
+
 // TestNoBudget guards against a process without a limit of memory that refuses requests.
 func TestNoBudget(t *testing.T) {
 	var b *Budget
