--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -119,6 +119,9 @@
 // MemoryBytes returns the memory that the process may use; 0 if unknown.
 func (s *Service) MemoryBytes() int64 { return s.settings.MemoryBytes }
 
+// MaxDescriptors returns the number of descriptors that the process may open; 0 for no limit.
+func (s *Service) MaxDescriptors() int { return s.settings.MaxDescriptors }
+
 // LiveGateways returns the number of gateways that are known to be alive, this one
 // included.
 func (s *Service) LiveGateways() int { return s.members.countLive() }
--- a/internal/sillforwarder/body.go
+++ b/internal/sillforwarder/body.go
@@ -14,6 +14,8 @@
 	maxRejectionBytes = 64 << 10
 	// freeBodyBytes is the part of a body that the shared buffer does not count.
 	freeBodyBytes = 64 << 10
+	// trustedBytes is what is allocated for an announced length after the first part.
+	trustedBytes = 4 << 20
 	// firstBodyBytes is the first allocation for a body of unknown length.
 	firstBodyBytes = 2 << 10
 	// defaultBufferBytes is the size of the shared buffer if none is configured.
@@ -89,7 +91,7 @@
 		case len(body) > maxResponseBytes:
 			return nil, errResponseTooLong
 		}
-		capacity = min(max(2*capacity, length+1), maxResponseBytes+1)
+		capacity = min(max(2*capacity, min(length+1, trustedBytes)), maxResponseBytes+1)
 	}
 }
 
