--- a/internal/sillserver/limits_test.go
+++ b/internal/sillserver/limits_test.go
@@ -180,6 +180,31 @@
 	}
 }
 
+// TestRestOfBodyGivesWay guards against clients whose requests are answered before their bodies
+// end, and that then keep all connections.
+func TestRestOfBodyGivesWay(t *testing.T) {
+	long := strings.Repeat("x", 8<<10)
+	s, err := Listen(Config{
+		Address: "127.0.0.1:0", HeaderTimeout: time.Minute, Limits: Limits{Connections: 4},
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, long) }),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	group := sillgroup.New(context.Background())
+	group.Go(func(context.Context) { s.Serve() })
+	t.Cleanup(func() {
+		s.Close()
+		group.Wait()
+	})
+	for range 4 {
+		dialAndSend(t, s, "GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\nx")
+	}
+	time.Sleep(2 * graceAge)
+	c := dialAndSend(t, s, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	checkStatus(t, bufio.NewReader(c), http.StatusOK)
+}
+
 // TestConnectionsGiveWay guards against connections that do nothing and keep new ones out, and
 // against the cut of running requests for new ones.
 func TestConnectionsGiveWay(t *testing.T) {
--- a/internal/sillserver/response.go
+++ b/internal/sillserver/response.go
@@ -65,6 +65,7 @@
 	if w.refused {
 		return len(b), nil
 	}
+	defer w.awaitRest()()
 	if w.conn == nil || len(b) <= writeStep {
 		return w.ResponseWriter.Write(b)
 	}
@@ -76,11 +77,23 @@
 	return w.ResponseWriter.Write(b)
 }
 
+// awaitRest records that net/http may read the rest of a body that the handler has not read
+// before it writes. It returns the function that ends it.
+func (w *responseWriter) awaitRest() (end func()) {
+	if w.conn == nil || w.body == nil || w.body.ended {
+		return func() {}
+	}
+	began := &w.conn.activity.bodyBegan
+	before := began.Swap(time.Now().UnixNano())
+	return func() { began.Store(before) }
+}
+
 // FlushError sends what was written. http.ResponseController calls it.
 func (w *responseWriter) FlushError() error {
 	if !w.begun {
 		w.WriteHeader(http.StatusOK)
 	}
+	defer w.awaitRest()()
 	return http.NewResponseController(w.ResponseWriter).Flush()
 }
 
