--- a/internal/silldirectgateway/settings.go
+++ b/internal/silldirectgateway/settings.go
@@ -51,6 +51,8 @@
 	// Cores and MemoryBytes are the limits of the process; 0 for no limit.
 	Cores       int
 	MemoryBytes int64
+	// MaxDescriptors is the number of descriptors that the process may open; 0 for no limit.
+	MaxDescriptors int
 }
 
 // peerAddress returns the address to listen on for calls of other gateways.
@@ -74,6 +76,7 @@
 	require(!s.ReportsUsage || s.UsageWindow > 0, "the length of usage windows must be above 0 s")
 	require(s.JobRetention > 0, "the time for which ended jobs are kept must be above 0 s")
 	require(s.Capacity >= 0, "the number of cores to use must not be negative")
+	require(s.MaxDescriptors >= 0, "the number of descriptors must not be negative")
 	require(s.FirstPort <= s.LastPort, "the ports for calls between gateways must be in ascending order")
 	if len(faults) == 0 {
 		return nil
--- a/internal/sillrelay/handler.go
+++ b/internal/sillrelay/handler.go
@@ -1,10 +1,11 @@
 package sillrelay
 
 import (
-	"io"
 	"net/http"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/wasabisill/wasabisill/internal/sillserver"
 )
 
 // maxCallBytes is the size limit of a peer's call.
@@ -17,7 +18,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, req *http.Request) {
 		var c wireCall
-		body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxCallBytes))
+		body, err := sillserver.ReadBody(w, req, maxCallBytes)
 		if err == nil {
 			err = cbor.Unmarshal(body, &c)
 		}
