Grant more to cold targets from a settled place

A cold target got the same rate from each granter, with room kept for a second one at all times, so one granter gave 4.8 of the 9.1 requests a second that a target bears.

A granter whose place has been the same for 4 s in all lists of gateways, and whose view of them is at most 1.5 s old, now grants two thirds of what is left for granters; any other one grants a third. Each pair of a settled and another granter gets as much as two granters got before.

With the full rate for all granters TestColdTargetsStayWithinTheBound fails; TestSettledGranter and TestOldViewIsNotSettled fail without the history of lists and without the check of the view's age.

--- a/internal/sillcluster/members.go
+++ b/internal/sillcluster/members.go
@@ -84,6 +84,8 @@
 
 	mu   sync.Mutex
 	rows map[sillid.InstanceID]memberRow
+	// history holds the latest lists of the processes that grant permits, the oldest first.
+	history []granterList
 }
 
 // NewMembers returns an empty set that passes each row that it gets to onRow. The
@@ -136,6 +138,7 @@
 func (s *Members) Apply(now time.Time, changes []silltable.Change) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.recordGranters(now)
 	var failure error
 	for _, c := range changes {
 		instance := instanceOf(c.Row.Key)
@@ -171,6 +174,7 @@
 func (s *Members) Refresh(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.recordGranters(now)
 	for id, m := range s.rows {
 		m.lastRenewed = now
 		s.rows[id] = m
@@ -246,6 +250,11 @@
 func (s *Members) LastLive() []Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.lastLive()
+}
+
+// lastLive is LastLive for callers that hold s.mu.
+func (s *Members) lastLive() []Member {
 	var newest time.Time
 	for _, m := range s.rows {
 		if m.lastRenewed.After(newest) {
--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -35,7 +35,10 @@
 	// poolLoads returns the running requests of this process in the autoscaled pools.
 	// It is set before renew is called.
 	poolLoads func() []sillcluster.PoolLoad
-	renewals  atomic.Uint64
+	// membersAge returns the age of the view of the gateways, and false before its first read.
+	// It is set before renew is called; nil stands for an unknown age.
+	membersAge func() (time.Duration, bool)
+	renewals   atomic.Uint64
 	// committer writes the process's row. It is set before renew is called; nil writes
 	// directly.
 	committer *sillgroupcommit.Committer
--- a/internal/silldirectgateway/peers.go
+++ b/internal/silldirectgateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillclock"
 	"github.com/wasabisill/wasabisill/internal/sillcluster"
@@ -30,11 +31,27 @@
 // permitPlace returns the gateway that grants the permits of a run. All gateways that read
 // the same rows compute the same one; during an outage of the table it stays.
 func (m *membership) permitPlace(run silltarget.Run) sillpermit.Place {
-	first, ok := m.members.FirstGranter(fmt.Sprintf("permits/%s/%d", run.Target, run.StartedAtMS))
+	name := fmt.Sprintf("permits/%s/%d", run.Target, run.StartedAtMS)
+	first, ok := m.members.FirstGranter(name)
 	if !ok {
 		return sillpermit.Place{}
 	}
-	return sillpermit.Place{Self: first.Run == m.run, Address: first.Address}
+	place := sillpermit.Place{Self: first.Run == m.run, Address: first.Address}
+	place.Settled = place.Self && m.readsMembers() && m.members.IsSettledGranter(sillclock.Boot(), name, first.Run)
+	return place
+}
+
+// freshMembersAge is the age up to which the view of the gateways counts as current. A call of
+// the feed waits for feedWait without a change.
+const freshMembersAge = 1500 * time.Millisecond
+
+// readsMembers returns whether the view of the gateways is current.
+func (m *membership) readsMembers() bool {
+	if m.membersAge == nil {
+		return false
+	}
+	age, read := m.membersAge()
+	return read && age <= freshMembersAge
 }
 
 // permitPosition returns the position of this process among the gateways that ask for permits.
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -147,6 +147,7 @@
 		return err
 	}
 	s.members.address = s.Addresses.Peers
+	s.members.membersAge = s.followers.membersAge
 	s.members.poolLoads = s.view.poolLoads
 	s.members.committer = s.committer
 	s.background = sillgroup.New(context.Background())
--- a/internal/sillpermit/broker.go
+++ b/internal/sillpermit/broker.go
@@ -23,6 +23,9 @@
 	Self bool
 	// Address is where it is reached; empty if it is this process, or not known.
 	Address string
+	// Settled is whether it is this process, has been for longer than it takes until each
+	// gateway that reads the rows has learned of it, and this process reads them, too.
+	Settled bool
 }
 
 // Config holds what a Broker needs.
@@ -127,7 +130,7 @@
 func (b *Broker) ask(ctx context.Context, a Ask) Verdict {
 	place := b.cfg.Place(a.Run)
 	if place.Self {
-		return b.decide(a)
+		return b.decide(a, place.Settled)
 	}
 	if place.Address == "" || b.isUnreachable(place.Address) {
 		return b.takeSlot(a)
@@ -146,13 +149,17 @@
 	return v
 }
 
-// decide grants or denies a permit of this process.
-func (b *Broker) decide(a Ask) Verdict {
+// decide grants or denies a permit of this process, whose place is settled or not.
+func (b *Broker) decide(a Ask, settled bool) Verdict {
 	now := b.cfg.Now()
 	limit, cold := b.limitOf(now, a.Run), b.coldAllowance(now, a)
 	if limit == 0 && cold == nil {
 		return Verdict{Granted: true}
 	}
+	if cold != nil {
+		allowance := cold.For(settled)
+		cold = &allowance
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.granter.decide(now, a, limit, cold)
--- a/internal/sillpermit/call.go
+++ b/internal/sillpermit/call.go
@@ -94,9 +94,10 @@
 		return
 	}
 	b.cfg.Directory.MergeLimits(b.cfg.Now(), w.Limits)
-	v, decidesCold := Verdict{Granted: true}, w.Cold != nil && b.cfg.Place(w.Run).Self
+	place := b.cfg.Place(w.Run)
+	v, decidesCold := Verdict{Granted: true}, w.Cold != nil && place.Self
 	if w.Cold == nil || decidesCold {
-		v = b.decide(Ask{Run: w.Run, Class: w.Class, Organisation: w.Organisation, Forced: w.Forced, Cold: w.Cold})
+		v = b.decide(Ask{Run: w.Run, Class: w.Class, Organisation: w.Organisation, Forced: w.Forced, Cold: w.Cold}, place.Settled)
 	}
 	answer, err := cbor.Marshal(wireVerdict{
 		Granted: v.Granted, OverShare: v.OverShare, RetryAfterMS: ceilMS(v.RetryAfter), DecidedCold: decidesCold, Limits: b.limits(w.Run),
--- a/internal/sillpermit/cold_test.go
+++ b/internal/sillpermit/cold_test.go
@@ -38,6 +38,8 @@
 	place func(now time.Time, gateway int) int
 	// answers returns whether a granter answers a gateway in time.
 	answers func(now time.Time, granter, gateway int) bool
+	// settled returns whether the place of a granter is settled; nil stands for never.
+	settled func(now time.Time, granter int) bool
 }
 
 // play returns the arrivals at the target.
@@ -55,7 +57,8 @@
 			place := p.place(now, i)
 			granted := false
 			if p.answers(now, place, i) && p.place(now, place) == place {
-				granted = granters[place].decide(now, ask, 0, &allowance).Granted
+				effective := allowance.For(p.settled != nil && p.settled(now, place))
+				granted = granters[place].decide(now, ask, 0, &effective).Granted
 			} else {
 				granted = slotters[i].take(now, allowance.SlotRate/slotShare, Position{Index: i, Count: p.gateways}).Granted
 			}
@@ -76,9 +79,39 @@
 func TestColdTargetsStayWithinTheBound(t *testing.T) {
 	const length = 14 * time.Second
 	elapsed := func(now time.Time) time.Duration { return now.Sub(start) }
+	settled := func(time.Time, int) bool { return true }
+	// The second half is cut off after 3 s. The first half takes granter 1 for dead 2 s later,
+	// and granter 0 is settled 4 s after that.
+	cut := func(now time.Time, i int) int {
+		if i%2 == 0 && elapsed(now) > 5*time.Second {
+			return 0
+		}
+		return 1
+	}
+	changing := func(now time.Time, i int) int {
+		late := time.Duration(i*7919%1500) * time.Millisecond
+		return int(max(elapsed(now)-late, 0)/(6*time.Second)) % 8
+	}
 	for name, play := range map[string]coldPlay{
-		"one granter":        {place: fixed(0), answers: always},
-		"no granter reached": {place: fixed(0), answers: func(time.Time, int, int) bool { return false }},
+		"one granter":         {place: fixed(0), answers: always},
+		"one settled granter": {place: fixed(0), answers: always, settled: settled},
+		"half of the gateways do not reach the settled granter": {place: fixed(0), answers: func(_ time.Time, _, i int) bool { return i%2 == 0 }, settled: settled},
+		"the settled granter is frozen for a second in four": {place: fixed(0), settled: settled, answers: func(now time.Time, _, _ int) bool {
+			return elapsed(now)%(4*time.Second) < 3*time.Second
+		}},
+		"the settled granter changes, and each gateway learns it within 1.5 s": {answers: always, place: changing, settled: func(now time.Time, i int) bool {
+			return elapsed(now) >= 4*time.Second && changing(now, i) == i && changing(now.Add(-4*time.Second), i) == i
+		}},
+		"a split view: a settled granter, one with an old view, and gateways that reach none": {
+			place:   func(_ time.Time, i int) int { return i % 2 },
+			answers: func(_ time.Time, _, i int) bool { return i%3 > 0 },
+			settled: func(_ time.Time, granter int) bool { return granter == 0 },
+		},
+		"half of the gateways with the settled granter are cut off": {place: cut, answers: func(_ time.Time, granter, i int) bool { return granter%2 == i%2 }, settled: func(now time.Time, granter int) bool {
+			return granter == 1 && elapsed(now) < 4500*time.Millisecond || granter == 0 && elapsed(now) > 9*time.Second
+		}},
+		"three granters with old views":                 {place: func(_ time.Time, i int) int { return i % 3 }, answers: always},
+		"no granter reached":                            {place: fixed(0), answers: func(time.Time, int, int) bool { return false }},
 		"half of the gateways do not reach the granter": {place: fixed(0), answers: func(_ time.Time, _, i int) bool { return i%2 == 0 }},
 		"the granter is frozen for a second in four": {place: fixed(0), answers: func(now time.Time, _, _ int) bool {
 			return elapsed(now)%(4*time.Second) < 3*time.Second
--- a/internal/sillrate/cold.go
+++ b/internal/sillrate/cold.go
@@ -12,9 +12,10 @@
 	// coldBurst is the number of tokens that the bucket of a cold target holds at most.
 	// Background requests need two.
 	coldBurst = 2
-	// coldGranters is the number of gateways that may grant permits for one run at the same
-	// time, because not all have read the newest rows.
-	coldGranters = 2
+	// settledShare is the share of what is left for granters that one gets whose place is
+	// settled. The rest is for another one at the same time: not all gateways have read the
+	// newest rows. Three granters that are not settled fit into the bound.
+	settledShare = 2.0 / 3
 	// coldSlotShare is the share of what a cold target bears that gateways use that do not
 	// reach its granter. slotEdges is the number of slots that a span may touch beyond those
 	// that fit into it, and forcedRequests the requests that are sent in any case.
@@ -31,9 +32,11 @@
 // Allowance is how requests to a cold target are permitted. All parts together stay below
 // the bound of requests in one second.
 type Allowance struct {
-	// Rate and Burst are those of the bucket of each granter.
-	Rate  PerSecond `cbor:"rate"`
-	Burst float64   `cbor:"burst"`
+	// Rate and Burst are those of the bucket of each granter. SettledRate replaces Rate at one
+	// whose place is settled; 0 in allowances of earlier builds.
+	Rate        PerSecond `cbor:"rate"`
+	SettledRate PerSecond `cbor:"settled-rate,omitempty"`
+	Burst       float64   `cbor:"burst"`
 	// SlotRate is the rate of the time slots over all gateways.
 	SlotRate PerSecond `cbor:"slot-rate"`
 	// Fill is the number of requests that fill free slots that one gateway sends within one second to
@@ -47,8 +50,18 @@
 	bound := float64(perSecond)*overshoot + slack
 	slotRate := max(coldSlotShare*perSecond, minRate)
 	left := bound - forcedRequests - slotEdges - coldBurst - float64(slotRate)*coldSpan.Seconds()
-	rate := PerSecond(left / (coldGranters * coldSpan.Seconds()))
+	granted := PerSecond(left / coldSpan.Seconds())
+	limited := func(rate PerSecond) PerSecond { return min(max(rate, minRate), perSecond) }
 	return Allowance{
-		Rate: min(max(rate, minRate), perSecond), Burst: coldBurst, SlotRate: slotRate, Fill: max(int(fillShare*bound), minFill),
+		Rate: limited((1 - settledShare) * granted), SettledRate: limited(settledShare * granted),
+		Burst: coldBurst, SlotRate: slotRate, Fill: max(int(fillShare*bound), minFill),
 	}
 }
+
+// For returns the allowance of a granter, whose place is settled or not.
+func (a Allowance) For(settled bool) Allowance {
+	if settled {
+		a.Rate = max(a.Rate, a.SettledRate)
+	}
+	return a
+}
--- a/internal/silltarget/pick.go
+++ b/internal/silltarget/pick.go
@@ -219,8 +219,11 @@
 	if t.limited() {
 		rate = t.limit.limit
 	}
-	if t.mayBeCold(now) && (rate == 0 || t.rule.allowance.Rate < rate) {
-		rate = t.rule.allowance.Rate
+	if !t.mayBeCold(now) {
+		return rate
+	}
+	if cold := t.rule.allowance.For(true).Rate; rate == 0 || cold < rate {
+		rate = cold
 	}
 	return rate
 }
