Keep requests and bodies in their home regions

home_regions of routes and tenants, and region and zones of the settings, were not read, so requests went to targets of any region.

Each selection of a target now leaves out those outside the homes, the check before the first byte looks again, and a request without a target at home is refused at once. A job's row keeps its homes and the region in which it was accepted: only gateways there may own it, since the owner reads the bodies. Calls of the store with bodies of such jobs go through peers of the same region only. Values in another form allow nothing.

--- a/internal/sillcatalog/catalog.go
+++ b/internal/sillcatalog/catalog.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/sillhome"
 	"github.com/wasabisill/wasabisill/internal/sillschedule"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
@@ -52,6 +53,8 @@
 	AbandonAfter time.Duration
 	// Priority is the priority of the route's requests; nil if none is configured.
 	Priority *sillschedule.Priority
+	// Homes are the regions to which the route's requests may be sent.
+	Homes sillhome.Homes
 }
 
 // Share is the share of a route's requests that a pool serves.
@@ -66,6 +69,8 @@
 	Keys []string
 	// Priority is the priority of the organisation's requests; nil if none is configured.
 	Priority *sillschedule.Priority
+	// Homes are the regions to which the organisation's requests may be sent.
+	Homes sillhome.Homes
 }
 
 // Model is a model that the targets of a pool serve.
--- a/internal/sillcluster/members.go
+++ b/internal/sillcluster/members.go
@@ -291,7 +291,13 @@
 // Rank returns the rank that an instance has or would have among the live ones for a
 // name, and whether it is live.
 func (s *Members) Rank(now time.Time, name string, self sillid.InstanceID) (int, bool) {
-	live := s.Live(now)
+	return s.RankAmong(now, name, self, nil)
+}
+
+// RankAmong is Rank among the processes that keep accepts; nil accepts all. An instance that
+// is not accepted is not live.
+func (s *Members) RankAmong(now time.Time, name string, self sillid.InstanceID, keep func(Member) bool) (int, bool) {
+	live := s.liveAmong(now, keep)
 	own, found := Member{Instance: self}, false
 	if i := slices.IndexFunc(live, func(m Member) bool { return m.Instance == self }); i >= 0 {
 		own, found = live[i], true
@@ -305,10 +311,23 @@
 	return rank, found
 }
 
+func (s *Members) liveAmong(now time.Time, keep func(Member) bool) []Member {
+	live := s.Live(now)
+	if keep == nil {
+		return live
+	}
+	return slices.DeleteFunc(live, func(m Member) bool { return !keep(m) })
+}
+
 // First returns the live process with rank 0 for a name, and false if no process
 // is live.
 func (s *Members) First(now time.Time, name string) (Member, bool) {
-	live := s.Live(now)
+	return s.FirstAmong(now, name, nil)
+}
+
+// FirstAmong is First among the processes that keep accepts; nil accepts all.
+func (s *Members) FirstAmong(now time.Time, name string, keep func(Member) bool) (Member, bool) {
+	live := s.liveAmong(now, keep)
 	if len(live) == 0 {
 		return Member{}, false
 	}
--- a/internal/silldirectgateway/cold.go
+++ b/internal/silldirectgateway/cold.go
@@ -32,7 +32,7 @@
 	invalid := sillmetric.Counter("wasabisill_invalid_cold_notices_total",
 		"Responses of targets that say in a form that is not defined how long they stay cold.")
 	withdrawn := sillmetric.CounterVec("wasabisill_attempts_withdrawn_total",
-		"Attempts that were not sent to the target picked for them, by reason (evacuated, no-cold-permit).", "reason")
+		"Attempts that were not sent to the target picked for them, by reason (evacuated, not-home, no-cold-permit).", "reason")
 	r.MustRegister(invalid, withdrawn)
 	var logged time.Time
 	return silltarget.ColdHooks{
@@ -47,8 +47,11 @@
 		},
 		OnWithdrawn: func(err error) {
 			reason := "no-cold-permit"
-			if errors.Is(err, silltarget.ErrEvacuated) {
+			switch {
+			case errors.Is(err, silltarget.ErrEvacuated):
 				reason = "evacuated"
+			case errors.Is(err, silltarget.ErrNotHome):
+				reason = "not-home"
 			}
 			withdrawn.WithLabelValues(reason).Inc()
 		},
--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -75,17 +75,17 @@
 	}
 }
 
-// owner returns the process that runs new jobs of a model. All jobs of a model have
-// the same owner, so that its connections, caches and queue are in one process.
-func (m *membership) owner(model sillid.ModelID) silljob.GatewayRun {
-	if first, ok := m.members.First(sillclock.Boot(), string(model)); ok {
+// owner returns the process that runs a new job. All jobs of a model that the same gateways
+// may own have the same owner, so that its connections, caches and queue are in one process.
+func (m *membership) owner(p silljob.Placement) silljob.GatewayRun {
+	if first, ok := m.members.FirstAmong(sillclock.Boot(), string(p.Model), m.mayOwn(p)); ok {
 		return silljob.GatewayRun(first.Run)
 	}
 	return silljob.GatewayRun(m.run)
 }
 
-func (m *membership) rank(model sillid.ModelID) (int, bool) {
-	return m.members.Rank(sillclock.Boot(), string(model), m.settings.Instance)
+func (m *membership) rank(p silljob.Placement) (int, bool) {
+	return m.members.RankAmong(sillclock.Boot(), string(p.Model), m.settings.Instance, m.mayOwn(p))
 }
 
 // taskRank returns the rank of this process among the candidates for the lease of
--- a/internal/silldirectgateway/providers.go
+++ b/internal/silldirectgateway/providers.go
@@ -44,7 +44,7 @@
 
 func newRelay(adapter *Adapter, m *membership, r *prometheus.Registry, log *zap.Logger) *sillrelay.Relay {
 	return sillrelay.New(sillrelay.Config{
-		Table: adapter.Table, Feed: adapter.Feed, Pool: adapter.PeerPool, Peers: m.peers, ProbeKey: adapter.ConfigKey,
+		Table: adapter.Table, Feed: adapter.Feed, Pool: adapter.PeerPool, Peers: m.peers, RegionPeers: m.regionPeers, ProbeKey: adapter.ConfigKey,
 		Registerer: r, Log: log,
 	})
 }
@@ -118,7 +118,7 @@
 		Self: silljob.GatewayRun(p.members.run), Store: p.store, Board: p.view.board, Cache: p.cache,
 		Directory: p.view.directory, Pool: p.adapter.TargetPool, Codec: p.adapter.Codec,
 		Forwarder: p.forwarder, AcquirePermit: p.broker.Acquire, Catalog: p.view.catalog, CatalogRevision: p.followers.catalogRevision, Zone: p.settings.Zone,
-		Owner: p.members.owner, TakeoverRank: p.members.rank, Alive: p.followers.mayRun(p.members), HandoverTime: jobHandoverTime,
+		Region: p.settings.RegionOf(p.settings.Zone), Owner: p.members.owner, TakeoverRank: p.members.rank, Alive: p.followers.mayRun(p.members), HandoverTime: jobHandoverTime,
 		Metrics: m, Log: log,
 	})
 }
--- a/internal/silldirectgateway/settings.go
+++ b/internal/silldirectgateway/settings.go
@@ -18,6 +18,9 @@
 type Settings struct {
 	Instance sillid.InstanceID
 	Zone     sillid.ZoneID
+	// Region is the region of Zone, and Regions maps availability zones to their regions.
+	Region  sillid.RegionID
+	Regions map[sillid.ZoneID]sillid.RegionID
 	// CallerAddress and ReadyAddress are the addresses to listen on for callers and
 	// for the load balancer's readiness checks.
 	CallerAddress string
--- a/internal/silldirectgateway/view.go
+++ b/internal/silldirectgateway/view.go
@@ -20,6 +20,7 @@
 
 // view holds the process's view of the platform's tables that it follows.
 type view struct {
+	settings  *Settings
 	adapter   *Adapter
 	catalog   *sillcatalog.Holder
 	directory *silltarget.Directory
@@ -35,8 +36,9 @@
 	announced map[sillid.ModelID]sillid.WeightVersion
 }
 
-func newView(adapter *Adapter, directory *silltarget.Directory, log *zap.Logger) *view {
+func newView(s *Settings, adapter *Adapter, directory *silltarget.Directory, log *zap.Logger) *view {
 	return &view{
+		settings:  s,
 		adapter:   adapter,
 		catalog:   &sillcatalog.Holder{},
 		directory: directory,
@@ -74,6 +76,7 @@
 		v.log.Info("Configuration in force.", zap.Uint64("version", uint64(c.Version)),
 			zap.Int("routes", len(c.Routes)), zap.Int("organisations", len(c.Organisations)),
 			zap.Int("cold-pools", len(c.ColdPools)), zap.Int("invalid-fields", c.InvalidFields))
+		v.logUnknownHomes(c)
 	}
 }
 
--- a/internal/silldirectgateway/view_test.go
+++ b/internal/silldirectgateway/view_test.go
@@ -17,7 +17,7 @@
 
 // newTestView returns a view whose rows are JSON of the internal types.
 func newTestView() *view {
-	return newView(&Adapter{
+	return newView(&Settings{Zone: "a", Region: "home", Regions: map[sillid.ZoneID]sillid.RegionID{"b": "other"}}, &Adapter{
 		OperatorTable: "op", ConfigKey: "op/config", VersionPrefix: "op/version/", RegistryTable: "targets",
 		DecodeCatalog: func(b []byte) (*sillcatalog.Catalog, error) {
 			var c sillcatalog.Catalog
--- a/internal/sillforwarder/errors.go
+++ b/internal/sillforwarder/errors.go
@@ -99,7 +99,7 @@
 	if len(targets) == 0 {
 		return targets
 	}
-	if !f.cfg.Directory.AnyAvailable(now, silltarget.Query{Pool: req.Pool, Exclude: targets, Class: req.class()}) {
+	if !f.cfg.Directory.AnyAvailable(now, silltarget.Query{Pool: req.Pool, Homes: req.Homes, Exclude: targets, Class: req.class()}) {
 		clear(targets)
 	}
 	return targets
--- a/internal/sillforwarder/forwarder.go
+++ b/internal/sillforwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
 	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/sillheader"
+	"github.com/wasabisill/wasabisill/internal/sillhome"
 	"github.com/wasabisill/wasabisill/internal/sillpermit"
 	"github.com/wasabisill/wasabisill/internal/sillrate"
 	"github.com/wasabisill/wasabisill/internal/sillschedule"
@@ -32,7 +33,9 @@
 	Pool         sillid.PoolID
 	Organisation sillid.OrganisationID
 	Priority     sillschedule.Priority
-	Method       string
+	// Homes are the regions to which the request may be sent.
+	Homes  sillhome.Homes
+	Method string
 	// RequestURI is the path and query, unchanged as the caller sent them.
 	RequestURI string
 	Host       string
@@ -217,11 +220,11 @@
 func (f *Forwarder) setRetryAfter(req *Request, r *Refusal) *Refusal {
 	if r.Reason == AllFull || r.Reason == NoTarget {
 		now := time.Now()
-		if until, limited := f.cfg.Directory.LimitedUntil(now, silltarget.Query{Pool: req.Pool, Class: req.class()}); limited {
+		if until, limited := f.cfg.Directory.LimitedUntil(now, silltarget.Query{Pool: req.Pool, Homes: req.Homes, Class: req.class()}); limited {
 			r.applyLimit(until.Sub(now))
 			return r
 		}
-		earliest := f.cfg.Directory.EarliestResponse(now, silltarget.Query{Pool: req.Pool})
+		earliest := f.cfg.Directory.EarliestResponse(now, silltarget.Query{Pool: req.Pool, Homes: req.Homes})
 		r.applyOverload(earliest, req.Route.LatencyObjective)
 	}
 	return r
--- a/internal/sillforwarder/pick.go
+++ b/internal/sillforwarder/pick.go
@@ -25,7 +25,7 @@
 // them will accept the request.
 func (f *Forwarder) pick(ctx context.Context, req *Request, tried map[sillid.TargetID]bool, p progress) (silltarget.Grant, bool) {
 	picker := &picker{Forwarder: f, request: req, query: silltarget.Query{
-		Pool: req.Pool, Zone: f.cfg.Zone, Exclude: tried, MaxResponseTime: maxResponseTime(req, p, time.Now()), Class: req.class(),
+		Pool: req.Pool, Homes: req.Homes, Zone: f.cfg.Zone, Exclude: tried, MaxResponseTime: maxResponseTime(req, p, time.Now()), Class: req.class(),
 		Batched: req.Route.Kind == sillcatalog.Stream,
 	}}
 	if req.class() == sillrate.Background && f.cfg.Directory.AnyLimited(req.Pool) {
@@ -60,7 +60,7 @@
 		if w.displaced() {
 			return w.finish(silltarget.Grant{}, waitDisplaced)
 		}
-		if d.AllLeaving(req.Pool) || (limited && until.After(end)) {
+		if d.AllLeaving(req.Pool, req.Homes) || (limited && until.After(end)) {
 			return w.stop(ctx, waitRefused)
 		}
 		if !time.Now().Before(end) {
@@ -98,7 +98,7 @@
 		}
 		now := time.Now()
 		left := p.request.Deadline.Sub(now) - minRemaining
-		if left <= 0 || d.AllLeaving(p.request.Pool) || !d.AnyEligible(now, p.query) {
+		if left <= 0 || d.AllLeaving(p.request.Pool, p.request.Homes) || !d.AnyEligible(now, p.query) {
 			return silltarget.Grant{}, false
 		}
 		if !awaitChange(ctx, nil, now.Add(min(left, backgroundPoll))) {
--- a/internal/silljob/accept.go
+++ b/internal/silljob/accept.go
@@ -30,6 +30,7 @@
 	return w.commitState(ctx, State{
 		Organisation: sub.Organisation, Model: sub.Model, Pool: sub.Pool, MinVersion: sub.MinVersion, SingleVersion: sub.SingleVersion,
 		Total: len(sub.Items), Waiting: len(sub.Items), Owner: owner, Epoch: 1, SubmittedMS: sub.SubmittedMS, Content: w.content,
+		Homes: sub.Homes, AcceptedIn: sub.acceptedIn,
 	})
 }
 
--- a/internal/silljob/dispatch.go
+++ b/internal/silljob/dispatch.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/wasabisill/wasabisill/internal/sillhome"
 	"github.com/wasabisill/wasabisill/internal/sillpermit"
 	"github.com/wasabisill/wasabisill/internal/sillrate"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
@@ -72,11 +73,12 @@
 	model sillid.ModelID
 	min   sillid.WeightVersion
 	exact sillid.WeightVersion
+	homes sillhome.Homes
 }
 
 func requirementsOf(it *itemRun) requirements {
 	sub := it.job.sub
-	return requirements{pool: it.job.pool, model: sub.Model, min: sub.MinVersion, exact: exactVersion(it)}
+	return requirements{pool: it.job.pool, model: sub.Model, min: sub.MinVersion, exact: exactVersion(it), homes: it.job.homes}
 }
 
 // exactVersion returns the only weight version that may continue a generation, or
@@ -99,7 +101,7 @@
 func (r *Runner) query(now time.Time, it *itemRun) silltarget.Query {
 	required := requirementsOf(it)
 	q := silltarget.Query{
-		Pool: required.pool, Zone: r.cfg.Zone, Model: required.model, MinVersion: required.min, ExactVersion: required.exact,
+		Pool: required.pool, Homes: required.homes, Zone: r.cfg.Zone, Model: required.model, MinVersion: required.min, ExactVersion: required.exact,
 		Cached: it.job.groupTarget[it.item.Group], CachedSaving: sharedPromptSaving,
 		Exclude: it.avoid, FreeOnly: true, PreferNewest: it.job.sub.SingleVersion,
 		Class: sillrate.Background, Fills: true, Batched: true,
@@ -114,7 +116,7 @@
 // jobQuery selects the targets with a free slot that may run a job's items from their
 // beginning.
 func (r *Runner) jobQuery(j *ownedJob) silltarget.Query {
-	return silltarget.Query{Pool: j.pool, Model: j.sub.Model, MinVersion: j.sub.MinVersion, FreeOnly: true, Class: sillrate.Background}
+	return silltarget.Query{Pool: j.pool, Homes: j.homes, Model: j.sub.Model, MinVersion: j.sub.MinVersion, FreeOnly: true, Class: sillrate.Background}
 }
 
 // waitingItems returns the items that may be sent now, in their order.
--- a/internal/silljob/help_test.go
+++ b/internal/silljob/help_test.go
@@ -98,7 +98,7 @@
 
 // start starts a gateway, which owns the jobs that are submitted to it.
 func (c *cluster) start(run GatewayRun) *node {
-	n := &node{board: NewBoard(), directory: silltarget.NewDirectory(), alive: true}
+	n := &node{board: NewBoard(), directory: silltarget.NewDirectoryWith(silltarget.Config{RegionOf: func(z sillid.ZoneID) sillid.RegionID { return sillid.RegionID(z) }}), alive: true}
 	n.group, n.background = sillgroup.New(context.Background()), sillgroup.New(context.Background())
 	for _, e := range c.engines {
 		n.directory.Apply(e.Entry("p", 2, versions{testModel: 1}))
@@ -124,8 +124,8 @@
 	cache := NewCache()
 	n.runner = NewRunner(RunnerConfig{
 		Self: run, Store: c.store, Board: n.board, Cache: cache, Directory: n.directory, Pool: pool, Codec: codec,
-		Forwarder: forwarder, Catalog: c.catalog, Owner: func(sillid.ModelID) GatewayRun { return run },
-		TakeoverRank: func(sillid.ModelID) (int, bool) { return 0, c.isAlive(run) },
+		Forwarder: forwarder, Catalog: c.catalog, Owner: func(Placement) GatewayRun { return run },
+		TakeoverRank: func(Placement) (int, bool) { return 0, c.isAlive(run) },
 		HandoverTime: c.handover, Alive: func(run GatewayRun, _ silltable.Revision) bool { return c.isAlive(run) }, CatalogRevision: c.currentCatalog, Metrics: NewMetrics(nil), Log: zap.NewNop(),
 	})
 	n.reader = &Reader{Store: c.store, Board: n.board, Cache: cache, BoardAge: func() (time.Duration, bool) { return follower.Age(time.Now()) }}
--- a/internal/silljob/job.go
+++ b/internal/silljob/job.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/sillhome"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -53,6 +54,10 @@
 	// AbandonAfterMS is the time in milliseconds after SubmittedMS from which items
 	// that would be retried are abandoned instead; 0 for no limit.
 	AbandonAfterMS int64 `cbor:"give-up-after-ms"`
+	// Homes are the regions to which the bodies may be sent. They are kept in the state row.
+	Homes sillhome.Homes `cbor:"-"`
+	// acceptedIn is the region of this process if there are Homes.
+	acceptedIn sillid.RegionID
 	// Items has at least one item. Their ids are unique.
 	Items []Item `cbor:"-"`
 }
@@ -145,6 +150,10 @@
 	// Content names the rows of ContentTable that belong to the job; empty in jobs of
 	// earlier builds.
 	Content ContentID `cbor:"content,omitempty"`
+	// Homes are the regions to which the job's bodies may be sent, as of its acceptance, and
+	// AcceptedIn is the region of the gateway that accepted it, if there are homes.
+	Homes      sillhome.Homes  `cbor:"homes,omitempty"`
+	AcceptedIn sillid.RegionID `cbor:"accepted-in,omitempty"`
 	// HasProgress is whether ProgressTable has generations of the job.
 	HasProgress bool `cbor:"progressed"`
 }
--- a/internal/silljob/load.go
+++ b/internal/silljob/load.go
@@ -48,7 +48,7 @@
 		}
 		held = after
 	}
-	x, err := r.cfg.Store.index(ctx, job, held.Content)
+	x, err := r.cfg.Store.index(keepBodies(ctx, held.Homes), job, held.Content)
 	if err != nil {
 		return err
 	}
@@ -65,7 +65,7 @@
 		return nil
 	}
 	pager := r.cfg.Store.itemPager(job, held.Content, x)
-	j.group.Go(func(ctx context.Context) { r.loadItems(ctx, j, pager, started) })
+	j.group.Go(func(ctx context.Context) { r.loadItems(keepBodies(ctx, held.Homes), j, pager, started) })
 	return nil
 }
 
--- a/internal/silljob/owned.go
+++ b/internal/silljob/owned.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/sillhome"
 	"github.com/wasabisill/wasabisill/internal/silllog"
 	"github.com/wasabisill/wasabisill/internal/silltable"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
@@ -26,6 +27,9 @@
 	// pool is the pool that the job's route uses in the newest configuration that is known
 	// of it.
 	pool sillid.PoolID
+	// homes are the regions to which the job's items may be sent: by the same configuration,
+	// or as of the job's acceptance.
+	homes sillhome.Homes
 	// acquired is the revision of the state that made this process the owner.
 	acquired silltable.Revision
 	// awaitsConfig is whether the configuration in force may be older than the job.
@@ -56,7 +60,7 @@
 
 func newOwnedJob(ctx context.Context, sub *Submission, held VersionedState) *ownedJob {
 	return &ownedJob{
-		sub: sub, pool: sub.Pool, acquired: held.Revision, held: held, group: sillgroup.New(ctx),
+		sub: sub, pool: sub.Pool, homes: held.Homes, acquired: held.Revision, held: held, group: sillgroup.New(ctx),
 		groupTarget: make(map[string]sillid.TargetID), writeSignal: make(chan struct{}, 1),
 	}
 }
--- a/internal/silljob/owner_test.go
+++ b/internal/silljob/owner_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/wasabisill/wasabisill/internal/silltable"
-	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
 // TestOwnerIsReplaced declares the owner dead while it keeps running. Its successor
@@ -146,7 +145,7 @@
 	}{
 		{"submitted to it", func(t *testing.T, a, _ *node, sub *Submission) { a.submit(t, sub) }},
 		{"submitted to another", func(t *testing.T, _, b *node, sub *Submission) {
-			b.runner.cfg.Owner = func(sillid.ModelID) GatewayRun { return "a" }
+			b.runner.cfg.Owner = func(Placement) GatewayRun { return "a" }
 			b.submit(t, sub)
 		}},
 	} {
--- a/internal/silljob/read.go
+++ b/internal/silljob/read.go
@@ -141,7 +141,7 @@
 	if state.Ended {
 		return nil, ErrNoItem
 	}
-	b, err := r.Store.ItemBody(ctx, job, state.Content, item)
+	b, err := r.Store.ItemBody(keepBodies(ctx, state.Homes), job, state.Content, item)
 	switch {
 	case errors.Is(err, ErrNoItem):
 		return nil, ErrNoItem
--- a/internal/silljob/route.go
+++ b/internal/silljob/route.go
@@ -50,6 +50,7 @@
 		// The route may have been renamed.
 		route = catalog.Route(j.sub.Host, j.items[0].item.Path)
 	}
+	j.homes = catalog.Homes(j.sub.Organisation, route)
 	switch {
 	case route == nil:
 		r.abandonWaiting(j)
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -37,11 +37,13 @@
 	CatalogRevision func() silltable.Revision
 	// Zone is the availability zone of this process.
 	Zone sillid.ZoneID
-	// Owner returns the process that becomes the owner of new jobs of a model.
-	Owner func(model sillid.ModelID) GatewayRun
-	// TakeoverRank returns the rank of this process among those that may take over
-	// jobs of a model, from 0; false if it may not.
-	TakeoverRank func(model sillid.ModelID) (int, bool)
+	// Region is the region of this process; empty if it is unknown.
+	Region sillid.RegionID
+	// Owner returns the process that becomes the owner of a new job.
+	Owner func(p Placement) GatewayRun
+	// TakeoverRank returns the rank of this process among those that may take over a job,
+	// from 0; false if it may not.
+	TakeoverRank func(p Placement) (int, bool)
 	// Alive returns whether a process that a row of the given revision names is running, or
 	// may have started since the processes that run were last read.
 	Alive func(run GatewayRun, named silltable.Revision) bool
@@ -154,7 +156,11 @@
 // false if the job had been accepted before. Errors: ErrIDTaken and those of
 // Store.Accept.
 func (r *Runner) Submit(ctx context.Context, sub *Submission) (bool, error) {
-	owner := r.cfg.Owner(sub.Model)
+	if sub.Homes.Restricted() {
+		sub.acceptedIn = r.cfg.Region
+	}
+	ctx = keepBodies(ctx, sub.Homes)
+	owner := r.cfg.Owner(Placement{Model: sub.Model, Homes: sub.Homes, AcceptedIn: sub.acceptedIn})
 	held, accepted, err := r.cfg.Store.Accept(ctx, sub, owner)
 	if err != nil {
 		return false, err
--- a/internal/silljob/score.go
+++ b/internal/silljob/score.go
@@ -62,7 +62,7 @@
 		ID: s.ID, Route: route, Version: catalog.Version, Pool: route.PickPool(rand.Float64()), Method: http.MethodPost,
 		RequestURI: s.Path, Host: s.Host, Header: make(http.Header), Body: s.Body,
 		Arrived: time.Now(), Deadline: time.Now().Add(route.Timeout), AllowLate: true, Owed: true,
-		Priority: r.priority(it.job),
+		Priority: r.priority(it.job), Homes: catalog.Homes(it.job.sub.Organisation, route),
 	})
 	var refusal *sillforwarder.Refusal
 	if errors.As(err, &refusal) {
--- a/internal/silljob/shortage.go
+++ b/internal/silljob/shortage.go
@@ -82,15 +82,23 @@
 			r.plan(now, pool, jobs, s)
 		}
 		if s.short {
-			free := r.cfg.Directory.FreeSlots(now, poolQuery(pool))
+			free := r.cfg.Directory.FreeSlots(now, poolQuery(pool, jobs))
 			s.counted = false
 			s.allowed = s.allotment.Allow(now, s.share, countRunning(jobs), free)
 		}
 	}
 }
 
-func poolQuery(pool sillid.PoolID) silltarget.Query {
-	return silltarget.Query{Pool: pool, Class: sillrate.Background, IgnoreLimits: true}
+// poolQuery selects the targets of a pool that may run items of some of its jobs. Homes count
+// only if all of the jobs have the same.
+func poolQuery(pool sillid.PoolID, jobs []*ownedJob) silltarget.Query {
+	homes := jobs[0].homes
+	for _, j := range jobs {
+		if j.homes != homes {
+			homes = ""
+		}
+	}
+	return silltarget.Query{Pool: pool, Homes: homes, Class: sillrate.Background, IgnoreLimits: true}
 }
 
 func countRunning(jobs []*ownedJob) int {
@@ -103,7 +111,7 @@
 
 // plan decides on one pool.
 func (r *Runner) plan(now time.Time, pool sillid.PoolID, jobs []*ownedJob, s *shortage) {
-	s.slots = r.cfg.Directory.Slots(now, poolQuery(pool))
+	s.slots = r.cfg.Directory.Slots(now, poolQuery(pool, jobs))
 	open := r.openJobs(pool, jobs)
 	needed := r.shareOfTimeNeededByAll(now, jobs, open, s.slots)
 	wasShort := s.short
--- a/internal/silljob/takeover.go
+++ b/internal/silljob/takeover.go
@@ -52,7 +52,7 @@
 // takeOver claims a job without a live owner once the delay of this process's
 // takeover rank has passed.
 func (r *Runner) takeOver(now time.Time, job ID, v VersionedState) {
-	rank, ok := r.cfg.TakeoverRank(v.Model)
+	rank, ok := r.cfg.TakeoverRank(v.placement())
 	if !ok {
 		return
 	}
--- a/internal/sillrelay/relay.go
+++ b/internal/sillrelay/relay.go
@@ -42,6 +42,9 @@
 	Pool *silltransport.Pool
 	// Peers returns the addresses of other gateways in order of preference.
 	Peers func() []string
+	// RegionPeers returns those of Peers that are in the region of this process. They pass on
+	// calls that may not leave it; if nil, nobody does.
+	RegionPeers func() []string
 	// ProbeKey is the key of the row that a probe reads.
 	ProbeKey string
 	// Registerer registers the metrics; nil leaves them unregistered.
@@ -238,7 +241,7 @@
 		return wireResult{}, eris.Wrap(err, "sillrelay.callPeers")
 	}
 	failure := silltable.ErrUnavailable
-	for _, address := range choosePeers(r.cfg.Peers()) {
+	for _, address := range choosePeers(r.peersFor(ctx)) {
 		a, err := r.callPeer(ctx, address, c, body)
 		r.count("peer", err)
 		if !errors.Is(err, silltable.ErrUnavailable) {
@@ -249,6 +252,17 @@
 	return wireResult{}, failure
 }
 
+// peersFor returns the peers that may pass on a call.
+func (r *Relay) peersFor(ctx context.Context) []string {
+	switch {
+	case !silltable.IsKeptInRegion(ctx):
+		return r.cfg.Peers()
+	case r.cfg.RegionPeers == nil:
+		return nil
+	}
+	return r.cfg.RegionPeers()
+}
+
 // maxPeersPerCall is the number of peers that one call is tried with.
 const maxPeersPerCall = 2
 
--- a/internal/silltarget/cold.go
+++ b/internal/silltarget/cold.go
@@ -64,6 +64,8 @@
 	ErrWithdrawn = errors.New("target may not get the request any more")
 	// ErrEvacuated is for targets in an evacuated availability zone.
 	ErrEvacuated = withdrawn("its availability zone is evacuated")
+	// ErrNotHome is for targets outside the home regions of the request.
+	ErrNotHome = withdrawn("it is in no home region of the request")
 	// ErrNoColdPermit is for targets that may be cold, without a valid permit.
 	ErrNoColdPermit = withdrawn("it may be cold, and the request has no valid permit")
 )
@@ -380,6 +382,8 @@
 	switch {
 	case d.evacuated[t.entry.Zone]:
 		return ErrEvacuated
+	case !g.homes.Allows(t.region):
+		return ErrNotHome
 	case t.mayBeCold(now) && (g.Cold == nil || now.Sub(g.permittedAt) > sillrate.PermitValidity):
 		return ErrNoColdPermit
 	}
--- a/internal/silltarget/cold_test.go
+++ b/internal/silltarget/cold_test.go
@@ -228,7 +228,7 @@
 	if c.FreeSlots(c.now, q) != 0 || c.AnyEligible(c.now, q) || c.EarliestResponse(c.now, q) != 0 {
 		t.Error("a target of an evacuated zone counts")
 	}
-	if _, limited := c.LimitedUntil(c.now, q); limited || !c.AllLeaving("p") {
+	if _, limited := c.LimitedUntil(c.now, q); limited || !c.AllLeaving("p", "") {
 		t.Error("requests wait for a target of an evacuated zone")
 	}
 	c.Remove("t")
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -45,6 +45,9 @@
 	// A cold target gets ColdOvershoot times the requests a second that it bears, and
 	// ColdSlack more, within any second at most.
 	ColdOvershoot, ColdSlack float64
+	// RegionOf returns the region of an availability zone; empty if it is unknown. If nil, no
+	// region is known.
+	RegionOf func(sillid.ZoneID) sillid.RegionID
 	// Now returns the current time; nil stands for time.Now.
 	Now func() time.Time
 	// OnEjection, if not nil, receives the decisions on targets with errors. It is called with
@@ -66,6 +69,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.RegionOf == nil {
+		cfg.RegionOf = func(sillid.ZoneID) sillid.RegionID { return "" }
+	}
 	return &Directory{
 		targets: make(map[sillid.TargetID]*target), changed: make(chan struct{}),
 		leaving: make(map[Run]time.Time), limits: make(map[Run]*limitState), cfg: cfg,
@@ -102,7 +108,7 @@
 	if t == nil || !t.entry.StartedAt.Equal(e.StartedAt) || t.entry.Address != e.Address {
 		t = &target{
 			entry: e, registered: registered, tieBreak: d.tieBreak(e.ID), limit: d.limits[e.Run()],
-			rule: d.rules[e.Pool], evacuated: d.evacuated[e.Zone],
+			rule: d.rules[e.Pool], evacuated: d.evacuated[e.Zone], region: d.cfg.RegionOf(e.Zone),
 		}
 		t.begin(d.cfg.Now(), d.settled)
 		d.targets[e.ID] = t
@@ -113,7 +119,7 @@
 	changed := t.entry.State != e.State || !maps.Equal(t.entry.Versions, e.Versions) || !t.missingSince.IsZero()
 	t.observeEntry(d.cfg.Now(), &e)
 	t.entry, t.registered = e, registered
-	t.rule, t.evacuated = d.rules[e.Pool], d.evacuated[e.Zone]
+	t.rule, t.evacuated, t.region = d.rules[e.Pool], d.evacuated[e.Zone], d.cfg.RegionOf(e.Zone)
 	t.missingSince = time.Time{}
 	d.signalChange()
 	return changed
--- a/internal/silltarget/leaving.go
+++ b/internal/silltarget/leaving.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/sillhome"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -132,14 +133,14 @@
 	return runs[:min(len(runs), limit)]
 }
 
-// AllLeaving returns whether the pool has targets and all of them leave or are in evacuated
-// availability zones.
-func (d *Directory) AllLeaving(pool sillid.PoolID) bool {
+// AllLeaving returns whether the pool has targets in the home regions and all of them leave or
+// are in evacuated availability zones. It also returns true if the home regions have none.
+func (d *Directory) AllLeaving(pool sillid.PoolID, homes sillhome.Homes) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	known := false
+	known := homes.Restricted()
 	for _, t := range d.targets {
-		if t.entry.Pool != pool {
+		if t.entry.Pool != pool || !homes.Allows(t.region) {
 			continue
 		}
 		if t.entry.State != Draining && !t.evacuated {
--- a/internal/silltarget/leaving_test.go
+++ b/internal/silltarget/leaving_test.go
@@ -83,7 +83,7 @@
 	d := directory()
 	checkAllLeaving := func(want bool) {
 		t.Helper()
-		if got := d.AllLeaving("p"); got != want {
+		if got := d.AllLeaving("p", ""); got != want {
 			t.Errorf("all leave: %t, want %t", got, want)
 		}
 	}
--- a/internal/silltarget/pick.go
+++ b/internal/silltarget/pick.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/sillhome"
 	"github.com/wasabisill/wasabisill/internal/sillrate"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
@@ -14,6 +15,8 @@
 	// Zone is the preferred availability zone: targets of other zones cost slightly
 	// more (crossZoneCost).
 	Zone sillid.ZoneID
+	// Homes excludes the targets of other regions.
+	Homes sillhome.Homes
 	// Exclude holds targets that must not be picked.
 	Exclude map[sillid.TargetID]bool
 	// Model and MinVersion exclude targets with older weights. Without a model,
@@ -92,6 +95,7 @@
 	MissesDue bool
 
 	target *target
+	homes  sillhome.Homes
 	// probe is whether the attempt probes a target that was ejected.
 	probe bool
 	// utilisation is the utilisation of the target with this attempt counted.
@@ -150,7 +154,7 @@
 	return Grant{
 		ID: best.entry.ID, Address: best.entry.Address, StartedAt: best.entry.StartedAt, Versions: best.entry.Versions,
 		Limited: best.needsPermit(now), Cold: best.coldGrant(now), Slowdown: best.speed.current(now), MissesDue: c.misses,
-		target: best, probe: probe, utilisation: best.utilisation(now, 0),
+		target: best, homes: q.Homes, probe: probe, utilisation: best.utilisation(now, 0),
 	}, true
 }
 
@@ -259,7 +263,7 @@
 func (t *target) isEligible(now time.Time, q *Query, meanServiceTime time.Duration) bool {
 	e := &t.entry
 	switch {
-	case e.Pool != q.Pool, e.State != Ready, t.evacuated, q.Exclude[e.ID], t.backingOff(now) && !q.IncludeBackingOff:
+	case e.Pool != q.Pool, !q.Homes.Allows(t.region), e.State != Ready, t.evacuated, q.Exclude[e.ID], t.backingOff(now) && !q.IncludeBackingOff:
 		return false
 	case t.errors.leavesOut(now, q.Class) && !q.IncludeBackingOff:
 		return false
--- a/internal/silltarget/target.go
+++ b/internal/silltarget/target.go
@@ -140,6 +140,8 @@
 	// rule is nil if the pool's targets are never cold.
 	rule *ColdRule
 	cold coldState
+	// region is the region of the target's availability zone; empty if it is unknown.
+	region sillid.RegionID
 	// evacuated is whether the target's availability zone is evacuated.
 	evacuated bool
 	// errors is what is known of the errors that the target responds with.
