Report unknown evacuated zones and invalid cold entries

The evacuation of a zone without targets was logged like any other, with 0 targets.

A zone without known targets gets a log line of its own. The first invalid entry of each run is counted in wasabisill_invalid_cold_entries_total and logged.

TestEvacuationOfAnUnknownZone and TestInvalidEntryIsReportedOnce fail without the changes and pass with them.

--- a/internal/silldirectgateway/cold.go
+++ b/internal/silldirectgateway/cold.go
@@ -31,9 +31,11 @@
 	log = log.Named("targets")
 	invalid := sillmetric.Counter("wasabisill_invalid_cold_notices_total",
 		"Responses of targets that say in a form that is not defined how long they stay cold.")
+	invalidEntries := sillmetric.Counter("wasabisill_invalid_cold_entries_total",
+		"Runs of targets whose registry entry says in a form that is not defined how long they stay cold.")
 	withdrawn := sillmetric.CounterVec("wasabisill_attempts_withdrawn_total",
 		"Attempts that were not sent to the target picked for them, by reason (evacuated, not-home, no-cold-permit).", "reason")
-	r.MustRegister(invalid, withdrawn)
+	r.MustRegister(invalid, invalidEntries, withdrawn)
 	var logged time.Time
 	return silltarget.ColdHooks{
 		OnInvalid: func(run silltarget.Run) {
@@ -45,6 +47,11 @@
 			logged = now
 			log.Warn("Time for which a target stays cold is invalid; ignoring it.", zap.String("target", string(run.Target)))
 		},
+		OnInvalidEntry: func(run silltarget.Run) {
+			invalidEntries.Inc()
+			log.Warn("Registry entry has an invalid time for which the target stays cold; ignoring it.",
+				zap.String("target", string(run.Target)), zap.Int64("started-at-ms", run.StartedAtMS))
+		},
 		OnWithdrawn: func(err error) {
 			reason := "no-cold-permit"
 			switch {
--- a/internal/silldirectgateway/evacuation.go
+++ b/internal/silldirectgateway/evacuation.go
@@ -51,8 +51,12 @@
 func (v *view) setEvacuated() {
 	began, ended := v.directory.SetEvacuated(time.Now(), slices.Collect(maps.Keys(v.evacuated)))
 	for _, zone := range began {
-		v.log.Warn("Zone is evacuated; sending nothing more to its targets.",
-			zap.String("zone", string(zone)), zap.Int("targets", v.directory.CountInZone(zone)))
+		targets := v.directory.CountInZone(zone)
+		if targets == 0 {
+			v.log.Warn("Evacuated zone has no known targets; check its name.", zap.String("zone", string(zone)))
+			continue
+		}
+		v.log.Warn("Zone is evacuated; sending nothing more to its targets.", zap.String("zone", string(zone)), zap.Int("targets", targets))
 	}
 	for _, zone := range ended {
 		v.log.Warn("Evacuation ended; the zone's targets may be cold.",
--- a/internal/silldirectgateway/evacuation_test.go
+++ b/internal/silldirectgateway/evacuation_test.go
@@ -4,6 +4,10 @@
 	"fmt"
 	"testing"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/wasabisill/wasabisill/internal/silltable"
 )
 
@@ -31,3 +35,20 @@
 	v.resetOperator(nil, 0)
 	v.checkEvacuated(t, "[]")
 }
+
+// TestEvacuationOfAnUnknownZone checks that a zone without targets gets a log line that tells it
+// from others, since its name may be wrong.
+func TestEvacuationOfAnUnknownZone(t *testing.T) {
+	core, logs := observer.New(zapcore.WarnLevel)
+	v := newTestView()
+	v.log, v.adapter.EvacuationPrefix = zap.New(core), "op/evacuate/"
+	v.resetTargets([]silltable.Row{{Key: "targets/t", Value: []byte(`{"Zone":"a"}`), Revision: 1}}, 0)
+	v.resetOperator([]silltable.Row{{Key: "op/evacuate/a"}, {Key: "op/evacuate/b"}}, 0)
+	for _, zone := range []string{"a", "b"} {
+		lines := logs.FilterField(zap.String("zone", zone))
+		unknown := lines.FilterMessageSnippet("no known targets").Len()
+		if lines.Len() != 1 || (unknown == 1) != (zone == "b") {
+			t.Errorf("zone %s has %d lines, %d of them about an unknown zone", zone, lines.Len(), unknown)
+		}
+	}
+}
--- a/internal/silltarget/cold.go
+++ b/internal/silltarget/cold.go
@@ -92,6 +92,8 @@
 	unreachable bool
 	// deniedUntil is the time until which requests of a class get no permit.
 	deniedUntil [sillrate.Classes]time.Time
+	// invalidEntry is whether an entry of the run had a value in a form that is not defined.
+	invalidEntry bool
 	// told is whether ColdChanges last reported the target as cold.
 	told bool
 	// filled holds the times of the latest background requests of this process.
@@ -232,6 +234,17 @@
 	return !t.mayFill(now)
 }
 
+// checkEntry reports the first entry of a run in a form that is not defined.
+func (d *Directory) checkEntry(t *target, e *Entry) {
+	if !e.Cold.Invalid || t.cold.invalidEntry {
+		return
+	}
+	t.cold.invalidEntry = true
+	if d.cfg.Cold.OnInvalidEntry != nil {
+		d.cfg.Cold.OnInvalidEntry(e.Run())
+	}
+}
+
 // SetColdRules replaces the rules of the pools whose targets may be cold.
 func (d *Directory) SetColdRules(rules map[sillid.PoolID]ColdRule) {
 	d.mu.Lock()
@@ -289,6 +302,8 @@
 type ColdHooks struct {
 	// OnInvalid is called for each answer in a form that is not defined.
 	OnInvalid func(run Run)
+	// OnInvalidEntry is called once for each run with an entry in such a form.
+	OnInvalidEntry func(run Run)
 	// OnWithdrawn is called for each request that is not sent to the target that was
 	// picked for it.
 	OnWithdrawn func(err error)
--- a/internal/silltarget/cold_test.go
+++ b/internal/silltarget/cold_test.go
@@ -243,3 +243,31 @@
 		t.Error("no target after the evacuation")
 	}
 }
+
+// TestInvalidEntryIsReportedOnce guards against a log line for each heartbeat of a target with
+// an invalid entry, and against none.
+func TestInvalidEntryIsReportedOnce(t *testing.T) {
+	reported := 0
+	d := NewDirectoryWith(Config{Cold: ColdHooks{OnInvalidEntry: func(Run) { reported++ }}})
+	check := func(want int) {
+		t.Helper()
+		if reported != want {
+			t.Errorf("reported %d times, want %d", reported, want)
+		}
+	}
+	invalid := ColdNotice{Invalid: true}
+	e := coldEntry("t", warm, 1)
+	d.Apply(e)
+	check(0)
+	for revision := range uint64(3) {
+		e.Cold, e.Revision = invalid, revision+2
+		d.Apply(e)
+		check(1)
+	}
+	e.Address = "127.0.0.1:2"
+	d.Apply(e)
+	check(1)
+	e.StartedAt = e.StartedAt.Add(time.Second)
+	d.Apply(e)
+	check(2)
+}
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -106,11 +106,14 @@
 	}
 	t := d.targets[e.ID]
 	if t == nil || !t.entry.StartedAt.Equal(e.StartedAt) || t.entry.Address != e.Address {
+		reported := t != nil && t.entry.Run() == e.Run() && t.cold.invalidEntry
 		t = &target{
 			entry: e, registered: registered, tieBreak: d.tieBreak(e.ID), limit: d.limits[e.Run()],
 			rule: d.rules[e.Pool], evacuated: d.evacuated[e.Zone], region: d.cfg.RegionOf(e.Zone),
 		}
 		t.begin(d.cfg.Now(), d.settled)
+		t.cold.invalidEntry = reported
+		d.checkEntry(t, &e)
 		d.targets[e.ID] = t
 		d.signalChange()
 		return true
@@ -118,6 +121,7 @@
 	e.Versions = newest(t.entry.Versions, e.Versions)
 	changed := t.entry.State != e.State || !maps.Equal(t.entry.Versions, e.Versions) || !t.missingSince.IsZero()
 	t.observeEntry(d.cfg.Now(), &e)
+	d.checkEntry(t, &e)
 	t.entry, t.registered = e, registered
 	t.rule, t.evacuated, t.region = d.rules[e.Pool], d.evacuated[e.Zone], d.cfg.RegionOf(e.Zone)
 	t.missingSince = time.Time{}
