Set the rank of a test's gateway before it starts

TestOwnersAreChosenByHomes replaced TakeoverRank while the runner used it: a data race in the test, found by go test -race. The rank is now a field of the test's cluster, read at the start.

--- a/internal/silljob/help_test.go
+++ b/internal/silljob/help_test.go
@@ -42,6 +42,9 @@
 	catalogRevision silltable.Revision
 	// handover is the HandoverTime of the gateways.
 	handover time.Duration
+	// takeoverRank is the TakeoverRank of the gateways that start; nil stands for rank 0 of all
+	// that are alive.
+	takeoverRank func(Placement) (int, bool)
 
 	mu    sync.Mutex
 	nodes map[GatewayRun]*node
@@ -125,7 +128,7 @@
 	n.runner = NewRunner(RunnerConfig{
 		Self: run, Store: c.store, Board: n.board, Cache: cache, Directory: n.directory, Pool: pool, Codec: codec,
 		Forwarder: forwarder, Catalog: c.catalog, Owner: func(Placement) GatewayRun { return run },
-		TakeoverRank: func(Placement) (int, bool) { return 0, c.isAlive(run) },
+		TakeoverRank: c.rankOf(run),
 		HandoverTime: c.handover, Alive: func(run GatewayRun, _ silltable.Revision) bool { return c.isAlive(run) }, CatalogRevision: c.currentCatalog, Metrics: NewMetrics(nil), Log: zap.NewNop(),
 	})
 	n.reader = &Reader{Store: c.store, Board: n.board, Cache: cache, BoardAge: func() (time.Duration, bool) { return follower.Age(time.Now()) }}
@@ -139,6 +142,14 @@
 	return n
 }
 
+// rankOf returns the TakeoverRank of a gateway.
+func (c *cluster) rankOf(run GatewayRun) func(Placement) (int, bool) {
+	if c.takeoverRank != nil {
+		return c.takeoverRank
+	}
+	return func(Placement) (int, bool) { return 0, c.isAlive(run) }
+}
+
 func (c *cluster) currentCatalog() silltable.Revision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/silljob/homes_test.go
+++ b/internal/silljob/homes_test.go
@@ -108,15 +108,15 @@
 	if err != nil || held.placement() != want {
 		t.Errorf("state %+v, %v", held, err)
 	}
-	b := c.start("b")
 	if p := held.placement(); !p.Allows("home") || !p.Allows("near") || p.Allows("away") || p.Allows("") {
 		t.Errorf("placement %+v", p)
 	}
 	var ranked atomic.Pointer[Placement]
-	b.runner.cfg.TakeoverRank = func(p Placement) (int, bool) {
+	c.takeoverRank = func(p Placement) (int, bool) {
 		ranked.Store(&p)
 		return 0, false
 	}
+	c.start("b")
 	eventually(t, "the rank is asked for", func() bool { return ranked.Load() != nil })
 	if p := ranked.Load(); *p != want {
 		t.Errorf("placement %+v, want %+v", *p, want)
