Delete jobs with homes at home

The holder of the control tasks reads the rows of expired jobs to delete them, bodies included, in whichever region it is.

A job with homes is now deleted by the gateway that would own a new one like it, any other by the holder as before. Rows of submissions that were never accepted tell no homes and are still read by the holder.

TestRetentionByPlacement, TestOneGatewayDeletesAtHome and the deletion in TestBodiesAreKeptInRegion fail without the changes and pass with them.

--- a/internal/silldirectgateway/controltasks.go
+++ b/internal/silldirectgateway/controltasks.go
@@ -93,7 +93,7 @@
 		Order: c.sendOrder, Report: c.adapter.FetchReport, OnNotice: c.view.observeNotice, Now: sillclock.Boot, Log: c.log,
 	})
 	group.Go(func(ctx context.Context) { controller.Run(ctx, guard) })
-	retention := &silljob.Retention{Store: c.store, Board: c.view.board, Period: c.settings.JobRetention, Log: c.log}
+	retention := &silljob.Retention{Store: c.store, Board: c.view.board, Period: c.settings.JobRetention, Log: c.log, Deletes: hasNoHomes}
 	group.Go(retention.Run)
 	if c.settings.ReportsUsage {
 		reporter := sillmeter.NewReporter(sillmeter.ReporterConfig{
--- a/internal/silldirectgateway/homes.go
+++ b/internal/silldirectgateway/homes.go
@@ -69,3 +69,18 @@
 
 // maxUnknownRegions bounds the regions in one log line.
 const maxUnknownRegions = 16
+
+func hasNoHomes(p silljob.Placement) bool { return !p.Homes.Restricted() }
+
+// deletesAtHome returns whether this process deletes a job with homes: the gateway that would
+// own a new one like it.
+func (m *membership) deletesAtHome(p silljob.Placement) bool {
+	rank, live := m.rank(p)
+	return !hasNoHomes(p) && live && rank == 0
+}
+
+// newHomeRetention returns what deletes the expired jobs with homes, whose bodies the holder of
+// the control tasks may not read.
+func newHomeRetention(s *Settings, st *silljob.Store, v *view, m *membership, log *zap.Logger) *silljob.Retention {
+	return &silljob.Retention{Store: st, Board: v.board, Period: s.JobRetention, Deletes: m.deletesAtHome, OrphansLeft: true, Log: log.Named("retention")}
+}
--- a/internal/silldirectgateway/homes_test.go
+++ b/internal/silldirectgateway/homes_test.go
@@ -110,3 +110,27 @@
 		t.Errorf("%d lines about an unknown region, want 1", n)
 	}
 }
+
+// TestOneGatewayDeletesAtHome guards against jobs with homes that nobody deletes, or that a
+// gateway deletes, and so reads, in another region.
+func TestOneGatewayDeletesAtHome(t *testing.T) {
+	m := regionsMembership(t)
+	for model := range 20 {
+		p := silljob.Placement{Model: sillid.ModelID(fmt.Sprint(model)), Homes: sillhome.New([]sillid.RegionID{"home"})}
+		deleters := make(map[sillid.ZoneID]int)
+		for _, zone := range []sillid.ZoneID{"h1", "h2", "f", "x"} {
+			for i := range 2 {
+				m.settings.Instance = sillid.InstanceID(fmt.Sprintf("%s-%d", zone, i))
+				if m.deletesAtHome(p) {
+					deleters[zone]++
+				}
+				if m.deletesAtHome(silljob.Placement{Model: p.Model}) {
+					t.Error("a job without homes is not left to the holder of the control tasks")
+				}
+			}
+		}
+		if deleters["h1"]+deleters["h2"] != 1 || len(deleters) != 1 {
+			t.Errorf("gateways that delete, by zone: %v, want one at home", deleters)
+		}
+	}
+}
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -74,6 +74,7 @@
 	committer    *sillgroupcommit.Committer
 	followers    *followers
 	controlTasks *controlTasks
+	retention    *silljob.Retention
 	registry     *prometheus.Registry
 	stopping     atomic.Bool
 	stopTime     *stopTime
@@ -93,11 +94,11 @@
 		fx.Supply(settings, adapter, log),
 		fx.Provide(
 			newRegistry, newCrashEvidence, newDirectory, newLeavingTargets, newTargetLimits, newMembership, newBroker, newColdLog, newRelay, newTables, newCommitter, newView, newMeter, newFollowers,
-			newForwarder, silljob.NewCache, newJobMetrics, newStore, newReader, newRunnerParts, newRunner, newControlTasks,
+			newForwarder, silljob.NewCache, newJobMetrics, newStore, newReader, newRunnerParts, newRunner, newHomeRetention, newControlTasks,
 		),
 		fx.Populate(
 			&s.registry, &s.evidence, &s.leaving, &s.limits, &s.broker, &s.coldLog, &s.members, &s.relay, &s.tables, &s.committer, &s.view, &s.meter, &s.followers,
-			&s.Forwarder, &s.cache, &s.Reader, &s.Runner, &s.controlTasks,
+			&s.Forwarder, &s.cache, &s.Reader, &s.Runner, &s.retention, &s.controlTasks,
 		),
 		fx.Invoke(func(lc fx.Lifecycle) { lc.Append(fx.Hook{OnStart: s.start, OnStop: s.stop}) }),
 	)
@@ -165,6 +166,7 @@
 	s.work.Go(func(ctx context.Context) { s.members.renew(ctx, s.tables.store) })
 	s.work.Go(s.Runner.Run)
 	s.work.Go(s.controlTasks.run)
+	s.work.Go(s.retention.Run)
 	s.servers.serve(s.background)
 	s.Log.Info("Started.", zap.String("instance", string(s.settings.Instance)), zap.String("run", string(s.members.run)),
 		zap.String("callers", s.Addresses.Callers), zap.String("zone", string(s.settings.Zone)))
--- a/internal/silljob/homes_test.go
+++ b/internal/silljob/homes_test.go
@@ -124,7 +124,8 @@
 }
 
 // TestBodiesAreKeptInRegion guards against bodies of a job with homes that gateways of other
-// regions pass on, when it is accepted, loaded and read.
+// regions pass on, when it is accepted,
+// loaded, read and deleted.
 func TestBodiesAreKeptInRegion(t *testing.T) {
 	for name, homes := range map[string]sillhome.Homes{"no homes": "", "homes": home} {
 		t.Run(name, func(t *testing.T) {
@@ -167,8 +168,17 @@
 			if _, err := b.reader.Body(t.Context(), "job", "org", sub.Items[1].ID); err != nil && !errors.Is(err, ErrNoItem) {
 				t.Fatal(err)
 			}
-			if written == 0 || loaded <= written || kept.Load()+free.Load() <= loaded {
-				t.Errorf("%d calls with bodies at the acceptance, %d with the load, %d with the read", written, loaded, kept.Load()+free.Load())
+			read := kept.Load() + free.Load()
+			held, err := c.store.End(t.Context(), "job", "org")
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := newRetention(c.store)
+			r.Board.UpdateIfNewer("job", held)
+			r.deleteExpired(t.Context(), time.Now().Add(time.Hour))
+			deleted := kept.Load() + free.Load()
+			if written == 0 || loaded <= written || read <= loaded || deleted <= read {
+				t.Errorf("%d calls with bodies at the acceptance, %d with the load, %d with the read, %d with the deletion", written, loaded, read, deleted)
 			}
 			if wrong := map[bool]int32{true: free.Load(), false: kept.Load()}[homes.Restricted()]; wrong > 0 {
 				t.Errorf("%d calls with bodies kept in the region, %d not", kept.Load(), free.Load())
--- a/internal/silljob/retain.go
+++ b/internal/silljob/retain.go
@@ -29,13 +29,18 @@
 	orphanSearchInterval = 30 * time.Second
 )
 
-// Retention deletes the rows of expired jobs. One process at a time runs it.
+// Retention deletes the rows of expired jobs, which it reads with their bodies. One process at
+// a time deletes a job.
 type Retention struct {
 	Store *Store
 	Board *Board
 	// Period is how long an ended job stays readable after its submission.
 	Period time.Duration
-	Log    *zap.Logger
+	// Deletes returns whether this process deletes a job; nil deletes all.
+	Deletes func(p Placement) bool
+	// OrphansLeft is whether rows of submissions that were never accepted are left to others.
+	OrphansLeft bool
+	Log         *zap.Logger
 
 	// orphans holds since when each job is known to have rows but no state row.
 	orphans map[ID]time.Time
@@ -47,7 +52,7 @@
 func (r *Retention) Run(ctx context.Context) {
 	sillgroup.Every(ctx, retentionInterval, func(now time.Time) {
 		r.deleteExpired(ctx, now)
-		if now.Sub(r.searchedAt) >= orphanSearchInterval {
+		if !r.OrphansLeft && now.Sub(r.searchedAt) >= orphanSearchInterval {
 			r.searchedAt = now
 			r.deleteOrphans(ctx, now)
 		}
@@ -56,8 +61,11 @@
 
 // deleteExpired deletes expired jobs. One that can't be deleted keeps no other from that.
 func (r *Retention) deleteExpired(ctx context.Context, now time.Time) {
-	for _, job := range r.Board.expired(now, r.Period+clockSkewMargin, completeJobRetention) {
-		err := r.deleteJob(ctx, job)
+	for job, placement := range r.Board.expired(now, r.Period+clockSkewMargin, completeJobRetention) {
+		if r.Deletes != nil && !r.Deletes(placement) {
+			continue
+		}
+		err := r.deleteJob(keepBodies(ctx, placement.Homes), job)
 		r.Log.Info("Deleting an expired job.", zap.String("job", string(job)), silllog.Err(err))
 		if ctx.Err() != nil {
 			return
@@ -103,14 +111,14 @@
 
 // expired returns the jobs whose rows may be deleted: ended jobs submitted longer
 // than endedAge ago, and complete jobs submitted longer than completeAge ago.
-func (b *Board) expired(now time.Time, endedAge, completeAge time.Duration) []ID {
+func (b *Board) expired(now time.Time, endedAge, completeAge time.Duration) map[ID]Placement {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var jobs []ID
+	jobs := make(map[ID]Placement)
 	for job, v := range b.states {
 		age := now.Sub(time.UnixMilli(v.SubmittedMS))
 		if (v.Ended && age > endedAge) || (v.Done() && age > completeAge) {
-			jobs = append(jobs, job)
+			jobs[job] = v.placement()
 		}
 	}
 	return jobs
--- a/internal/silljob/retain_test.go
+++ b/internal/silljob/retain_test.go
@@ -56,3 +56,30 @@
 		}
 	}
 }
+
+// TestRetentionByPlacement guards against a process that deletes, and so reads, a job whose
+// bodies it may not have.
+func TestRetentionByPlacement(t *testing.T) {
+	s, _ := newStore()
+	r := newRetention(s)
+	r.Deletes = func(p Placement) bool { return !p.Homes.Restricted() }
+	for _, job := range []ID{"free", "home"} {
+		sub := submission(job, 1)
+		if job == "home" {
+			sub.Homes = home
+		}
+		mustAccept(t, s, sub, "a")
+		held, err := s.End(t.Context(), job, "org")
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Board.UpdateIfNewer(job, held)
+	}
+	r.deleteExpired(t.Context(), time.Now().Add(time.Hour))
+	if _, err := s.State(t.Context(), "free"); !errors.Is(err, ErrNoJob) {
+		t.Errorf("a job without homes: %v", err)
+	}
+	if _, err := s.State(t.Context(), "home"); err != nil {
+		t.Errorf("a job with homes: %v", err)
+	}
+}
