--- a/internal/silldirectgateway/explain.go
+++ b/internal/silldirectgateway/explain.go
@@ -12,6 +12,8 @@
 	"github.com/wasabisill/wasabisill/internal/sillclock"
 	"github.com/wasabisill/wasabisill/internal/sillexplanation"
 	"github.com/wasabisill/wasabisill/internal/sillforwarder"
+	"github.com/wasabisill/wasabisill/internal/sillhome"
+	"github.com/wasabisill/wasabisill/internal/silljob"
 	"github.com/wasabisill/wasabisill/internal/sillrate"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/internal/sillwatch"
@@ -94,9 +96,10 @@
 		Ages: s.ages(),
 	}
 	if route.Kind == sillcatalog.Jobs {
-		a.Owner = string(s.members.owner(q.Model))
+		homes := c.Homes(organisation, route)
+		a.Owner = string(s.members.owner(silljob.Placement{Model: q.Model, Homes: homes, AcceptedIn: s.settings.Region}))
 		a.OwnedHere = a.Owner == string(s.members.run)
-		a.Pools = []sillexplanation.Pool{s.explainItem(now, route.PickPool(0), q)}
+		a.Pools = []sillexplanation.Pool{s.explainItem(now, route.PickPool(0), homes, q)}
 		return a
 	}
 	total := 0.0
@@ -107,7 +110,7 @@
 		if share.Weight <= 0 && len(route.Shares) > 1 {
 			continue
 		}
-		p := s.explainRequest(now, route, share.Pool, organisation, q)
+		p := s.explainRequest(now, c, route, share.Pool, organisation, q)
 		if total > 0 {
 			p.Share = share.Weight / total
 		}
@@ -117,7 +120,7 @@
 }
 
 // explainRequest returns what would become of a caller's request in one of its pools.
-func (s *Service) explainRequest(now time.Time, route *sillcatalog.Route, pool sillid.PoolID, organisation sillid.OrganisationID, q *sillexplanation.Question) sillexplanation.Pool {
+func (s *Service) explainRequest(now time.Time, c *sillcatalog.Catalog, route *sillcatalog.Route, pool sillid.PoolID, organisation sillid.OrganisationID, q *sillexplanation.Question) sillexplanation.Pool {
 	timeLimit := route.Timeout
 	for _, limit := range []time.Duration{s.adapter.MaxRequestTime, q.Deadline()} {
 		if limit > 0 {
@@ -125,7 +128,8 @@
 		}
 	}
 	d := s.Forwarder.Explain(now, &sillforwarder.Request{
-		Route: route, Pool: pool, Organisation: organisation, Arrived: now, Deadline: now.Add(timeLimit),
+		Route: route, Pool: pool, Organisation: organisation, Priority: c.Priority(organisation, route), Homes: c.Homes(organisation, route),
+		Arrived: now, Deadline: now.Add(timeLimit),
 	})
 	p := sillexplanation.Pool{
 		Pool: pool, Share: 1, Action: sillexplanation.Action(d.Action), Target: d.Target, MaxWaitMS: d.MaxWait.Milliseconds(),
@@ -139,9 +143,9 @@
 
 // explainItem returns what would become of a job's item that its owner would send now. Items
 // wait for a free slot.
-func (s *Service) explainItem(now time.Time, pool sillid.PoolID, q *sillexplanation.Question) sillexplanation.Pool {
+func (s *Service) explainItem(now time.Time, pool sillid.PoolID, homes sillhome.Homes, q *sillexplanation.Question) sillexplanation.Pool {
 	candidates := s.view.directory.Explain(now, silltarget.Query{
-		Pool: pool, Zone: s.settings.Zone, Model: q.Model, MinVersion: q.MinVersion, FreeOnly: true, Class: sillrate.Background,
+		Pool: pool, Homes: homes, Zone: s.settings.Zone, Model: q.Model, MinVersion: q.MinVersion, FreeOnly: true, Class: sillrate.Background,
 	})
 	p := sillexplanation.Pool{Pool: pool, Share: 1, Action: sillexplanation.Wait, Candidates: describeCandidates(candidates, q.Tokens)}
 	if len(candidates) > 0 && candidates[0].Exclusion == silltarget.NotExcluded {
--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -35,7 +35,10 @@
 	// poolLoads returns the running requests of this process in the autoscaled pools.
 	// It is set before renew is called.
 	poolLoads func() []sillcluster.PoolLoad
-	renewals  atomic.Uint64
+	// membersAge returns the age of the view of the gateways, and false before its first read.
+	// It is set before renew is called; nil stands for an unknown age.
+	membersAge func() (time.Duration, bool)
+	renewals   atomic.Uint64
 	// committer writes the process's row. It is set before renew is called; nil writes
 	// directly.
 	committer *sillgroupcommit.Committer
@@ -75,17 +78,17 @@
 	}
 }
 
-// owner returns the process that runs new jobs of a model. All jobs of a model have
-// the same owner, so that its connections, caches and queue are in one process.
-func (m *membership) owner(model sillid.ModelID) silljob.GatewayRun {
-	if first, ok := m.members.First(sillclock.Boot(), string(model)); ok {
+// owner returns the process that runs a new job. All jobs of a model that the same gateways
+// may own have the same owner, so that its connections, caches and queue are in one process.
+func (m *membership) owner(p silljob.Placement) silljob.GatewayRun {
+	if first, ok := m.members.FirstAmong(sillclock.Boot(), string(p.Model), m.mayOwn(p)); ok {
 		return silljob.GatewayRun(first.Run)
 	}
 	return silljob.GatewayRun(m.run)
 }
 
-func (m *membership) rank(model sillid.ModelID) (int, bool) {
-	return m.members.Rank(sillclock.Boot(), string(model), m.settings.Instance)
+func (m *membership) rank(p silljob.Placement) (int, bool) {
+	return m.members.RankAmong(sillclock.Boot(), string(p.Model), m.settings.Instance, m.mayOwn(p))
 }
 
 // taskRank returns the rank of this process among the candidates for the lease of
--- a/internal/sillforwarder/explain.go
+++ b/internal/sillforwarder/explain.go
@@ -11,7 +11,7 @@
 // query selects the targets for the next attempt of a request.
 func (f *Forwarder) query(now time.Time, req *Request, tried map[sillid.TargetID]bool, p progress) silltarget.Query {
 	return silltarget.Query{
-		Pool: req.Pool, Zone: f.cfg.Zone, Exclude: tried, MaxResponseTime: maxResponseTime(req, p, now), Class: req.class(),
+		Pool: req.Pool, Homes: req.Homes, Zone: f.cfg.Zone, Exclude: tried, MaxResponseTime: maxResponseTime(req, p, now), Class: req.class(),
 		Batched: req.Route.Kind == sillcatalog.Stream,
 	}
 }
@@ -79,7 +79,7 @@
 	if limited && until.Before(p.limitDeadline()) && until.After(end) {
 		end = until
 	}
-	if p.cfg.Directory.AllLeaving(p.request.Pool) || (limited && until.After(end)) {
+	if p.cfg.Directory.AllLeaving(p.request.Pool, p.request.Homes) || (limited && until.After(end)) {
 		return end, false
 	}
 	return end, true
--- a/internal/sillforwarder/pick.go
+++ b/internal/sillforwarder/pick.go
@@ -90,7 +90,7 @@
 		}
 		now := time.Now()
 		left := p.request.Deadline.Sub(now) - minRemaining
-		if left <= 0 || d.AllLeaving(p.request.Pool) || !d.AnyEligible(now, p.query) {
+		if left <= 0 || d.AllLeaving(p.request.Pool, p.request.Homes) || !d.AnyEligible(now, p.query) {
 			return silltarget.Grant{}, false
 		}
 		if !awaitChange(ctx, nil, now.Add(min(left, backgroundPoll))) {
--- a/internal/sillrelay/peers.go
+++ b/internal/sillrelay/peers.go
@@ -22,7 +22,7 @@
 		return wireResult{}, eris.Wrap(err, "sillrelay.callPeers")
 	}
 	failure := silltable.ErrUnavailable
-	for _, address := range choosePeers(r.cfg.Peers()) {
+	for _, address := range choosePeers(r.peersFor(ctx)) {
 		a, err := r.callPeer(ctx, address, c, body)
 		r.count("peer", err)
 		if !errors.Is(err, silltable.ErrUnavailable) {
@@ -33,6 +33,17 @@
 	return wireResult{}, failure
 }
 
+// peersFor returns the peers that may pass on a call.
+func (r *Relay) peersFor(ctx context.Context) []string {
+	switch {
+	case !silltable.IsKeptInRegion(ctx):
+		return r.cfg.Peers()
+	case r.cfg.RegionPeers == nil:
+		return nil
+	}
+	return r.cfg.RegionPeers()
+}
+
 // maxPeersPerCall is the number of peers that one call is tried with.
 const maxPeersPerCall = 2
 
--- a/internal/sillrelay/relay.go
+++ b/internal/sillrelay/relay.go
@@ -38,6 +38,9 @@
 	Pool *silltransport.Pool
 	// Peers returns the addresses of other gateways in order of preference.
 	Peers func() []string
+	// RegionPeers returns those of Peers that are in the region of this process. They pass on
+	// calls that may not leave it; if nil, nobody does.
+	RegionPeers func() []string
 	// ProbeKey is the key of the row that a probe reads.
 	ProbeKey string
 	// Registerer registers the metrics; nil leaves them unregistered.
--- a/internal/silltarget/exclusion.go
+++ b/internal/silltarget/exclusion.go
@@ -11,6 +11,8 @@
 	NotExcluded Exclusion = ""
 	// OtherPool is for targets of other pools.
 	OtherPool Exclusion = "other-pool"
+	// AwayFromHome is for targets outside the home regions of the requests.
+	AwayFromHome Exclusion = "away-from-home"
 	// NotReady is for targets that drain or leave.
 	NotReady Exclusion = "draining"
 	// InEvacuation is for targets of evacuated availability zones.
@@ -53,6 +55,8 @@
 	switch {
 	case e.Pool != q.Pool:
 		return OtherPool
+	case !q.Homes.Allows(t.region):
+		return AwayFromHome
 	case e.State != Ready:
 		return NotReady
 	case t.evacuated:
