Learn how much the requests of a batch delay each other

The cost of a target for batched requests was its utilisation times the work, as if twice as many requests took twice as long. Engines that run 8 requests only 5 to 8 % slower than one therefore got few requests if they were fast, and long items went to engines of medium speed.

Each gateway now estimates for each pool by how much a further request delays the others: the slope of the time for a unit of work over the number of requests at the same target, without times in reported slowdowns, bounded to 0.01 to 1, with a half-life of 5 minutes. Until it has seen enough, the cost is as before. The cost then has a part for the requests beside, which count twice since they are delayed as well, and one for the queue that is expected there: the number of requests of others is uncertain, and decays to the usual one as the report gets old. Long requests accept a queue rather than a slow target.

TestPlacement gets cases with engines that slow down by 1 % for each further request (load 0.4, 0.7, 0.9).

--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -33,8 +33,10 @@
 	settled bool
 	// evacuated holds the availability zones whose targets get no requests.
 	evacuated map[sillid.ZoneID]bool
-	cfg       Config
-	random    *rand.Rand
+	// batches holds what is known of how much the requests at a target of a pool delay each other.
+	batches map[sillid.PoolID]*batchRecord
+	cfg     Config
+	random  *rand.Rand
 }
 
 // Config holds the settings of a Directory. The zero Config is valid.
@@ -68,7 +70,7 @@
 	}
 	return &Directory{
 		targets: make(map[sillid.TargetID]*target), changed: make(chan struct{}),
-		leaving: make(map[Run]time.Time), limits: make(map[Run]*limitState), cfg: cfg,
+		leaving: make(map[Run]time.Time), limits: make(map[Run]*limitState), batches: make(map[sillid.PoolID]*batchRecord), cfg: cfg,
 		random: rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 }
@@ -264,6 +266,7 @@
 		// The reported load still includes the request that this response is for,
 		// and so does t.running.
 		t.otherLoad = max(0, load.Running+load.Waiting-t.running)
+		t.usualOthers += usualOthersWeight * (float64(t.otherLoad) - t.usualOthers)
 		t.loadReportedAt = now
 		t.sentSinceReport = 0
 		if load.Duration > 0 {
@@ -275,6 +278,7 @@
 	}
 	if unitLatency > 0 {
 		t.progressAt = now
+		d.observeBatch(now, t, unitLatency)
 		t.speed.observe(now, time.Duration(float64(unitLatency)/max(1, g.utilisation)))
 		t.unitLatency = average(t.unitLatency, unitLatency)
 		t.serviceTime = average(t.serviceTime, time.Duration(float64(unitLatency)/max(1, g.utilisation)))
--- a/internal/silltarget/pick.go
+++ b/internal/silltarget/pick.go
@@ -112,7 +112,7 @@
 		}
 		c := candidate{target: t, misses: t.misses(now, &q, meanUsual)}
 		if reports {
-			c.cost = d.distanceFactor(&q, t) * t.finishCost(now, &q, meanUsual)
+			c.cost = d.distanceFactor(&q, t) * d.finishCost(now, &q, t, meanUsual)
 			list = append(list, c)
 		} else {
 			c.cost = d.cost(now, &q, meanLatency, t)
@@ -123,6 +123,7 @@
 	}
 	if len(list) > 1 {
 		best = sample(d.random, &q, &best, list)
+		d.recordWork(&q)
 	}
 	return d.grant(now, &q, &best)
 }
--- a/internal/silltarget/placement.go
+++ b/internal/silltarget/placement.go
@@ -111,8 +111,11 @@
 
 // finishCost returns the expected time until a request is finished at a target, in seconds.
 // meanUsual replaces an unknown usual time.
-func (t *target) finishCost(now time.Time, q *Query, meanUsual time.Duration) float64 {
+func (d *Directory) finishCost(now time.Time, q *Query, t *target, meanUsual time.Duration) float64 {
 	usual := t.speed.usual
+	if q.Batched {
+		usual = d.aloneTime(t)
+	}
 	if usual == 0 {
 		usual = meanUsual
 	}
@@ -123,13 +126,16 @@
 	if q.WorkTime > 0 && meanUsual > 0 {
 		work = time.Duration(float64(q.WorkTime) * usual.Seconds() / meanUsual.Seconds())
 	}
-	return t.speed.workTime(now, work).Seconds() * loadFactor(t.utilisation(now, 1), q.Batched)
+	if q.Batched {
+		return d.batchCost(now, q, t, t.speed.workTime(now, work))
+	}
+	return t.speed.workTime(now, work).Seconds() * loadFactor(t.utilisation(now, 1))
 }
 
-// loadFactor returns the factor by which a utilisation, with the request counted, delays it.
-// Batched requests slow each other down.
-func loadFactor(utilisation float64, batched bool) float64 {
-	if utilisation >= 1 || batched {
+// loadFactor returns the factor by which a utilisation, with the request counted, delays a request
+// that is not batched.
+func loadFactor(utilisation float64) float64 {
+	if utilisation >= 1 {
 		return utilisation
 	}
 	return idleCost + (1-idleCost)*utilisation
--- a/internal/silltarget/placement_test.go
+++ b/internal/silltarget/placement_test.go
@@ -20,6 +20,8 @@
 	slowdownEvery     = 4 * time.Second
 	// placementEvents is the number of events of a generation.
 	placementEvents = 17
+	// longShare is the least work of a long request as a multiple of the mean.
+	longShare = 1.4
 )
 
 var placementSpeeds = []float64{0.6, 1, 1.6}
@@ -36,11 +38,15 @@
 	objective time.Duration
 	length    time.Duration
 	equal     bool
+	// estimated is whether gateways know how long a request takes, within a fifth.
+	estimated bool
 }
 
 var (
 	scorerLoad = workload{targets: 14, slots: 6, workTime: 80 * time.Millisecond, objective: 200 * time.Millisecond, length: 20 * time.Second}
-	engineLoad = workload{targets: 41, slots: 8, workTime: 2 * time.Second, batching: 0.1, objective: 5 * time.Second, length: 60 * time.Second}
+	// lightEngineLoad has engines whose requests hardly slow each other down.
+	lightEngineLoad = workload{targets: 41, slots: 8, workTime: 2 * time.Second, batching: 0.01, objective: 5 * time.Second, length: 60 * time.Second, estimated: true}
+	engineLoad      = workload{targets: 41, slots: 8, workTime: 2 * time.Second, batching: 0.1, objective: 5 * time.Second, length: 60 * time.Second}
 )
 
 // placement is a way to pick a target.
@@ -90,6 +96,10 @@
 	pending   []*placedRequest
 	next      []int
 	took      []time.Duration
+	// tookLong holds the times of the long requests.
+	tookLong []time.Duration
+	// sent counts the requests, and queued those that found their target full.
+	sent, queued int
 }
 
 func newPlacementSimulation(w workload, p placement, seed uint64) *placementSimulation {
@@ -135,6 +145,7 @@
 		}
 	}
 	slices.Sort(s.took)
+	slices.Sort(s.tookLong)
 	return s.took
 }
 
@@ -150,13 +161,17 @@
 func (s *placementSimulation) dispatch() {
 	var left []*placedRequest
 	for _, r := range s.pending {
-		g, ok := s.pick(r.gateway)
+		g, ok := s.pick(r)
 		if !ok {
 			left = append(left, r)
 			continue
 		}
 		r.grant = g
 		t := s.targets[g.ID]
+		s.sent++
+		if len(t.running)+len(t.waiting) >= s.slots {
+			s.queued++
+		}
 		t.waiting = append(t.waiting, r)
 	}
 	s.pending = left
@@ -164,7 +179,8 @@
 
 func (s *placementSimulation) now() time.Time { return start.Add(s.elapsed) }
 
-func (s *placementSimulation) pick(d *Directory) (Grant, bool) {
+func (s *placementSimulation) pick(r *placedRequest) (Grant, bool) {
+	d := r.gateway
 	switch s.placement {
 	case byRoundRobin:
 		i := slices.Index(s.gateways, d)
@@ -186,7 +202,11 @@
 		return d.grant(s.now(), &Query{}, &candidate{target: best})
 	case byFinish, byEarlierCost:
 	}
-	return d.Pick(s.now(), Query{Pool: "p", FreeOnly: true, Batched: s.batching > 0})
+	q := Query{Pool: "p", FreeOnly: true, Batched: s.batching > 0}
+	if s.estimated {
+		q.WorkTime = time.Duration(r.left * (0.8 + 0.4*s.random.Float64()) * float64(time.Second))
+	}
+	return d.Pick(s.now(), q)
 }
 
 // step plays one step of time at a target.
@@ -223,6 +243,9 @@
 		}
 		r.gateway.Release(now, r.grant, Answered)
 		s.took = append(s.took, s.elapsed-r.arrived)
+		if r.eventWork*placementEvents >= longShare*s.workTime.Seconds() {
+			s.tookLong = append(s.tookLong, s.elapsed-r.arrived)
+		}
 	}
 	t.running = left
 }
@@ -248,26 +271,36 @@
 	mean, p50, p95, p99 time.Duration
 	// inTime is the share of the requests within the objective.
 	inTime float64
+	// long is the mean of the long requests, and queued the share of all that found their target full.
+	long   time.Duration
+	queued float64
 }
 
 func figuresOf(w workload, p placement) placementFigures {
-	took := newPlacementSimulation(w, p, 1).play()
-	sum, inTime := time.Duration(0), 0
+	s := newPlacementSimulation(w, p, 1)
+	took := s.play()
+	sum, long, inTime := time.Duration(0), time.Duration(0), 0
 	for _, d := range took {
 		sum += d
 		if d <= w.objective {
 			inTime++
 		}
 	}
+	for _, d := range s.tookLong {
+		long += d
+	}
 	at := func(share float64) time.Duration { return took[int(share*float64(len(took)-1))] }
-	return placementFigures{mean: sum / time.Duration(len(took)), p50: at(0.5), p95: at(0.95), p99: at(0.99), inTime: float64(inTime) / float64(len(took))}
+	return placementFigures{
+		mean: sum / time.Duration(len(took)), p50: at(0.5), p95: at(0.95), p99: at(0.99), inTime: float64(inTime) / float64(len(took)),
+		long: long / time.Duration(len(s.tookLong)), queued: float64(s.queued) / float64(s.sent),
+	}
 }
 
 // TestPlacement compares what callers get with the ways to pick a target, at a service and at
 // engines: by finish time, fewer requests must miss the objective than by round robin and least
 // requests, and no more than by the earlier cost, which drops the reported durations.
 func TestPlacement(t *testing.T) {
-	for name, base := range map[string]workload{"service": scorerLoad, "engines": engineLoad} {
+	for name, base := range map[string]workload{"service": scorerLoad, "engines": engineLoad, "light engines": lightEngineLoad} {
 		for _, share := range []float64{0.4, 0.7, 0.9} {
 			t.Run(fmt.Sprintf("%s at %v", name, share), func(t *testing.T) {
 				w := base
@@ -276,7 +309,7 @@
 				for _, p := range []placement{byFinish, byEarlierCost, byRoundRobin, byLeastRequests} {
 					f := figuresOf(w, p)
 					figures[p] = f
-					t.Logf("%-14v mean %v p50 %v p95 %v p99 %v in time %.3f", p, f.mean, f.p50, f.p95, f.p99, f.inTime)
+					t.Logf("%-14v mean %v p50 %v p95 %v p99 %v long %v in time %.3f queued %.3f", p, f.mean, f.p50, f.p95, f.p99, f.long, f.inTime, f.queued)
 				}
 				for _, p := range []placement{byRoundRobin, byLeastRequests} {
 					if figures[byFinish].inTime < figures[p].inTime {
@@ -286,11 +319,31 @@
 				if figures[byFinish].inTime < figures[byEarlierCost].inTime-placementNoise {
 					t.Errorf("%.3f in time, fewer than %.3f by the earlier cost", figures[byFinish].inTime, figures[byEarlierCost].inTime)
 				}
+				if w.batching == lightEngineLoad.batching {
+					checkLongRequests(t, figures[byFinish], figures[byEarlierCost], longTimes[share])
+				}
 			})
 		}
 	}
 }
 
+// longTimes holds the greatest time of long requests by load, as a share of that by the earlier
+// cost, at engines that slow down by little. At a low load, gateways learn for most of the simulation.
+var longTimes = map[float64]float64{0.4: 0.98, 0.7: 0.88, 0.9: 0.8}
+
+// maxMoreQueued is by how much the share of requests that find their target full may grow.
+const maxMoreQueued = 0.06
+
+func checkLongRequests(t *testing.T, got, earlier placementFigures, maxShare float64) {
+	t.Helper()
+	if share := got.long.Seconds() / earlier.long.Seconds(); share > maxShare {
+		t.Errorf("long requests take %v, %.3f of the %v by the earlier cost; want at most %v", got.long, share, earlier.long, maxShare)
+	}
+	if got.queued > earlier.queued+maxMoreQueued {
+		t.Errorf("%.3f of the requests find their target full, %.3f by the earlier cost", got.queued, earlier.queued)
+	}
+}
+
 // placementNoise is the difference in the share in time between two runs of a simulation that
 // differ only in their random numbers.
 const placementNoise = 0.02
--- a/internal/silltarget/target.go
+++ b/internal/silltarget/target.go
@@ -122,6 +122,8 @@
 	// of its last load report.
 	otherLoad      int
 	loadReportedAt time.Time
+	// usualOthers is the moving average of otherLoad over the reports.
+	usualOthers float64
 	// sentSinceReport counts this process's attempts since then.
 	sentSinceReport int
 	// unitLatency is the moving average of the time that the target takes for
@@ -145,6 +147,7 @@
 	// errors is what is known of the errors that the target responds with.
 	errors errorRecord
 	speed  speedRecord
+	batch  batchAverages
 }
 
 // load returns the number of requests at the target, as far as known.
