Move items by the time that it saves

An item left an engine only if that was 1.6 times slower than the mean of its pool, which an engine of speed 0.6 beside engines of 1 and 1.6 is not. Items were also placed at slow engines that they left at once for a faster one.

In pools whose targets report how long work takes, the expected time left at the target is now compared with that at the fastest other target that would take the item and probably has a free slot. The move must save 0.4 s more than it costs, which is the average time to the first event of an attempt, and a fifth of the time. A target that an item would leave by this rule is picked last. Other pools keep the comparison with the mean.

TestShortSlowdownsMoveNothing checks the same bounds with FindMove.

--- a/internal/silljob/attempt.go
+++ b/internal/silljob/attempt.go
@@ -233,7 +233,9 @@
 		if !r.acceptEvent(it, e, version) {
 			return incomplete, silltarget.Answered, errors.New("event does not continue the generation")
 		}
-		if !last.IsZero() {
+		if last.IsZero() {
+			r.recordFirstEvent(now.Sub(watch.begunAt))
+		} else {
 			r.cfg.Directory.Observe(now, g, nil, now.Sub(last))
 		}
 		last = now
--- a/internal/silljob/dispatch.go
+++ b/internal/silljob/dispatch.go
@@ -102,7 +102,7 @@
 		Pool: required.pool, Zone: r.cfg.Zone, Model: required.model, MinVersion: required.min, ExactVersion: required.exact,
 		Cached: it.job.groupTarget[it.item.Group], CachedSaving: sharedPromptSaving,
 		Exclude: it.avoid, FreeOnly: true, PreferNewest: it.job.sub.SingleVersion,
-		Class: sillrate.Background, Fills: true, Batched: true,
+		Class: sillrate.Background, Fills: true, Batched: true, MovingCost: r.movingCost(),
 	}
 	q.WorkTime, q.DueIn = r.workTime(now, it)
 	if len(q.Exclude) > 0 && !r.cfg.Directory.AnyEligible(now, q) {
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -67,6 +67,9 @@
 	// attemptTime is the moving average of the time that a complete attempt takes at an
 	// engine; 0 if unknown.
 	attemptTime time.Duration
+	// firstEventTime is the moving average of the time to the first event of an attempt; 0 if
+	// unknown.
+	firstEventTime time.Duration
 	// shortages are the decisions on the pools of owned jobs.
 	shortages map[sillid.PoolID]*shortage
 	// stopping is set once the process releases its jobs.
--- a/internal/silljob/stall.go
+++ b/internal/silljob/stall.go
@@ -36,6 +36,8 @@
 	item   *itemRun
 	target sillid.TargetID
 	cancel func()
+	// begunAt is when the attempt began.
+	begunAt time.Time
 
 	mu sync.Mutex
 	// lastEvent is when the last event arrived, or when the attempt began. maxWait is
@@ -48,7 +50,8 @@
 
 // watchStall starts to watch an attempt. The caller calls stop at its end.
 func (r *Runner) watchStall(it *itemRun, target sillid.TargetID, cancel func()) *stallWatch {
-	w := &stallWatch{runner: r, item: it, target: target, cancel: cancel, lastEvent: time.Now(), maxWait: maxFirstEventWait}
+	now := time.Now()
+	w := &stallWatch{runner: r, item: it, target: target, cancel: cancel, begunAt: now, lastEvent: now, maxWait: maxFirstEventWait}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(firstEventTimeout, w.check)
--- a/internal/silljob/worktime.go
+++ b/internal/silljob/worktime.go
@@ -3,13 +3,23 @@
 import "time"
 
 // workTime returns the expected time that an item still takes at an engine of mean speed, and
-// the time until its job is due; 0 if unknown. An item that has begun is half done on average.
+// the time until its job is due; 0 if unknown.
 func (r *Runner) workTime(now time.Time, it *itemRun) (work, dueIn time.Duration) {
-	due, mean := it.job.sub.DueAt(), it.job.meanTokens()
-	if due.IsZero() || !now.Before(due) || r.attemptTime == 0 || mean == 0 || it.item.ExpectedTokens <= 0 {
+	due, work := it.job.sub.DueAt(), r.expectedWork(it)
+	if due.IsZero() || !now.Before(due) || work == 0 {
 		return 0, 0
 	}
-	return time.Duration(float64(r.attemptTime) * it.workLeft() / mean), due.Sub(now)
+	return work, due.Sub(now)
+}
+
+// expectedWork returns the expected time that an item still takes at an engine of mean speed; 0 if
+// unknown. An item that has begun is half done on average.
+func (r *Runner) expectedWork(it *itemRun) time.Duration {
+	mean := it.job.meanTokens()
+	if r.attemptTime == 0 || mean == 0 || it.item.ExpectedTokens <= 0 {
+		return 0
+	}
+	return time.Duration(float64(r.attemptTime) * it.workLeft() / mean)
 }
 
 // meanTokens returns the mean of the expected tokens of the items that are read; 0 if unknown.
--- a/internal/silltarget/pick.go
+++ b/internal/silltarget/pick.go
@@ -46,6 +46,9 @@
 	// WorkTime is the expected time of the request at a target of mean speed, and DueIn the
 	// time until it is due; 0 if unknown. A target that would miss it is picked last.
 	WorkTime, DueIn time.Duration
+	// MovingCost is the time that it costs to move the request to another target; 0 if it stays
+	// where it is sent. A target that it would leave at once is picked last.
+	MovingCost time.Duration
 	// Batched is whether requests that run beside each other at a target slow each other down.
 	Batched bool
 	// Class is the class of the requests.
@@ -122,6 +125,13 @@
 		}
 	}
 	if len(list) > 1 {
+		d.markLeft(now, &q, list, meanUsual)
+		best = list[0]
+		for _, c := range list[1:] {
+			if c.isBetter(&q, &best) {
+				best = c
+			}
+		}
 		best = sample(d.random, &q, &best, list)
 		d.recordWork(&q)
 	}
@@ -134,6 +144,10 @@
 	cost float64
 	// misses is whether the request would not be finished there when it is due.
 	misses bool
+	// timeLeft is the expected time of the request there, and left whether it would leave the
+	// target at once; both are set only for requests that can move.
+	timeLeft time.Duration
+	left     bool
 }
 
 // grant returns a grant of a candidate, or false if there is none. The caller holds d.mu.
@@ -290,6 +304,9 @@
 	if c.misses != o.misses {
 		return o.misses
 	}
+	if c.left != o.left {
+		return o.left
+	}
 	if c.cost != o.cost {
 		return c.cost < o.cost
 	}
--- a/internal/silltarget/placement.go
+++ b/internal/silltarget/placement.go
@@ -161,7 +161,7 @@
 
 // ranksLike returns whether only the costs of two candidates differ.
 func (c *candidate) ranksLike(q *Query, o *candidate) bool {
-	return c.misses == o.misses &&
+	return c.misses == o.misses && c.left == o.left &&
 		(!q.PreferNewest || c.entry.Versions[q.Model] == o.entry.Versions[q.Model])
 }
 
@@ -174,18 +174,14 @@
 	return t.speed.workTime(now, work) > q.DueIn
 }
 
-// UnitLatencies returns the expected average time for one unit of further work at a target, and
-// the mean of its pool; 0 if unknown. Of a target that reports how long work takes, slowdowns
-// count as far as they are expected to last.
-func (d *Directory) UnitLatencies(now time.Time, id sillid.TargetID, units int) (own, mean time.Duration) {
+// UnitLatencies returns the average time that a target takes for one unit of work, and the mean
+// of its pool; 0 if unknown.
+func (d *Directory) UnitLatencies(id sillid.TargetID) (own, mean time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := d.targets[id]
 	if t == nil {
 		return 0, 0
 	}
-	if t.speed.slowdown == 0 || t.speed.usual == 0 || units <= 0 {
-		return t.unitLatency, d.meanUnitLatency(t.entry.Pool)
-	}
-	return t.speed.workTime(now, time.Duration(units)*t.speed.usual) / time.Duration(units), d.meanUsual(t.entry.Pool)
+	return t.unitLatency, d.meanUnitLatency(t.entry.Pool)
 }
--- a/internal/silltarget/placement_test.go
+++ b/internal/silltarget/placement_test.go
@@ -204,6 +204,7 @@
 	}
 	q := Query{Pool: "p", FreeOnly: true, Batched: s.batching > 0}
 	if s.estimated {
+		q.MovingCost = movingCost
 		q.WorkTime = time.Duration(r.left * (0.8 + 0.4*s.random.Float64()) * float64(time.Second))
 	}
 	return d.Pick(s.now(), q)
@@ -443,12 +444,13 @@
 	d := directory(entry("a", 4, 1), entry("b", 4, 1))
 	report(d, start, "a", 100*time.Millisecond, 250)
 	report(d, start, "b", 100*time.Millisecond, 100)
-	if own, mean := d.UnitLatencies(start, "a", 20); own > 120*time.Millisecond || mean != 100*time.Millisecond {
-		t.Errorf("expected unit latency %v, mean %v; want little more than the mean of 100ms", own, mean)
+	q := Query{Pool: "p", MovingCost: 100 * time.Millisecond}
+	if m, ok := d.FindMove(start, "a", q, 20, nil); ok || m.Here > 2400*time.Millisecond || m.There != 2*time.Second {
+		t.Errorf("move %+v, worth it %t; want none and little more than the 2s elsewhere", m, ok)
 	}
 	lasting := start.Add(3 * time.Second)
 	d.Observe(lasting, Grant{ID: "a", target: d.targets["a"]}, &Load{Slots: 4, Duration: 250}, 0)
-	if own, _ := d.UnitLatencies(lasting, "a", 20); own < 160*time.Millisecond {
-		t.Errorf("expected unit latency %v at a target that has been slow for 3 s", own)
+	if m, ok := d.FindMove(lasting, "a", q, 20, nil); !ok || m.Here < 3200*time.Millisecond {
+		t.Errorf("move %+v, worth it %t, at a target that has been slow for 3 s; want one", m, ok)
 	}
 }
