--- a/internal/silldirectgateway/readiness_test.go
+++ b/internal/silldirectgateway/readiness_test.go
@@ -15,7 +15,7 @@
 // TestRequestsWaitForTheRowsOfGateways guards against requests that exceed the limits of
 // targets, since they come before the gateway has read what others tell of limits.
 func TestRequestsWaitForTheRowsOfGateways(t *testing.T) {
-	s := &Service{members: &membership{read: make(chan struct{})}, view: newView(&Adapter{}, nil, zap.NewNop())}
+	s := &Service{members: &membership{read: make(chan struct{})}, view: newView(&Settings{}, &Adapter{}, nil, zap.NewNop())}
 	s.view.catalog.UpdateIfNewer(&sillcatalog.Catalog{Version: 1})
 	served := false
 	handler := s.holdUntilRead(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
--- a/internal/silltarget/placement.go
+++ b/internal/silltarget/placement.go
@@ -111,8 +111,11 @@
 
 // finishCost returns the expected time until a request is finished at a target, in seconds.
 // meanUsual replaces an unknown usual time.
-func (t *target) finishCost(now time.Time, q *Query, meanUsual time.Duration) float64 {
+func (d *Directory) finishCost(now time.Time, q *Query, t *target, meanUsual time.Duration) float64 {
 	usual := t.speed.usual
+	if q.Batched {
+		usual = d.aloneTime(t)
+	}
 	if usual == 0 {
 		usual = meanUsual
 	}
@@ -123,13 +126,16 @@
 	if q.WorkTime > 0 && meanUsual > 0 {
 		work = time.Duration(float64(q.WorkTime) * usual.Seconds() / meanUsual.Seconds())
 	}
-	return t.speed.workTime(now, work).Seconds() * loadFactor(t.utilisation(now, 1), q.Batched)
+	if q.Batched {
+		return d.batchCost(now, q, t, t.speed.workTime(now, work))
+	}
+	return t.speed.workTime(now, work).Seconds() * loadFactor(t.utilisation(now, 1))
 }
 
-// loadFactor returns the factor by which a utilisation, with the request counted, delays it.
-// Batched requests slow each other down.
-func loadFactor(utilisation float64, batched bool) float64 {
-	if utilisation >= 1 || batched {
+// loadFactor returns the factor by which a utilisation, with the request counted, delays a request
+// that is not batched.
+func loadFactor(utilisation float64) float64 {
+	if utilisation >= 1 {
 		return utilisation
 	}
 	return idleCost + (1-idleCost)*utilisation
@@ -155,7 +161,7 @@
 
 // ranksLike returns whether only the costs of two candidates differ.
 func (c *candidate) ranksLike(q *Query, o *candidate) bool {
-	return c.misses == o.misses &&
+	return c.misses == o.misses && c.left == o.left &&
 		(!q.PreferNewest || c.entry.Versions[q.Model] == o.entry.Versions[q.Model])
 }
 
@@ -168,18 +174,14 @@
 	return t.speed.workTime(now, work) > q.DueIn
 }
 
-// UnitLatencies returns the expected average time for one unit of further work at a target, and
-// the mean of its pool; 0 if unknown. Of a target that reports how long work takes, slowdowns
-// count as far as they are expected to last.
-func (d *Directory) UnitLatencies(now time.Time, id sillid.TargetID, units int) (own, mean time.Duration) {
+// UnitLatencies returns the average time that a target takes for one unit of work, and the mean
+// of its pool; 0 if unknown.
+func (d *Directory) UnitLatencies(id sillid.TargetID) (own, mean time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := d.targets[id]
 	if t == nil {
 		return 0, 0
 	}
-	if t.speed.slowdown == 0 || t.speed.usual == 0 || units <= 0 {
-		return t.unitLatency, d.meanUnitLatency(t.entry.Pool)
-	}
-	return t.speed.workTime(now, time.Duration(units)*t.speed.usual) / time.Duration(units), d.meanUsual(t.entry.Pool)
+	return t.unitLatency, d.meanUnitLatency(t.entry.Pool)
 }
