Run the oldest job first in a pool that is short of slots

Cause: while a pool was short, groups that could not be in time yielded to those of newer jobs, and owners kept to shares of the slots. Change: jobs go by age, a level of priority counting as a second of it, and the groups of one job by what they can still earn; no shares; jobs that nobody waits for any more go last.

--- a/internal/silljob/dispatch.go
+++ b/internal/silljob/dispatch.go
@@ -29,14 +29,13 @@
 	for _, it := range r.waitingItems(now) {
 		r.discardUnresumable(now, it)
 		required := requirementsOf(it)
-		if full[required] || r.awaitsShare(it) {
+		if full[required] {
 			continue
 		}
 		grant, ok := r.cfg.Directory.Pick(now, r.query(now, it))
 		switch {
 		case ok:
 			r.start(it, grant)
-			r.countStart(it)
 		case len(it.avoid) == 0:
 			full[required] = true
 		}
--- a/internal/silljob/metrics.go
+++ b/internal/silljob/metrics.go
@@ -25,9 +25,6 @@
 	// delayedGroups counts groups that other groups go before, by what they are expected to
 	// earn.
 	delayedGroups *prometheus.CounterVec
-	// shareWaits counts passes in which items were not started because the process used its
-	// share of a pool.
-	shareWaits prometheus.Counter
 }
 
 // NewMetrics returns the metrics and registers them with r unless r is nil.
@@ -43,10 +40,9 @@
 		attempts:      sillmetric.CounterVec("wasabisill_job_attempts_total", "Attempts at items, by outcome.", "outcome"),
 		aborted:       sillmetric.CounterVec("wasabisill_job_aborted_total", "Items given up, by reason.", "reason"),
 		delayedGroups: sillmetric.CounterVec("wasabisill_job_delayed_groups_total", "Groups that others go before in a pool short of slots, by what they are expected to earn.", "standing"),
-		shareWaits:    sillmetric.Counter("wasabisill_job_share_waits_total", "Times that items waited because this process used its share of a pool short of slots."),
 	}
 	if r != nil {
-		r.MustRegister(m.results, m.takeovers, m.migrations, m.sentLate, m.olderConfigs, m.loadRetries, m.undecoded, m.attempts, m.aborted, m.delayedGroups, m.shareWaits)
+		r.MustRegister(m.results, m.takeovers, m.migrations, m.sentLate, m.olderConfigs, m.loadRetries, m.undecoded, m.attempts, m.aborted, m.delayedGroups)
 	}
 	return m
 }
--- a/internal/silljob/shortage.go
+++ b/internal/silljob/shortage.go
@@ -14,10 +14,11 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-// The jobs of all owners share the engines of a pool. While these can complete the open jobs in
-// time, each owner fills the free slots that it sees, the oldest job first. While they can't,
-// the pool is short: each owner keeps to its share of the slots, and orders the groups of all
-// its jobs by what they can still earn.
+// The jobs of all owners share the engines of a pool. Each owner fills the free slots that it
+// sees, the oldest job first: a trainer asks for its next step only once an older one is
+// complete, so a job that yields delays all that come after it. While the engines can't complete
+// the open jobs in time, the pool is short: the groups of a job then go by what they can still
+// earn, and jobs that nobody waits for any more go last.
 
 const (
 	// planInterval is the time between two orders of the groups of a short pool.
@@ -25,6 +26,8 @@
 	// simultaneous is the difference of the submission times of jobs that count as equally
 	// old: trainers submit at about the same moment.
 	simultaneous = time.Second
+	// priorityDelay is how much younger a job counts for each level of its priority.
+	priorityDelay = time.Second
 	// usualGiveUp is when a trainer is expected to give up if its route does not tell, as a
 	// multiple of the time until its job is due.
 	usualGiveUp = 1.6
@@ -39,16 +42,11 @@
 	plannedAt time.Time
 	loggedAt  time.Time
 	places    map[groupName]sillschedule.Place
-	// slots is the number of the pool's slots, and share how many of them this process may
-	// use.
-	slots     int
-	share     int
-	demands   []sillschedule.Demand
-	allotment sillschedule.Allotment
-	// allowed is the number of items that may still be started in this pass, and counted
-	// whether the pass is counted as one that waits for the share.
-	allowed int
-	counted bool
+	// slots is the number of the pool's slots, and share how many of them the groups of this
+	// process are expected to get.
+	slots   int
+	share   int
+	demands []sillschedule.Demand
 }
 
 type groupName struct {
@@ -81,11 +79,6 @@
 			s.plannedAt = now
 			r.plan(now, pool, jobs, s)
 		}
-		if s.short {
-			free := r.cfg.Directory.FreeSlots(now, poolQuery(pool, jobs))
-			s.counted = false
-			s.allowed = s.allotment.Allow(now, s.share, countRunning(jobs), free)
-		}
 	}
 }
 
@@ -121,7 +114,7 @@
 	} else {
 		s.demands = r.demands(now, jobs, open)
 		s.share = sillschedule.Share(s.slots, s.demands, string(r.cfg.Self))
-		r.place(now, jobs, s)
+		r.placeGroups(now, jobs, s)
 	}
 	if s.short != wasShort || (s.short && now.Sub(s.loggedAt) >= shortageLogInterval) {
 		s.loggedAt = now
@@ -215,8 +208,8 @@
 	return time.UnixMilli(s.SubmittedMS).Add(usual)
 }
 
-// place orders the groups of a pool's jobs, and counts those that are now expected to be late.
-func (r *Runner) place(now time.Time, jobs []*ownedJob, s *shortage) {
+// placeGroups orders the groups of a pool's jobs, and counts those that are now expected to be late.
+func (r *Runner) placeGroups(now time.Time, jobs []*ownedJob, s *shortage) {
 	var groups []sillschedule.Group
 	names := make(map[string]groupName)
 	for _, j := range jobs {
@@ -284,15 +277,37 @@
 	return false
 }
 
-// order returns the order of waiting items: byUrgency, or by the places of their groups in
-// pools that are short.
+// order returns the order of waiting items: byUrgency, or, in pools that are short, by the
+// priority and age of their jobs and the places of their groups.
 func (r *Runner) order() func(a, b *itemRun) int {
 	if !r.anyShort() {
 		return byUrgency
 	}
 	return func(a, b *itemRun) int {
-		return cmp.Or(cmp.Compare(a.job.pool, b.job.pool), cmp.Compare(r.rank(a), r.rank(b)), byUrgency(a, b))
+		return cmp.Or(
+			cmp.Compare(r.lostLast(a), r.lostLast(b)),
+			cmp.Compare(r.rankedMS(a.job), r.rankedMS(b.job)),
+			cmp.Compare(r.rank(a), r.rank(b)),
+			byUrgency(a, b),
+		)
+	}
+}
+
+// rankedMS returns the time by which a job is ordered among others: its submission, and
+// priorityDelay for each level of its priority. Jobs of a low priority wait for newer ones of a
+// high one, but for no more than that, so that none starves.
+func (r *Runner) rankedMS(j *ownedJob) int64 {
+	return j.sub.SubmittedMS + int64(r.priority(j))*priorityDelay.Milliseconds()
+}
+
+// lostLast returns 1 for items of jobs in short pools whose trainers are expected to have given
+// up, and 0 for others.
+func (r *Runner) lostLast(it *itemRun) int {
+	s, giveUp := r.shortages[it.job.pool], it.job.sub.giveUpAt()
+	if s != nil && s.short && !giveUp.IsZero() && !s.plannedAt.Before(giveUp) {
+		return 1
 	}
+	return 0
 }
 
 // rank returns the rank of an item's group in a pool that is short. Groups that are not placed
@@ -309,27 +324,6 @@
 	return p.Rank
 }
 
-// awaitsShare returns whether an item waits because this process uses its share of a pool that
-// is short.
-func (r *Runner) awaitsShare(it *itemRun) bool {
-	s := r.shortages[it.job.pool]
-	if s == nil || !s.short || s.allowed > 0 {
-		return false
-	}
-	if !s.counted {
-		s.counted = true
-		r.cfg.Metrics.shareWaits.Inc()
-	}
-	return true
-}
-
-// countStart counts an item that was started against the share.
-func (r *Runner) countStart(it *itemRun) {
-	if s := r.shortages[it.job.pool]; s != nil {
-		s.allowed--
-	}
-}
-
 func (r *Runner) logShortage(pool sillid.PoolID, jobs []*ownedJob, s *shortage, needed float64) {
 	message := "Pool is short of slots; running the groups that can be complete in time first."
 	if !s.short {
--- a/internal/sillschedule/owners_test.go
+++ b/internal/sillschedule/owners_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -156,3 +157,27 @@
 		}
 	}
 }
+
+// borrowInterval is the time between two loans of slots beyond an owner's share. Other owners
+// learn of free slots within it, and those that are below their share take them first.
+const borrowInterval = 100 * time.Millisecond
+
+// Allotment is a policy that is compared: it bounds the slots that an owner takes of a pool that is short of them.
+type Allotment struct {
+	lastBorrowed time.Time
+}
+
+// Allow returns how many more items the owner may start, of which it runs some now. Slots that
+// stay free are lent to it beyond its share little by little, so that none is left idle because
+// another owner is gone or its rows are old.
+func (a *Allotment) Allow(now time.Time, share, running, free int) int {
+	if below := share - running; below > 0 {
+		a.lastBorrowed = now
+		return below
+	}
+	if free <= 0 || now.Sub(a.lastBorrowed) < borrowInterval {
+		return 0
+	}
+	a.lastBorrowed = now
+	return int(math.Ceil(guaranteedShare * float64(free)))
+}
