Count an error answer as a sign that a target is reached

Cause: answers that count as errors of a target were added beside the cold targets; a target that was not reached stayed cold as long as it answered errors only. Change: both kinds of error end that. Measured result: the new case of the cold tests fails before.

--- a/internal/silltarget/cold.go
+++ b/internal/silltarget/cold.go
@@ -134,7 +134,7 @@
 	case Broken, TimedOut, Malformed:
 		// One lost response is weak evidence.
 		c.unreachable = c.unreachable || failures > 1
-	case Answered, Rejected:
+	case Answered, Rejected, Errored, ErroredAgain:
 		c.reach(now)
 	case Misdirected, Abandoned, Withdrawn:
 	}
--- a/internal/silltarget/cold_test.go
+++ b/internal/silltarget/cold_test.go
@@ -112,6 +112,12 @@
 		c.now = c.now.Add(coldStart)
 		c.check(t, false)
 	})
+	run("unreachable until it answers an error", warm, func(t *testing.T, c *coldDirectory) {
+		c.attempt(Unreachable)
+		c.attempt(Errored)
+		c.now = c.now.Add(coldStart)
+		c.check(t, false)
+	})
 	run("two lost answers in a row", warm, func(t *testing.T, c *coldDirectory) {
 		c.attempt(TimedOut)
 		c.check(t, false)
