--- a/internal/silllease/runner_test.go
+++ b/internal/silllease/runner_test.go
@@ -305,13 +305,16 @@
 					return 0
 				}
 				second.runner.cfg.SettleTime = longSettle
+				second.runner.cfg.Lease.PollEvery, second.runner.cfg.Lease.MaxPollEvery = time.Second, time.Second
 				group.Go(first.runner.Run)
 				time.Sleep(time.Minute)
 				wantTerm(t, first, 1)
 				group.Go(second.runner.Run)
 				time.Sleep(time.Minute)
-				// The former holder does not come back after the outage.
+				// The former holder does not come back after the outage. The candidate sees its
+				// last renewal before.
 				f.stop.Store(true)
+				time.Sleep(DefaultDuration / 2)
 				down.Store(true)
 				time.Sleep(tc.outage)
 				down.Store(false)
