Leave jobs to owners that answer, and own new jobs while the table refuses calls

Cause: gateways judge each other by rows that they renew in the table. While the table refused a part of the calls, running owners could not renew theirs, and a gateway whose write happened to pass took their jobs over, some of them just as the table came back. Also, a new job went to an owner that could not read it from the table until the outage was over.

Change: a gateway asks an owner directly, at its address for peers, before it takes a job over. The question is asked before the row counts as dead, so that the takeover from a dead owner does not wait for it. A gateway that saw calls of the table fail through peers, too, within the last second owns the jobs that it accepts.

--- a/internal/sillcluster/members.go
+++ b/internal/sillcluster/members.go
@@ -125,6 +125,34 @@
 	return false
 }
 
+// overdueAfter is the time without a renewal after which a process is overdue: one renewal is
+// lost, and the next one is late.
+const overdueAfter = 1200 * time.Millisecond
+
+// IsOverdue returns whether a run is known and has not renewed its row for overdueAfter.
+func (s *Members) IsOverdue(now time.Time, run Run) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.rows {
+		if m.Run == run {
+			return now.Sub(m.lastRenewed) >= overdueAfter
+		}
+	}
+	return false
+}
+
+// AddressOf returns where other processes reach a run, and false if no row of it is known.
+func (s *Members) AddressOf(run Run) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.rows {
+		if m.Run == run {
+			return m.Address, true
+		}
+	}
+	return "", false
+}
+
 // HasRow returns whether the newest known row of an instance is of the run.
 func (s *Members) HasRow(run Run) bool {
 	s.mu.Lock()
--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -38,6 +38,9 @@
 	// membersAge returns the age of the view of the gateways, and false before its first read.
 	// It is set before renew is called; nil stands for an unknown age.
 	membersAge func() (time.Duration, bool)
+	// tableFails returns whether the table refuses calls of this process that peers can't make
+	// for it either. It is set before renew is called; nil stands for never.
+	tableFails func() bool
 	renewals   atomic.Uint64
 	// committer writes the process's row. It is set before renew is called; nil writes
 	// directly.
@@ -80,7 +83,12 @@
 
 // owner returns the process that runs a new job. All jobs of a model that the same gateways
 // may own have the same owner, so that its connections, caches and queue are in one process.
+// While the table refuses calls, this process owns the job: another one would have to read it
+// from the table before it can begin.
 func (m *membership) owner(p silljob.Placement) silljob.GatewayRun {
+	if m.tableFails != nil && m.tableFails() && m.mayOwn(p)(sillcluster.Member{Zone: m.settings.Zone}) {
+		return silljob.GatewayRun(m.run)
+	}
 	if first, ok := m.members.FirstAmong(sillclock.Boot(), string(p.Model), m.mayOwn(p)); ok {
 		return silljob.GatewayRun(first.Run)
 	}
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -60,6 +60,10 @@
 	Metrics string
 }
 
+// tableFailureMemory is how long a failed call of the table counts as a sign that the table
+// refuses calls. Each process makes several calls a second.
+const tableFailureMemory = time.Second
+
 // Service is a gateway that calls targets directly, without agents.
 type Service struct {
 	// Log is the logger of the process.
@@ -165,6 +169,7 @@
 	s.startedAt = sillclock.Boot()
 	s.members.address = s.Addresses.Peers
 	s.members.membersAge = s.followers.membersAge
+	s.members.tableFails = func() bool { return s.relay.FailedWithin(tableFailureMemory) && !s.stopping.Load() }
 	s.members.poolLoads = s.view.poolLoads
 	s.members.committer = s.committer
 	s.background = sillgroup.New(context.Background())
@@ -285,5 +290,6 @@
 	mux.HandleFunc("POST "+leavingPath, s.leaving.serve)
 	mux.HandleFunc("POST "+limitsPath, s.limits.serve)
 	mux.Handle("POST "+sillpermit.Path, s.broker)
+	mux.HandleFunc("GET "+runPath, s.members.serveRun)
 	return mux
 }
--- a/internal/silljob/load.go
+++ b/internal/silljob/load.go
@@ -181,6 +181,7 @@
 	r.jobs[sub.Job] = j
 	j.group.Go(func(ctx context.Context) { r.writeLoop(ctx, j) })
 	delete(r.orphanSince, sub.Job)
+	delete(r.spared, sub.Job)
 	return j
 }
 
--- a/internal/silljob/metrics.go
+++ b/internal/silljob/metrics.go
@@ -8,9 +8,11 @@
 
 // Metrics counts takeovers of jobs, and attempts, migrations and results of items.
 type Metrics struct {
-	results    prometheus.Counter
-	takeovers  prometheus.Counter
-	migrations prometheus.Counter
+	results   prometheus.Counter
+	takeovers prometheus.Counter
+	// sparedOwners counts jobs that were left to owners that answer and don't renew their rows.
+	sparedOwners prometheus.Counter
+	migrations   prometheus.Counter
 	// sentLate counts items sent to targets where they are expected to miss their due time.
 	sentLate prometheus.Counter
 	// olderConfigs counts jobs that were accepted under a newer configuration than this
@@ -32,6 +34,7 @@
 	m := &Metrics{
 		results:       sillmetric.Counter("wasabisill_job_results_total", "Results listed by this process."),
 		takeovers:     sillmetric.Counter("wasabisill_job_takeovers_total", "Jobs that this process took over."),
+		sparedOwners:  sillmetric.Counter("wasabisill_job_spared_owners_total", "Jobs that were left to owners that answer but don't renew their rows."),
 		migrations:    sillmetric.Counter("wasabisill_job_moves_total", "Items that left a slow target for a faster one."),
 		sentLate:      sillmetric.Counter("wasabisill_job_sent_late_total", "Items sent to targets where they are expected to miss their due time."),
 		olderConfigs:  sillmetric.Counter("wasabisill_job_older_config_total", "Jobs that this process ran while its configuration may have been older than theirs."),
@@ -42,7 +45,7 @@
 		delayedGroups: sillmetric.CounterVec("wasabisill_job_delayed_groups_total", "Groups that others go before in a pool short of slots, by what they are expected to earn.", "standing"),
 	}
 	if r != nil {
-		r.MustRegister(m.results, m.takeovers, m.migrations, m.sentLate, m.olderConfigs, m.loadRetries, m.undecoded, m.attempts, m.aborted, m.delayedGroups)
+		r.MustRegister(m.results, m.takeovers, m.sparedOwners, m.migrations, m.sentLate, m.olderConfigs, m.loadRetries, m.undecoded, m.attempts, m.aborted, m.delayedGroups)
 	}
 	return m
 }
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -47,6 +47,12 @@
 	// Alive returns whether a process that a row of the given revision names is running, or
 	// may have started since the processes that run were last read.
 	Alive func(run GatewayRun, named silltable.Revision) bool
+	// Overdue returns whether a process has not renewed its row for longer than usual, so that it
+	// may soon not be Alive; nil stands for no process.
+	Overdue func(run GatewayRun) bool
+	// ProbeOwner asks a process directly whether it runs, and returns an error if it does not
+	// answer that; nil asks nobody.
+	ProbeOwner func(ctx context.Context, run GatewayRun) error
 	// HandoverTime is how long a process that stops goes on to release jobs of which it
 	// becomes the owner: others learn later that it stops.
 	HandoverTime time.Duration
@@ -66,6 +72,10 @@
 	loading map[ID]bool
 	// orphanSince is when each job without a live owner was first seen.
 	orphanSince map[ID]time.Time
+	// probes are the newest probes of owners that are overdue or not alive.
+	probes map[GatewayRun]*ownerProbe
+	// spared holds the jobs that are left to owners that answer and don't renew their rows.
+	spared map[ID]bool
 	// attemptTime is the moving average of the time that a complete attempt takes at an
 	// engine; 0 if unknown.
 	attemptTime time.Duration
@@ -100,6 +110,8 @@
 		jobs:           make(map[ID]*ownedJob),
 		loading:        make(map[ID]bool),
 		orphanSince:    make(map[ID]time.Time),
+		probes:         make(map[GatewayRun]*ownerProbe),
+		spared:         make(map[ID]bool),
 		shortages:      make(map[sillid.PoolID]*shortage),
 		dispatchSignal: make(chan struct{}, 1),
 		// Attempts go on after the context of Run ends, until their jobs are released.
--- a/internal/silljob/takeover.go
+++ b/internal/silljob/takeover.go
@@ -21,6 +21,7 @@
 			r.startLoading(job, v, false)
 		case v.Owner != "" && r.cfg.Alive(v.Owner, v.Revision):
 			r.clearOrphan(job)
+			r.prepareTakeover(now, v)
 		default:
 			r.takeOver(now, job, v)
 		}
@@ -47,10 +48,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.orphanSince, job)
+	delete(r.spared, job)
+}
+
+// prepareTakeover asks an owner that is overdue in time, so that the takeover of a dead one does
+// not wait for the answer.
+func (r *Runner) prepareTakeover(now time.Time, v VersionedState) {
+	if r.cfg.Overdue == nil || !r.cfg.Overdue(v.Owner) {
+		return
+	}
+	if rank, ok := r.cfg.TakeoverRank(v.placement()); ok && rank == 0 {
+		r.probeOwner(now, v.Owner)
+	}
 }
 
 // takeOver claims a job without a live owner once the delay of this process's
-// takeover rank has passed.
+// takeover rank has passed, unless its owner answers.
 func (r *Runner) takeOver(now time.Time, job ID, v VersionedState) {
 	rank, ok := r.cfg.TakeoverRank(v.placement())
 	if !ok {
@@ -63,9 +76,10 @@
 		r.orphanSince[job] = now
 	}
 	r.mu.Unlock()
-	if now.Sub(since) >= time.Duration(rank)*takeoverRankDelay {
-		r.startLoading(job, v, true)
+	if now.Sub(since) < time.Duration(rank)*takeoverRankDelay || r.sparesOwner(now, since, job, v) {
+		return
 	}
+	r.startLoading(job, v, true)
 }
 
 // stopJob stops running a job. It caches the generations in progress for a later job
--- a/internal/sillrelay/relay.go
+++ b/internal/sillrelay/relay.go
@@ -57,6 +57,8 @@
 	mu sync.Mutex
 	// unreachable is whether a direct call failed and no probe succeeded since.
 	unreachable bool
+	// failedAt is when a call last failed both directly and through peers.
+	failedAt time.Time
 }
 
 // New returns a relay that treats the service as reachable until a call fails.
@@ -134,7 +136,21 @@
 			return a, err
 		}
 	}
-	return r.callPeers(ctx, c)
+	a, err := r.callPeers(ctx, c)
+	if notServed(err) && ctx.Err() == nil {
+		r.mu.Lock()
+		r.failedAt = time.Now()
+		r.mu.Unlock()
+	}
+	return a, err
+}
+
+// FailedWithin returns whether a call failed within a time, both directly and through peers:
+// the service refuses a part of the calls at least.
+func (r *Relay) FailedWithin(d time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.failedAt.IsZero() && time.Since(r.failedAt) < d
 }
 
 // notServed returns whether an error means that the service did not serve the call.
--- a/internal/sillrelay/relay_test.go
+++ b/internal/sillrelay/relay_test.go
@@ -135,6 +135,15 @@
 	if n := peer.direct.Load(); n != 1 {
 		t.Errorf("the peer called the table %d times, want once", n)
 	}
+	checkFailed(t, g, true)
+}
+
+// checkFailed checks whether a gateway knows of a failed call.
+func checkFailed(t *testing.T, g *gateway, want bool) {
+	t.Helper()
+	if got := g.relay.FailedWithin(time.Minute); got != want {
+		t.Errorf("a call failed within a minute: %t, want %t", got, want)
+	}
 }
 
 func TestDeadPeers(t *testing.T) {
@@ -148,6 +157,7 @@
 			t.Errorf("commit: %v", err)
 		}
 	}
+	checkFailed(t, g, false)
 }
 
 // TestCancelledCallIsNoOutage makes a call with a cancelled context: its failure must
@@ -163,6 +173,7 @@
 	if g.relay.Unreachable() {
 		t.Error("the table is marked as unreachable")
 	}
+	checkFailed(t, g, false)
 }
 
 func TestProbeDetectsRecovery(t *testing.T) {
