Let a restarted holder of the control tasks take its lease at once

Cause: after a restart of the process that held the lease of the control tasks, all gateways waited for the duration of the lease, although its run had ended. Trainers whose steps need the next weights waited as long.

Change: a process that finds its former run in its own row, at its own address, takes a lease that this run held with the next epoch at once. The settle time stays in full, counted from the read of the lease row.

TestRestartedHolder AcquiresAtOnce fails without the change.

--- a/internal/silldirectgateway/controltasks.go
+++ b/internal/silldirectgateway/controltasks.go
@@ -35,6 +35,9 @@
 	// taskCallTimeout is the time limit of a table call for the lease, of a usage
 	// report and of a scale order.
 	taskCallTimeout = 500 * time.Millisecond
+	// formerRunTimeout is how long a starting process waits for the row of its last run, which
+	// may have held the lease.
+	formerRunTimeout = time.Second
 	// A new holder waits for settleBoundShare of Settings.LeaseBound plus
 	// settleMargin before it acts, so that two changes of holder span more than
 	// the bound.
@@ -72,9 +75,10 @@
 // ctx ends.
 func (c *controlTasks) run(ctx context.Context) {
 	settle := time.Duration(settleBoundShare*float64(c.settings.LeaseBound)) + settleMargin
+	former := c.members.former(ctx, formerRunTimeout)
 	runner := silllease.NewRunner(silllease.RunnerConfig{
 		Lease: silllease.Config{
-			Name: taskLeaseName, Owner: silllease.Owner(c.members.run), Duration: taskLeaseDuration, Margin: taskLeaseMargin,
+			Name: taskLeaseName, Owner: silllease.Owner(c.members.run), Former: silllease.Owner(former), Duration: taskLeaseDuration, Margin: taskLeaseMargin,
 			RenewEvery: taskRenewInterval, PollEvery: taskPollInterval, MaxPollEvery: taskMaxPollInterval,
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -53,6 +53,10 @@
 	readOnce sync.Once
 	// restored is whether what the row of the process's last run tells is merged.
 	restored bool
+	// formerRun is the last run of the process, which has ended: this one listens on its address.
+	// It is empty if unknown, and set before formerRead is closed.
+	formerRun  sillcluster.Run
+	formerRead chan struct{}
 
 	// writing is held during each write of the process's row, so that none replaces a
 	// newer one.
@@ -62,7 +66,7 @@
 }
 
 func newMembership(s *Settings, e *crashEvidence, l *leavingTargets, limits *targetLimits, r *prometheus.Registry, log *zap.Logger) *membership {
-	m := &membership{settings: s, log: log.Named("members"), run: sillcluster.Run(sillid.Fresh("run")), evidence: e, leaving: l, limits: limits, read: make(chan struct{})}
+	m := &membership{settings: s, log: log.Named("members"), run: sillcluster.Run(sillid.Fresh("run")), evidence: e, leaving: l, limits: limits, read: make(chan struct{}), formerRead: make(chan struct{})}
 	m.members = sillcluster.NewMembers(m.mergeKnowledge)
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "wasabisill_live_gateways", Help: "Gateways that this process knows to be alive.",
@@ -185,6 +189,7 @@
 		return false
 	}
 	m.restored = true
+	defer close(m.formerRead)
 	if row.Revision == silltable.Absent {
 		return true
 	}
@@ -193,12 +198,28 @@
 		m.log.Error("Row of this gateway can't be decoded; replacing it.", silllog.Err(err))
 		return true
 	}
+	if last.Address == m.address && last.Run != m.run {
+		m.formerRun = last.Run
+	}
 	m.evidence.mergeRow(last, wayRestored)
 	m.leaving.merge(last.LeavingTargets)
 	m.limits.merge(last.TargetLimits)
 	return true
 }
 
+// former returns the last run of the process, and waits for it to be read up to a time; empty if
+// it is not known.
+func (m *membership) former(ctx context.Context, limit time.Duration) sillcluster.Run {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	select {
+	case <-m.formerRead:
+		return m.formerRun
+	case <-ctx.Done():
+		return ""
+	}
+}
+
 // lastRow returns the row that the last run of the process left, or an absent row.
 func (m *membership) lastRow(ctx context.Context, store *silltable.Store) (silltable.Row, error) {
 	row, err := store.GetOrAbsent(ctx, sillcluster.Key(m.settings.Zone, m.settings.Instance))
--- a/internal/silllease/answer.go
+++ b/internal/silllease/answer.go
@@ -85,6 +85,9 @@
 	// The row that was replaced was written before it was first seen, and its holder's term
 	// ended within its duration.
 	formerEnd := h.firstSeenAt.Add(max(h.row.duration(), h.cfg.Duration))
+	if h.isFormerHolder() {
+		formerEnd = h.firstSeenAt
+	}
 	h.term = Term{Epoch: h.row.Epoch + 1, EpochRow: revisions[1], Deadline: h.deadline(h.sentAt), FormerEnd: formerEnd}
 	h.holding = true
 	h.row = leaseRow{Holder: h.cfg.Owner, Epoch: h.term.Epoch, DurationMS: h.cfg.Duration.Milliseconds()}
--- a/internal/silllease/holder.go
+++ b/internal/silllease/holder.go
@@ -30,6 +30,9 @@
 	Name string
 	// Owner must be new at every start of the process.
 	Owner Owner
+	// Former is the run of this instance before this one, which has ended; empty if unknown. A
+	// lease that it held is free.
+	Former Owner
 	// Duration is how long the lease lasts after a renewal.
 	Duration time.Duration
 	// Margin allows for clocks that run at different rates; less than half of Duration.
@@ -113,12 +116,19 @@
 	effectiveAfter time.Time
 }
 
+// maxFormerReadDelay bounds the time to the first read of a process that is started again, since
+// its former run may have held the lease. Many processes may be started at once.
+const maxFormerReadDelay = 200 * time.Millisecond
+
 // NewHolder returns a holder that has not read the lease row yet. Its first read
 // is due at now for rank 0 and at a random time within the poll interval for
-// the others.
+// the others; within maxFormerReadDelay if a former run is known.
 func NewHolder(cfg Config, rank int, now time.Time) *Holder {
 	h := &Holder{cfg: cfg.WithDefaults(), rank: rank, next: now}
-	if rank > 0 {
+	switch {
+	case h.cfg.Former != "":
+		h.next = now.Add(h.jitter(maxFormerReadDelay))
+	case rank > 0:
 		h.next = now.Add(h.jitter(h.pollInterval()))
 	}
 	return h
@@ -203,14 +213,18 @@
 
 // acquirableAt returns when the lease may be acquired if the row does not change
 // until then. An absent or released row may be acquired at once, and so may a row
-// that names this owner: it has no term, so no task runs under that row.
+// that names this owner: it has no term, so no task runs under that row. The tasks of the
+// former run ended with its process.
 func (h *Holder) acquirableAt() time.Time {
-	if h.row.Holder == "" || h.row.Holder == h.cfg.Owner {
+	if h.row.Holder == "" || h.row.Holder == h.cfg.Owner || h.isFormerHolder() {
 		return h.firstSeenAt
 	}
 	return h.firstSeenAt.Add(h.row.duration() + h.cfg.Margin)
 }
 
+// isFormerHolder returns whether the row names the former run of this instance.
+func (h *Holder) isFormerHolder() bool { return h.cfg.Former != "" && h.row.Holder == h.cfg.Former }
+
 func (h *Holder) read(now time.Time) Command {
 	h.pending = ReadRow
 	h.sentAt = now
--- a/internal/silllease/holder_test.go
+++ b/internal/silllease/holder_test.go
@@ -103,3 +103,30 @@
 	}
 	t.Fatal("no takeover")
 }
+
+// TestRestartedHolderAcquiresAtOnce guards against control tasks that stand still for a lease's
+// duration after their holder is killed and started again.
+func TestRestartedHolderAcquiresAtOnce(t *testing.T) {
+	h := NewHolder(Config{Name: "task", Owner: "again", Former: "me", Random: rand.New(rand.NewPCG(1, 1))}, 3, testStart)
+	if h.NextTick().Sub(testStart) > maxFormerReadDelay {
+		t.Errorf("first read after %v", h.NextTick().Sub(testStart))
+	}
+	wantCommand(t, h.Tick(at(1)), ReadRow)
+	h.HandleRead(at(1), ownRow(1), nil)
+	wantCommand(t, h.Tick(h.NextTick()), TryAcquire)
+	h.HandleCommit(at(2), []silltable.Revision{2, 3}, nil)
+	if term, held := h.Term(at(2)); !held || !term.FormerEnd.Equal(at(1)) {
+		t.Errorf("held: %t, former end %v, want %v", held, term.FormerEnd, at(1))
+	}
+}
+
+// TestFormerRunThatLostTheLease guards against a restarted process that acquires a lease which
+// another process has taken over meanwhile.
+func TestFormerRunThatLostTheLease(t *testing.T) {
+	h := NewHolder(Config{Name: "task", Owner: "again", Former: "before", Random: rand.New(rand.NewPCG(1, 1))}, 0, testStart)
+	wantCommand(t, h.Tick(at(1)), ReadRow)
+	h.HandleRead(at(1), ownRow(1), nil)
+	if c := h.Tick(h.NextTick()); c.Kind == TryAcquire {
+		t.Error("the lease of a live holder is acquired")
+	}
+}
