Switch new behaviour on only where a signal calls for it

Cause: the ejection of targets with errors, the wait of score requests, the saving of a cached prompt and the queue by priority acted in every deployment, so earlier ones were not served as before. The check whether a request misses its due time also changed the choice in pools that report no durations.

Change: silltarget.Switch says which behaviours a pool has and why. Finish times, due times, the saving of a prompt and the wait of score requests need a report of how long work takes; a pool keeps that signal. The queue is by priority and due time only if the configuration has different priorities for the pool. Otherwise requests try in order of arrival, and none is displaced. A log line tells of each change.

--- a/internal/silldirectgateway/leaving.go
+++ b/internal/silldirectgateway/leaving.go
@@ -22,7 +22,7 @@
 // newDirectory returns the directory of targets.
 func newDirectory(s *Settings, adapter *Adapter, r *prometheus.Registry, log *zap.Logger) *silltarget.Directory {
 	d := silltarget.NewDirectoryWith(silltarget.Config{
-		Notices: newNoticeHooks(r, log), Limits: newLimitHooks(r, log), OnEjection: newEjectionHook(r, log), Seed: rand.Uint64(), Connected: adapter.TargetPool.HasIdle,
+		Notices: newNoticeHooks(r, log), Limits: newLimitHooks(r, log), OnEjection: newEjectionHook(r, log), UnsoundTargets: s.UnsoundTargets, OnSwitch: newSwitchHook(log), Seed: rand.Uint64(), Connected: adapter.TargetPool.HasIdle,
 		Cold: newColdHooks(r, log), ColdOvershoot: s.ColdOvershoot, ColdSlack: s.ColdSlack, RegionOf: s.RegionOf,
 	})
 	registerColdGauges(r, d)
--- a/internal/silldirectgateway/settings.go
+++ b/internal/silldirectgateway/settings.go
@@ -51,6 +51,8 @@
 	// A cold target gets ColdOvershoot times the requests a second that it bears, and
 	// ColdSlack more, within any second at most.
 	ColdOvershoot, ColdSlack float64
+	// UnsoundTargets is whether targets may be unhealthy while their health check passes.
+	UnsoundTargets bool
 	// Cores and MemoryBytes are the limits of the process; 0 for no limit.
 	Cores       int
 	MemoryBytes int64
--- a/internal/silldirectgateway/view.go
+++ b/internal/silldirectgateway/view.go
@@ -71,6 +71,7 @@
 	if held := v.catalog.Get(); held == nil || c.Version > held.Version {
 		// Before the catalog, so that no request is sent without the rules.
 		v.directory.SetColdRules(coldRules(c))
+		v.directory.SetPrioritiesDiffer(c.PrioritiesDiffer())
 	}
 	if v.catalog.UpdateIfNewer(c) {
 		v.log.Info("Configuration in force.", zap.Uint64("version", uint64(c.Version)),
--- a/internal/sillforwarder/beside.go
+++ b/internal/sillforwarder/beside.go
@@ -10,9 +10,9 @@
 )
 
 // Score requests come in bursts, at services that also answer callers and serve in order of
-// arrival. A burst that queued at the targets would make callers wait behind all of it. It waits
-// at its gateways instead. After a while its requests queue like those of callers, so that
-// callers cannot starve them either.
+// arrival. A burst that queued at the targets would make callers wait behind all of it. In pools
+// with silltarget.ScoresBesideCallers it waits at its gateways instead. After a while its requests
+// queue like those of callers, so that callers cannot starve them either.
 
 const (
 	// besideUtilisation is the utilisation up to which requests for which no caller waits are
--- a/internal/sillforwarder/errors.go
+++ b/internal/sillforwarder/errors.go
@@ -92,8 +92,12 @@
 }
 
 // erroredTargets returns the targets at which a request is not tried, since they answered its
-// content with an error: none if no other target is available.
+// content with an error: none if no other target is available, or if the pool ejects no targets
+// with errors.
 func (f *Forwarder) erroredTargets(req *Request, content sillcrash.Fingerprint) map[sillid.TargetID]bool {
+	if !f.cfg.Directory.Switch(req.Pool).On(silltarget.OutlierEjection) {
+		return make(map[sillid.TargetID]bool)
+	}
 	now := time.Now()
 	targets := f.errors.targets(now, content)
 	if len(targets) == 0 {
--- a/internal/sillforwarder/pick.go
+++ b/internal/sillforwarder/pick.go
@@ -27,12 +27,17 @@
 	if req.class() == sillrate.Background && f.cfg.Directory.AnyLimited(req.Pool) {
 		return picker.inBackground(ctx)
 	}
-	if req.class() == sillrate.Background {
+	if req.class() == sillrate.Background && picker.has(silltarget.ScoresBesideCallers) {
 		return picker.besideCallers(ctx)
 	}
 	return picker.forCaller(ctx)
 }
 
+// has returns whether the pool of the request has a behaviour.
+func (p *picker) has(b silltarget.Behaviour) bool {
+	return p.cfg.Directory.Switch(p.request.Pool).On(b)
+}
+
 // forCaller waits as pick says, in the order of the pool's queue.
 func (p *picker) forCaller(ctx context.Context) (silltarget.Grant, bool) {
 	end := p.firstEnd(time.Now())
--- a/internal/sillforwarder/wait.go
+++ b/internal/sillforwarder/wait.go
@@ -103,6 +103,7 @@
 // take returns the target that the request has got, after all requests of the queue tried
 // since the change.
 func (w *wait) take(changed <-chan struct{}) (silltarget.Grant, bool) {
+	w.queue.SetByUrgency(w.has(silltarget.QueueByPriority))
 	w.queue.Serve(changed)
 	if !w.joined {
 		w.queue.Join(w.waiter)
--- a/internal/silljob/error_test.go
+++ b/internal/silljob/error_test.go
@@ -13,6 +13,7 @@
 // requests use up their attempts there.
 func TestScorerWithErrorsLosesNoItems(t *testing.T) {
 	c := newCluster(t, 4, completeStream)
+	c.unsoundTargets = true
 	bad := sillstandtarget.Start("a-bad-scorer", func(call, int) behaviour {
 		return behaviour{Status: http.StatusInternalServerError}
 	})
@@ -36,6 +37,7 @@
 		}
 		return completeStream(engine, ca, n)
 	})
+	c.unsoundTargets = true
 	a := c.start("a")
 	sub := submission("job", 24)
 	a.submit(t, sub)
@@ -44,3 +46,21 @@
 		t.Errorf("the failing engine got %d calls for %d items", calls, len(sub.Items))
 	}
 }
+
+// TestErrorsWithoutTheSettingMoveNoItems guards against items that leave an engine for its errors
+// where the settings don't say that targets may be unsound.
+func TestErrorsWithoutTheSettingMoveNoItems(t *testing.T) {
+	c := newCluster(t, 2, func(engine int, ca call, n int) behaviour {
+		if engine == 0 {
+			return behaviour{Status: http.StatusInternalServerError}
+		}
+		return completeStream(engine, ca, n)
+	})
+	a := c.start("a")
+	sub := submission("job", 1)
+	a.submit(t, sub)
+	a.results(t, "job", len(sub.Items))
+	if first, second := len(c.engines[0].Calls()), len(c.engines[1].Calls()); first != sub.MaxFailedAttempts || second != 0 {
+		t.Errorf("the engines got %d and %d calls, want %d and none", first, second, sub.MaxFailedAttempts)
+	}
+}
--- a/internal/silljob/stall.go
+++ b/internal/silljob/stall.go
@@ -99,8 +99,8 @@
 	it.avoid = silltarget.Excluding(it.avoid, target)
 }
 
-// erroredOutcome returns the outcome of an attempt that a target answered with an error, and
-// makes the item leave the target.
+// erroredOutcome returns the outcome of an attempt that a target answered with an error. In pools
+// that eject targets with errors, it makes the item leave the target.
 func (r *Runner) erroredOutcome(it *itemRun, target sillid.TargetID) silltarget.Outcome {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -109,7 +109,9 @@
 		outcome = silltarget.ErroredAgain
 	}
 	it.errored = true
-	it.avoid = silltarget.Excluding(it.avoid, target)
+	if r.cfg.Directory.Switch(it.job.pool).On(silltarget.OutlierEjection) {
+		it.avoid = silltarget.Excluding(it.avoid, target)
+	}
 	return outcome
 }
 
--- a/internal/sillschedule/queue.go
+++ b/internal/sillschedule/queue.go
@@ -39,14 +39,17 @@
 const maxWaiting = 1024
 
 // Queue holds the requests that wait for targets of one pool. At each change of the targets it
-// lets them try in order. It is safe for concurrent use.
+// lets them try in order: that of arrival, or by urgency after SetByUrgency(true). It is safe
+// for concurrent use.
 type Queue struct {
-	// Limit bounds the requests that wait; 0 stands for maxWaiting.
+	// Limit bounds the requests that wait in the order by urgency; 0 stands for maxWaiting.
 	Limit int
 
-	mu       sync.Mutex
-	waiting  []*Waiter
-	sequence uint64
+	mu sync.Mutex
+	// byUrgency is whether the requests are ordered by outrank.
+	byUrgency bool
+	waiting   []*Waiter
+	sequence  uint64
 	// seen is the change that the requests have tried at last.
 	seen <-chan struct{}
 	// inTurn counts the grants in the order since the last one to the request that waits
@@ -66,6 +69,30 @@
 	)
 }
 
+// precede orders requests by their arrival.
+func precede(a, b *Waiter) int {
+	return cmp.Or(a.Arrived.Compare(b.Arrived), cmp.Compare(a.sequence, b.sequence))
+}
+
+// compare compares two requests in the order of the queue.
+func (q *Queue) compare(a, b *Waiter) int {
+	if q.byUrgency {
+		return outrank(a, b)
+	}
+	return precede(a, b)
+}
+
+// SetByUrgency chooses the order of the requests: by class, priority and due time, or that of their arrival.
+func (q *Queue) SetByUrgency(on bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.byUrgency == on {
+		return
+	}
+	q.byUrgency, q.inTurn = on, 0
+	slices.SortFunc(q.waiting, q.compare)
+}
+
 func isScore(w *Waiter) int {
 	if w.Class == Score {
 		return 1
@@ -80,26 +107,28 @@
 	return len(q.waiting)
 }
 
-// Join adds a request. If the queue is full, the last one in the order is displaced, which may
-// be the new one.
+// Join adds a request. If a queue by urgency is full, the last one in the order is displaced,
+// which may be the new one.
 func (q *Queue) Join(w *Waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.sequence++
 	w.sequence, w.done, w.state = q.sequence, make(chan struct{}), queued
-	i, _ := slices.BinarySearchFunc(q.waiting, w, outrank)
+	i, _ := slices.BinarySearchFunc(q.waiting, w, q.compare)
 	q.waiting = slices.Insert(q.waiting, i, w)
 	limit := q.Limit
 	if limit == 0 {
 		limit = maxWaiting
 	}
-	if len(q.waiting) > limit {
+	if q.byUrgency && len(q.waiting) > limit {
 		q.end(len(q.waiting)-1, displaced)
 		return
 	}
 	// The others have tried since the last change that was served.
 	if w.Try() {
-		q.recordTurn(i)
+		if q.byUrgency {
+			q.recordTurn(i)
+		}
 		q.end(i, served)
 	}
 }
@@ -123,8 +152,8 @@
 }
 
 // Serve lets the requests try in order, once for each change of the targets; change is the
-// channel that the change after it closes. Each eighth grant goes to the request that waits for
-// the longest time, so that no request waits forever behind others.
+// channel that the change after it closes. In the order by urgency, each eighth grant goes to the
+// request that waits for the longest time, so that no request waits forever behind others.
 func (q *Queue) Serve(change <-chan struct{}) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -132,6 +161,10 @@
 		return
 	}
 	q.seen = change
+	if !q.byUrgency {
+		q.serveInOrder()
+		return
+	}
 	tried := make(map[*Waiter]bool, len(q.waiting))
 	for {
 		i := q.next(tried)
@@ -147,6 +180,18 @@
 	}
 }
 
+// serveInOrder lets each request try once in the order of the queue.
+func (q *Queue) serveInOrder() {
+	q.waiting = slices.DeleteFunc(q.waiting, func(w *Waiter) bool {
+		if !w.Try() {
+			return false
+		}
+		w.state = served
+		close(w.done)
+		return true
+	})
+}
+
 // next returns the index of the request that tries next, or -1.
 func (q *Queue) next(tried map[*Waiter]bool) int {
 	next := -1
--- a/internal/sillschedule/queue_test.go
+++ b/internal/sillschedule/queue_test.go
@@ -1,6 +1,7 @@
 package sillschedule
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -35,6 +36,7 @@
 func TestQueue(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p, q := &pool{}, &Queue{Limit: 16}
+		q.SetByUrgency(true)
 		var all []*Waiter
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			if rapid.Bool().Draw(t, "arrival") {
@@ -84,10 +86,57 @@
 	return oldest
 }
 
+// TestOrderOfArrival checks a queue without an order by urgency in any sequence of arrivals and
+// free targets, and guards against one that has the order or the bound of the other kind.
+func TestOrderOfArrival(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, q := &pool{}, &Queue{Limit: 4}
+		var all []*Waiter
+		for range rapid.IntRange(1, 40).Draw(t, "arrivals") {
+			w := drawWaiter(t, p)
+			q.Join(w)
+			all = append(all, w)
+		}
+		slices.SortStableFunc(all, func(a, b *Waiter) int { return a.Arrived.Compare(b.Arrived) })
+		for served := range all {
+			if q.Len() != len(all)-served {
+				t.Fatalf("%d requests wait, want %d", q.Len(), len(all)-served)
+			}
+			p.free = 1
+			serve(q)
+			for i, w := range all {
+				if got, displaced := q.State(w); got != (i <= served) || displaced {
+					t.Fatalf("after %d grants, request %d has got a target: %t, displaced: %t", served+1, i, got, displaced)
+				}
+			}
+		}
+	})
+}
+
+// TestOrderChangesWhileRequestsWait guards against requests that keep an old order, or are lost,
+// when a configuration with other priorities comes into force.
+func TestOrderChangesWhileRequestsWait(t *testing.T) {
+	p, q := &pool{}, &Queue{}
+	waiters := make([]*Waiter, 4)
+	for i := range waiters {
+		waiters[i] = &Waiter{Priority: Priority(len(waiters) - i), Arrived: start.Add(time.Duration(i) * time.Millisecond), Try: p.take}
+		q.Join(waiters[i])
+	}
+	for step, want := range []int{0, 3, 1, 2} {
+		q.SetByUrgency(step%2 == 1)
+		p.free = 1
+		serve(q)
+		if got, _ := q.State(waiters[want]); !got || q.Len() != len(waiters)-step-1 {
+			t.Errorf("step %d: request %d has got a target: %t, %d wait", step, want, got, q.Len())
+		}
+	}
+}
+
 // TestUrgentRequestsAreServedNoLessOften guards against a kind of request that is served less
 // often than a less urgent one of the same service.
 func TestUrgentRequestsAreServedNoLessOften(t *testing.T) {
 	p, q := &pool{}, &Queue{Limit: 40}
+	q.SetByUrgency(true)
 	servedOf := make(map[Priority]int)
 	var all []*Waiter
 	for i := range 4000 {
@@ -114,6 +163,7 @@
 // TestDisplacedIsLast guards against a full queue that turns the most urgent request away.
 func TestDisplacedIsLast(t *testing.T) {
 	p, q := &pool{}, &Queue{Limit: 2}
+	q.SetByUrgency(true)
 	first, second, third := &Waiter{Priority: 1, Try: p.take}, &Waiter{Priority: 2, Try: p.take}, &Waiter{Priority: 0, Try: p.take}
 	for _, w := range []*Waiter{first, second, third} {
 		q.Join(w)
--- a/internal/silltarget/directory.go
+++ b/internal/silltarget/directory.go
@@ -33,6 +33,11 @@
 	settled bool
 	// evacuated holds the availability zones whose targets get no requests.
 	evacuated map[sillid.ZoneID]bool
+	// speedReported holds the pools in which a target has reported how long work takes, and
+	// prioritiesDiffer those whose requests have different priorities.
+	speedReported, prioritiesDiffer map[sillid.PoolID]bool
+	// reportedSwitches holds what OnSwitch was last told of each pool.
+	reportedSwitches map[sillid.PoolID]Switch
 	// batches holds what is known of how much the requests at a target of a pool delay each other.
 	batches map[sillid.PoolID]*batchRecord
 	cfg     Config
@@ -55,6 +60,11 @@
 	// OnEjection, if not nil, receives the decisions on targets with errors. It is called with
 	// the directory locked and must not call it.
 	OnEjection func(Ejection)
+	// UnsoundTargets is whether targets may be unhealthy while their health check passes.
+	UnsoundTargets bool
+	// OnSwitch, if not nil, is told of each behaviour that is switched on or off for a pool. It
+	// is called with the directory locked and must not call it.
+	OnSwitch func(SwitchChange)
 	// Seed decides between targets of equal cost. Processes with different seeds
 	// decide differently; 0 takes the lowest id.
 	Seed uint64
@@ -77,6 +87,7 @@
 	return &Directory{
 		targets: make(map[sillid.TargetID]*target), changed: make(chan struct{}),
 		leaving: make(map[Run]time.Time), limits: make(map[Run]*limitState), batches: make(map[sillid.PoolID]*batchRecord), cfg: cfg,
+		speedReported: make(map[sillid.PoolID]bool), reportedSwitches: make(map[sillid.PoolID]Switch),
 		random: rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 }
@@ -117,6 +128,7 @@
 		t.cold.invalidEntry = reported
 		d.checkEntry(t, &e)
 		d.targets[e.ID] = t
+		d.reportSwitch(e.Pool)
 		d.signalChange()
 		return true
 	}
@@ -281,6 +293,7 @@
 		t.sentSinceReport = 0
 		if load.Duration > 0 {
 			t.speed.report(now, load.Duration)
+			d.recordSpeedReport(t.entry.Pool)
 		}
 		if load.Slots > 0 {
 			t.entry.Slots = load.Slots
--- a/internal/silltarget/moving.go
+++ b/internal/silltarget/moving.go
@@ -32,7 +32,7 @@
 func (d *Directory) ReportsSpeed(pool sillid.PoolID) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.reportsSpeed(pool)
+	return d.switchOf(pool).Has(SpeedReported)
 }
 
 // FindMove returns the move of a running request that saves most, and whether it saves more than
--- a/internal/silltarget/outlier.go
+++ b/internal/silltarget/outlier.go
@@ -10,7 +10,7 @@
 )
 
 // Outlier detection leaves out a target that answers errors while the other targets of its
-// pool answer well. Its state may say that it is sound, and its errors may come fast, so that
+// pool answer well, where the settings say that targets may be unsound. Its state may say that it is sound, and its errors may come fast, so that
 // it always has free slots. The decision responds to the share of errors among the recent
 // responses of a target, compared with that of the others: requests that fail at every target
 // raise all shares alike and eject none.
@@ -136,6 +136,9 @@
 // recordErrors updates the error record of a grant's target with the outcome of its attempt,
 // and ejects or readmits the target. The caller holds d.mu.
 func (d *Directory) recordErrors(now time.Time, g Grant, o Outcome) {
+	if !d.switchOf(g.target.entry.Pool).On(OutlierEjection) {
+		return
+	}
 	e := &g.target.errors
 	failed := o == Errored
 	if o != Answered && !failed {
--- a/internal/silltarget/pick.go
+++ b/internal/silltarget/pick.go
@@ -28,7 +28,8 @@
 	// PreferNewest ranks targets by the weight version of the model before all else.
 	PreferNewest bool
 	// Cached is a target that has cached a part of the request's prompt, and CachedSaving
-	// the share of the request's work that is saved there; 0 to 1.
+	// the share of the request's work that is saved there; 0 to 1. In pools without CachedPrompts,
+	// it is picked before other targets if it is eligible; PreferNewest takes precedence.
 	Cached       sillid.TargetID
 	CachedSaving float64
 	// FreeOnly excludes targets without a free slot. Otherwise a request may
@@ -144,27 +145,38 @@
 	directory *Directory
 	now       time.Time
 	query     *Query
-	// byFinish is whether the targets of the pool report how long work takes. They are then
-	// compared by the expected finish time.
-	byFinish               bool
+	// byFinish is whether the targets are compared by the expected finish time, and saving
+	// whether a cached prompt is a saving.
+	byFinish, saving       bool
 	meanLatency, meanUsual time.Duration
 }
 
 // costModel returns the model for the targets of a query. The caller holds d.mu.
 func (d *Directory) costModel(now time.Time, q *Query) costModel {
+	s := d.switchOf(q.Pool)
 	return costModel{
-		directory: d, now: now, query: q, byFinish: d.reportsSpeed(q.Pool),
+		directory: d, now: now, query: q, byFinish: s.On(FinishTimes), saving: s.On(CachedPrompts),
 		meanLatency: d.meanUnitLatency(q.Pool), meanUsual: d.meanUsual(q.Pool),
 	}
 }
 
 func (m *costModel) candidate(t *target) candidate {
-	c := candidate{target: t, misses: t.misses(m.now, m.query, m.meanUsual)}
+	c := candidate{target: t}
+	isCached := t.entry.ID == m.query.Cached
 	if m.byFinish {
-		c.cost = m.directory.distanceFactor(m.query, t) * m.directory.finishCost(m.now, m.query, t, m.meanUsual)
-		return c
+		c.misses = t.misses(m.now, m.query, m.meanUsual)
+		c.cost = m.directory.finishCost(m.now, m.query, t, m.meanUsual)
+	} else {
+		c.cost = m.directory.cost(m.now, m.meanLatency, t)
+	}
+	c.cost *= m.directory.distanceFactor(m.query, t)
+	switch {
+	case !isCached:
+	case m.saving:
+		c.cost *= 1 - m.query.CachedSaving
+	default:
+		c.preferred = true
 	}
-	c.cost = m.directory.cost(m.now, m.query, m.meanLatency, t)
 	return c
 }
 
@@ -172,6 +184,8 @@
 type candidate struct {
 	*target
 	cost float64
+	// preferred is whether the target comes before others whatever it costs.
+	preferred bool
 	// misses is whether the request would not be finished there when it is due.
 	misses bool
 	// timeLeft is the expected time of the request there, and left whether it would leave the
@@ -305,6 +319,9 @@
 	if version, other := c.entry.Versions[q.Model], o.entry.Versions[q.Model]; q.PreferNewest && version != other {
 		return version > other
 	}
+	if c.preferred != o.preferred {
+		return c.preferred
+	}
 	if c.misses != o.misses {
 		return o.misses
 	}
@@ -331,7 +348,7 @@
 
 // cost returns the utilisation of the target with one more request, multiplied by
 // its unit latency. meanLatency replaces an unknown unit latency.
-func (d *Directory) cost(now time.Time, q *Query, meanLatency time.Duration, t *target) float64 {
+func (d *Directory) cost(now time.Time, meanLatency time.Duration, t *target) float64 {
 	cost := (float64(t.load(now)) + 1) / float64(max(t.entry.Slots, 1))
 	latency := t.unitLatency
 	if latency == 0 {
@@ -340,7 +357,7 @@
 	if latency > 0 {
 		cost *= latency.Seconds()
 	}
-	return cost * d.distanceFactor(q, t)
+	return cost
 }
 
 // distanceFactor returns the factor for a target's zone and for a new connection.
@@ -352,8 +369,5 @@
 	if d.cfg.Connected != nil && !d.cfg.Connected(t.entry.Address) {
 		factor *= 1 + connectCost
 	}
-	if t.entry.ID == q.Cached {
-		factor *= 1 - q.CachedSaving
-	}
 	return factor
 }
--- a/internal/silltarget/placement.go
+++ b/internal/silltarget/placement.go
@@ -94,16 +94,6 @@
 	return usual + time.Duration(extra)
 }
 
-// reportsSpeed returns whether a target of a pool has reported how long work takes.
-func (d *Directory) reportsSpeed(pool sillid.PoolID) bool {
-	for _, t := range d.targets {
-		if t.entry.Pool == pool && t.speed.slowdown > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // meanUsual returns the mean of the known usual times of a pool, or 0.
 func (d *Directory) meanUsual(pool sillid.PoolID) time.Duration {
 	return d.mean(pool, func(t *target) time.Duration { return t.speed.usual })
