Show in wasabisill route which behaviours a pool has

Cause: some behaviours of a gateway depend on its settings, its configuration and what targets report, and a question for a route did not tell which it has.

Change: the answer lists for each pool the behaviours that are switched on and the signal of each, and the text has a line of them. Answers of gateways that do not tell them still work, and the line is left out.

--- a/cmd/wasabisill/route_test.go
+++ b/cmd/wasabisill/route_test.go
@@ -27,11 +27,15 @@
 		Gateway: "front-a", Zone: "z-1", ConfigVersion: 3, Route: "plain", Kind: "idempotent", Organisation: "org",
 		Ages: sillexplanation.Ages{ConfigMS: &age, TargetsMS: &age, GatewaysMS: &age},
 		Pools: []sillexplanation.Pool{
-			{Pool: "desk", Share: 0.9, Action: sillexplanation.Send, Target: "i-0", Candidates: []sillexplanation.Candidate{
+			{Pool: "desk", Share: 0.9, Action: sillexplanation.Send, Target: "i-0", Behaviours: []sillexplanation.Behaviour{
+				{Behaviour: "outlier-ejection", Signal: "unsound-targets"}, {Behaviour: "queue-by-priority", Signal: "priorities-differ"},
+			}, Candidates: []sillexplanation.Candidate{
 				{Target: "i-0", Zone: "z-1", Cost: 0.25, Load: 1, Slots: 4, LoadAgeMS: &age, ExpectedMS: 80},
 				{Target: "i-1", Zone: "z-2", Cost: 0.5, Load: 4, Slots: 4, Excluded: "limited", PerSecond: 0.5, WaitMS: 700},
 			}},
-			{Pool: "spare", Share: 0.1, Action: sillexplanation.Refuse, Reason: "no-target", RetryAfterMS: 400},
+			{Pool: "spare", Share: 0.09, Action: sillexplanation.Refuse, Reason: "no-target", RetryAfterMS: 400, Behaviours: []sillexplanation.Behaviour{}},
+			// A gateway of an earlier build does not tell behaviours.
+			{Pool: "old", Share: 0.01, Action: sillexplanation.Refuse, Reason: "no-target", RetryAfterMS: 400},
 		},
 	}
 	switch {
--- a/internal/silldirectgateway/explain.go
+++ b/internal/silldirectgateway/explain.go
@@ -133,7 +133,7 @@
 	})
 	p := sillexplanation.Pool{
 		Pool: pool, Share: 1, Action: sillexplanation.Action(d.Action), Target: d.Target, MaxWaitMS: d.MaxWait.Milliseconds(),
-		Candidates: describeCandidates(d.Candidates, q.Tokens),
+		Candidates: describeCandidates(d.Candidates, q.Tokens), Behaviours: s.behaviours(pool),
 	}
 	if d.Refusal != nil {
 		p.Reason, p.RetryAfterMS = string(d.Refusal.Reason), d.Refusal.RetryAfter.Milliseconds()
@@ -147,13 +147,25 @@
 	candidates := s.view.directory.Explain(now, silltarget.Query{
 		Pool: pool, Homes: homes, Zone: s.settings.Zone, Model: q.Model, MinVersion: q.MinVersion, FreeOnly: true, Class: sillrate.Background,
 	})
-	p := sillexplanation.Pool{Pool: pool, Share: 1, Action: sillexplanation.Wait, Candidates: describeCandidates(candidates, q.Tokens)}
+	p := sillexplanation.Pool{Pool: pool, Share: 1, Action: sillexplanation.Wait, Candidates: describeCandidates(candidates, q.Tokens), Behaviours: s.behaviours(pool)}
 	if len(candidates) > 0 && candidates[0].Exclusion == silltarget.NotExcluded {
 		p.Action, p.Target = sillexplanation.Send, candidates[0].ID
 	}
 	return p
 }
 
+// behaviours returns the behaviours that are switched on for a pool.
+func (s *Service) behaviours(pool sillid.PoolID) []sillexplanation.Behaviour {
+	list := []sillexplanation.Behaviour{}
+	on := s.view.directory.Switch(pool)
+	for _, b := range silltarget.Behaviours() {
+		if on.On(b) {
+			list = append(list, sillexplanation.Behaviour{Behaviour: string(b), Signal: string(b.Signal())})
+		}
+	}
+	return list
+}
+
 func describeCandidates(candidates []silltarget.Candidate, tokens int) []sillexplanation.Candidate {
 	list := make([]sillexplanation.Candidate, 0, len(candidates))
 	for _, c := range candidates {
--- a/internal/sillexplanation/explanation.go
+++ b/internal/sillexplanation/explanation.go
@@ -93,10 +93,19 @@
 	// Reason and RetryAfterMS are those of a refusal.
 	Reason       string `json:"reason,omitempty"`
 	RetryAfterMS int64  `json:"retry-after-ms,omitempty"`
+	// Behaviours are what the gateway does in this pool since a signal calls for it; nil if it
+	// does not tell.
+	Behaviours []Behaviour `json:"behaviours,omitzero"`
 	// Candidates are the targets of the pool in the order of preference.
 	Candidates []Candidate `json:"candidates"`
 }
 
+// Behaviour is something that a gateway does only in pools for which a signal calls for it.
+type Behaviour struct {
+	Behaviour string `json:"behaviour"`
+	Signal    string `json:"signal"`
+}
+
 // Candidate tells what the gateway knows of a target.
 type Candidate struct {
 	Target sillid.TargetID `json:"target"`
--- a/internal/sillexplanation/text.go
+++ b/internal/sillexplanation/text.go
@@ -41,6 +41,9 @@
 
 func (p *Pool) write(b *bytes.Buffer) {
 	fmt.Fprintf(b, "\npool %s, %.4g of the requests: %s\n", p.Pool, p.Share, p.decision())
+	if p.Behaviours != nil {
+		fmt.Fprintf(b, "switched on: %s\n", describeBehaviours(p.Behaviours))
+	}
 	if len(p.Candidates) == 0 {
 		fmt.Fprintln(b, "no targets are known")
 		return
@@ -54,6 +57,15 @@
 	_ = table.Flush()
 }
 
+// describeBehaviours lists behaviours with their signals.
+func describeBehaviours(list []Behaviour) string {
+	described := make([]string, 0, len(list))
+	for _, d := range list {
+		described = append(described, fmt.Sprintf("%s (%s)", d.Behaviour, d.Signal))
+	}
+	return cmp.Or(strings.Join(described, ", "), "nothing")
+}
+
 // decision tells what would become of the request.
 func (p *Pool) decision() string {
 	switch p.Action {
