Tell permits and crash evidence in wasabisill route

Cause: the answer where a request would go left out the state of permits at targets that name a limit or may be cold, and the evidence that a content crashes targets.

Change: each such target has the rate and burst of its limit and of its cold share, who grants the permits, and when the next one is expected, if this gateway knows: it looks at a copy of its buckets and time slots, and asks no other gateway. A question may have the fingerprint of a content. The answer then tells whether the content is refused, for how long, and which targets crashed. A gateway of an earlier build refuses that question; the command then shows the first answer.

--- a/internal/sillcrash/fingerprint.go
+++ b/internal/sillcrash/fingerprint.go
@@ -15,6 +15,16 @@
 	return hex.EncodeToString(f[:])
 }
 
+// ParseFingerprint returns the fingerprint with hexadecimal digits, and false if they are none.
+func ParseFingerprint(digits string) (Fingerprint, bool) {
+	var f Fingerprint
+	b, err := hex.DecodeString(digits)
+	if err != nil || len(b) != len(f) {
+		return Fingerprint{}, false
+	}
+	return Fingerprint(b), true
+}
+
 // NewFingerprint returns the fingerprint of a request: the first 16 bytes of a
 // SHA-256 hash.
 func NewFingerprint(organisation sillid.OrganisationID, method, path string, body []byte) Fingerprint {
--- a/internal/silldirectgateway/peers.go
+++ b/internal/silldirectgateway/peers.go
@@ -36,7 +36,7 @@
 	if !ok {
 		return sillpermit.Place{}
 	}
-	place := sillpermit.Place{Self: first.Run == m.run, Address: first.Address}
+	place := sillpermit.Place{Self: first.Run == m.run, Gateway: first.Instance, Address: first.Address}
 	place.Settled = place.Self && m.readsMembers() && m.members.IsSettledGranter(sillclock.Boot(), name, first.Run)
 	return place
 }
--- a/internal/sillexplanation/client.go
+++ b/internal/sillexplanation/client.go
@@ -2,15 +2,19 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/wasabisill/wasabisill/internal/sillcrash"
 )
 
 // maxAnswerBytes bounds an answer: some thousand targets take less.
@@ -34,6 +38,16 @@
 	return hex.EncodeToString(hash[:])
 }
 
+// Content returns the fingerprint of a request with a body, for Question.Content. The answer to the
+// question without one names the organisation.
+func Content(q *Question, a *Answer, body []byte) string {
+	host := q.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return sillcrash.NewFingerprint(a.Organisation, cmp.Or(q.Method, http.MethodPost), host+q.Path, body).String()
+}
+
 // Ask asks the gateway whose metrics are served at an address. It returns a *RefusedError if the
 // gateway does not answer the question.
 func Ask(ctx context.Context, client *http.Client, address string, q *Question) (*Answer, error) {
--- a/internal/sillexplanation/explanation.go
+++ b/internal/sillexplanation/explanation.go
@@ -25,6 +25,9 @@
 	MinVersion sillid.WeightVersion `json:"min-version,omitempty"`
 	// Tokens is the expected length of a generation; 0 if unknown.
 	Tokens int `json:"tokens,omitempty"`
+	// Content is the fingerprint of the content, to look at crash evidence; empty for none.
+	// Gateways of earlier builds refuse a question with one.
+	Content string `json:"content,omitempty"`
 	// DeadlineMS is the time that the caller gives the request; 0 for that of the route.
 	DeadlineMS int64 `json:"deadline-ms,omitempty"`
 }
@@ -68,6 +71,9 @@
 	Owner     string `json:"owner,omitempty"`
 	OwnedHere bool   `json:"owned-here,omitempty"`
 	Ages      Ages   `json:"ages"`
+	// CrashEvidence is that on the content of the question; nil if the question has none, or the
+	// gateway does not tell.
+	CrashEvidence *CrashEvidence `json:"crash-evidence,omitempty"`
 	// Pools are the pools of the route; a request gets one of them by their shares.
 	Pools []Pool `json:"pools"`
 }
@@ -106,6 +112,42 @@
 	Signal    string `json:"signal"`
 }
 
+// Permits tell what a gateway knows of the permits that requests to a target need.
+type Permits struct {
+	// GrantedBy is who grants them: this-gateway, other-gateway, or time-slots if that gateway is
+	// not known or does not answer. Granter is the gateway; empty if it is not known.
+	GrantedBy string            `json:"granted-by"`
+	Granter   sillid.InstanceID `json:"granter,omitempty"`
+	// Rates are those of the limit that the target names and of the share while it may be cold. A
+	// request needs a permit of each.
+	Rates []PermitRate `json:"rates"`
+	// NextMS is the time until the next permit is expected; nil if only the granter knows.
+	NextMS *int64 `json:"next-ms"`
+}
+
+// PermitRate is the rate of the permits for one reason: limit or cold.
+type PermitRate struct {
+	Reason    string  `json:"reason"`
+	PerSecond float64 `json:"per-second"`
+	Burst     float64 `json:"burst"`
+}
+
+// CrashEvidence is what a gateway knows of targets that crashed under requests with a content.
+type CrashEvidence struct {
+	// Content is the fingerprint by which logs name the content.
+	Content string `json:"content"`
+	// Refused is whether requests with the content are refused, and RetryAfterMS for how long.
+	Refused      bool  `json:"refused"`
+	RetryAfterMS int64 `json:"retry-after-ms,omitempty"`
+	// Score is the evidence; Crashes counts the crashes that are kept.
+	Score   float64 `json:"score"`
+	Crashes int     `json:"crashes"`
+	// Targets are those that crashed.
+	Targets []sillid.TargetID `json:"targets"`
+	// LastCrashAgeMS is the time since the last crash; nil without one.
+	LastCrashAgeMS *int64 `json:"last-crash-age-ms"`
+}
+
 // Candidate tells what the gateway knows of a target.
 type Candidate struct {
 	Target sillid.TargetID `json:"target"`
@@ -122,9 +164,12 @@
 	// ExpectedMS is the expected time of the request; 0 if unknown.
 	ExpectedMS int64                `json:"expected-ms"`
 	Version    sillid.WeightVersion `json:"version,omitempty"`
-	// PerSecond is the limit on requests that the target names; 0 without one. Requests need
-	// a permit, for which the question does not ask.
+	// PerSecond is the limit on requests that the target names; 0 without one. The question
+	// does not ask for a permit.
 	PerSecond float64 `json:"limit-per-second,omitempty"`
+	// Permits tell what is known of the permits that requests to the target need; nil if they
+	// need none or the gateway does not tell.
+	Permits *Permits `json:"permits,omitempty"`
 	// WaitMS is the time until the reason of the exclusion ends; 0 if it is unknown.
 	WaitMS int64 `json:"wait-ms,omitempty"`
 }
--- a/internal/sillexplanation/text.go
+++ b/internal/sillexplanation/text.go
@@ -25,6 +25,9 @@
 	if a.Owner != "" && !a.OwnedHere {
 		fmt.Fprintf(&b, "items are sent by the gateway run %s; ask that one\n", a.Owner)
 	}
+	if a.CrashEvidence != nil {
+		fmt.Fprintln(&b, a.CrashEvidence.describe())
+	}
 	for i := range a.Pools {
 		a.Pools[i].write(&b)
 	}
@@ -55,6 +58,45 @@
 		_, _ = fmt.Fprintln(table, p.Candidates[i].row())
 	}
 	_ = table.Flush()
+	for i := range p.Candidates {
+		if permits := p.Candidates[i].Permits; permits != nil {
+			fmt.Fprintf(b, "permits for %s: %s\n", p.Candidates[i].Target, permits.describe())
+		}
+	}
+}
+
+// describe tells the rates, who grants the permits and when the next one is expected.
+func (p *Permits) describe() string {
+	var parts []string
+	for _, r := range p.Rates {
+		parts = append(parts, fmt.Sprintf("%s %.4g/s with a burst of %.4g", r.Reason, r.PerSecond, r.Burst))
+	}
+	by := p.GrantedBy
+	if p.Granter != "" {
+		by += " " + string(p.Granter)
+	}
+	next := "next one known only there"
+	if p.NextMS != nil {
+		next = fmt.Sprintf("next one in %d ms", *p.NextMS)
+	}
+	return strings.Join(append(parts, "granted by "+by, next), "; ")
+}
+
+// describe tells what becomes of requests with the content.
+func (c *CrashEvidence) describe() string {
+	if c.Crashes == 0 {
+		return fmt.Sprintf("content %s: no target is known to have crashed under it", c.Content)
+	}
+	names := make([]string, 0, len(c.Targets))
+	for _, target := range c.Targets {
+		names = append(names, string(target))
+	}
+	verdict := "not refused"
+	if c.Refused {
+		verdict = fmt.Sprintf("refused for %d ms", c.RetryAfterMS)
+	}
+	return fmt.Sprintf("content %s: %s; %d crashes with a score of %.4g, the last %s ago, at %s",
+		c.Content, verdict, c.Crashes, c.Score, age(c.LastCrashAgeMS), strings.Join(names, ", "))
 }
 
 // describeBehaviours lists behaviours with their signals.
--- a/internal/sillforwarder/explain.go
+++ b/internal/sillforwarder/explain.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
+	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
@@ -43,8 +44,9 @@
 }
 
 // Explain returns what would become of a caller's request that arrived now. It sends, counts
-// and reserves nothing, and doesn't look at crash evidence, which depends on the body.
-func (f *Forwarder) Explain(now time.Time, req *Request) Decision {
+// and reserves nothing. Crash evidence depends on the body; it is looked at if the fingerprint of
+// the content is known, and content is nil otherwise.
+func (f *Forwarder) Explain(now time.Time, req *Request, content *sillcrash.Fingerprint) Decision {
 	var p progress
 	remaining := req.Deadline.Sub(now)
 	q := f.query(now, req, nil, p)
@@ -52,6 +54,12 @@
 	if nextStep(req.Route, p, remaining) == abandon {
 		return Decision{Action: Refuse, Refusal: newRefusal(p, remaining), Candidates: all}
 	}
+	if content != nil {
+		p.content = *content
+		if problem := f.crashSuspicion(req, p); problem != nil {
+			return Decision{Action: Refuse, Refusal: &Refusal{Reason: CrashSuspect, NotRun: true, RetryAfter: problem.RetryAfter}, Candidates: all}
+		}
+	}
 	for _, candidates := range [][]silltarget.Candidate{f.cfg.Directory.Explain(now, freeOnly(q)), all} {
 		if len(candidates) > 0 && candidates[0].Exclusion == silltarget.NotExcluded {
 			return Decision{Action: Send, Target: candidates[0].ID, Candidates: candidates}
--- a/internal/sillforwarder/explain_test.go
+++ b/internal/sillforwarder/explain_test.go
@@ -1,10 +1,12 @@
 package sillforwarder
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
+	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/sillpermit"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
@@ -13,7 +15,7 @@
 // explain returns what would become of a request with a time limit.
 func (f *fixture) explain(r *sillcatalog.Route, limit time.Duration) Decision {
 	now := time.Now()
-	return f.forwarder.Explain(now, &Request{Route: r, Pool: "p", Arrived: now, Deadline: now.Add(limit)})
+	return f.forwarder.Explain(now, &Request{Route: r, Pool: "p", Arrived: now, Deadline: now.Add(limit)}, nil)
 }
 
 // TestExplainTakesNothing guards against explanations that take a slot or ask for a permit.
@@ -59,6 +61,27 @@
 		checkRefusal(t, err, TooLate, true)
 		expectRefusal(t, f.explain(r, time.Millisecond), TooLate, silltarget.NotExcluded)
 	})
+	t.Run("content that crashes targets", func(t *testing.T) {
+		f := newFixture(t, behaviour{})
+		now := time.Now()
+		req := &Request{
+			Route: r, Pool: "p", Organisation: "org", Method: http.MethodPost, RequestURI: "/x", Body: []byte("crash"), Header: make(http.Header),
+			Arrived: now, Deadline: now.Add(time.Second),
+		}
+		crashing, sound := req.content(), sillcrash.NewFingerprint("org", http.MethodPost, "/x", []byte("sound"))
+		for i := range 3 {
+			at := now.Add(time.Duration(i-3) * time.Second)
+			f.forwarder.cfg.Suspects.RecordCrash(at, sillid.TargetID(rune('x'+i)), "run", []sillcrash.RunningRequest{{Fingerprint: crashing, Started: at}})
+		}
+		expectRefusal(t, f.forwarder.Explain(now, req, &crashing), CrashSuspect, silltarget.NotExcluded)
+		for _, content := range []*sillcrash.Fingerprint{&sound, nil} {
+			if d := f.forwarder.Explain(now, req, content); d.Action != Send {
+				t.Errorf("decision %+v without evidence on the content", d)
+			}
+		}
+		_, err := f.forwarder.Do(t.Context(), req)
+		checkRefusal(t, err, CrashSuspect, true)
+	})
 	t.Run("waits for a backoff", func(t *testing.T) {
 		f := newFixture(t, behaviour{})
 		now := time.Now()
--- a/internal/sillpermit/broker.go
+++ b/internal/sillpermit/broker.go
@@ -8,6 +8,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillrate"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 	"github.com/wasabisill/wasabisill/internal/silltransport"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
 const (
@@ -21,6 +22,8 @@
 type Place struct {
 	// Self is whether it is this process.
 	Self bool
+	// Gateway is its name; empty if it is not known.
+	Gateway sillid.InstanceID
 	// Address is where it is reached; empty if it is this process, or not known.
 	Address string
 	// Settled is whether it is this process, has been for longer than it takes until each
@@ -188,14 +191,25 @@
 	return &a.Cold.Allowance
 }
 
+// slotRate returns the rate of the time slots of all gateways under a limit, 0 for none, and the
+// allowance of a target that may be cold, nil for one that is warm.
+func slotRate(limit sillrate.PerSecond, cold *sillrate.Allowance) sillrate.PerSecond {
+	rate := slotShare * limit
+	if cold != nil && (rate == 0 || cold.SlotRate < rate) {
+		rate = cold.SlotRate
+	}
+	return rate
+}
+
 // takeSlot grants a permit if the current time slot is this process's.
 func (b *Broker) takeSlot(a Ask) Verdict {
 	now := b.cfg.Now()
 	b.cfg.Metrics.unreachable.Inc()
-	rate := slotShare * b.limitOf(now, a.Run)
-	if a.Cold != nil && (rate == 0 || a.Cold.Allowance.SlotRate < rate) {
-		rate = a.Cold.Allowance.SlotRate
+	var cold *sillrate.Allowance
+	if a.Cold != nil {
+		cold = &a.Cold.Allowance
 	}
+	rate := slotRate(b.limitOf(now, a.Run), cold)
 	if rate == 0 || a.Forced {
 		return Verdict{Granted: true}
 	}
--- a/internal/sillpermit/granter.go
+++ b/internal/sillpermit/granter.go
@@ -60,6 +60,23 @@
 	coldAskedAt time.Time
 }
 
+func newGrantedRun() *grantedRun { return &grantedRun{shares: newShares()} }
+
+// copy returns a copy whose tokens can be looked at without a change of the run. The shares are
+// those of the run.
+func (r *grantedRun) copy() *grantedRun {
+	copied := *r
+	if r.bucket != nil {
+		bucket := *r.bucket
+		copied.bucket = &bucket
+	}
+	if r.cold != nil {
+		cold := *r.cold
+		copied.cold = &cold
+	}
+	return &copied
+}
+
 func newGranter() *granter { return &granter{runs: make(map[silltarget.Run]*grantedRun)} }
 
 // decide decides on a permit under a limit, 0 for none, and the allowance of a target that
@@ -142,7 +159,7 @@
 	r := g.runs[run]
 	if r == nil {
 		g.trim(now)
-		r = &grantedRun{shares: newShares()}
+		r = newGrantedRun()
 		g.runs[run] = r
 	}
 	r.askedAt = now
--- a/internal/sillrate/bucket.go
+++ b/internal/sillrate/bucket.go
@@ -55,10 +55,11 @@
 func (b *Bucket) SetRate(now time.Time, rate PerSecond) {
 	b.refill(now)
 	b.rate = rate
-	b.tokens = min(b.tokens, b.capacity())
+	b.tokens = min(b.tokens, b.Capacity())
 }
 
-func (b *Bucket) capacity() float64 {
+// Capacity returns the number of tokens that the bucket holds at most.
+func (b *Bucket) Capacity() float64 {
 	if b.burst > 0 {
 		return b.burst
 	}
@@ -67,7 +68,7 @@
 
 func (b *Bucket) refill(now time.Time) {
 	if elapsed := now.Sub(b.updated); elapsed > 0 {
-		b.tokens = min(b.tokens+elapsed.Seconds()*float64(b.rate), b.capacity())
+		b.tokens = min(b.tokens+elapsed.Seconds()*float64(b.rate), b.Capacity())
 		b.updated = now
 	}
 }
@@ -91,12 +92,12 @@
 }
 
 // Refund returns the token of a request that is not sent.
-func (b *Bucket) Refund() { b.tokens = min(b.tokens+1, b.capacity()) }
+func (b *Bucket) Refund() { b.tokens = min(b.tokens+1, b.Capacity()) }
 
 // Debit takes a token for a request that is sent in any case.
 func (b *Bucket) Debit(now time.Time) {
 	b.refill(now)
-	b.tokens = max(b.tokens-1, -b.capacity())
+	b.tokens = max(b.tokens-1, -b.Capacity())
 }
 
 // Delay returns the time until a request of the class gets a token if no other one takes
--- a/internal/silltarget/explain.go
+++ b/internal/silltarget/explain.go
@@ -14,6 +14,9 @@
 	ID      sillid.TargetID
 	Zone    sillid.ZoneID
 	Address string
+	// Run is the run of the target, and Cold the allowance of one that may be cold.
+	Run  Run
+	Cold *ColdGrant
 	// Exclusion is why the target may not serve the query's requests; NotExcluded if it may.
 	Exclusion Exclusion
 	// Cost is by which eligible targets are compared, the lowest first.
@@ -77,7 +80,7 @@
 func (c *candidate) describe(now time.Time, q *Query, meanServiceTime time.Duration, reason Exclusion) Candidate {
 	t := c.target
 	described := Candidate{
-		ID: t.entry.ID, Zone: t.entry.Zone, Address: t.entry.Address, Exclusion: reason, Cost: c.cost,
+		ID: t.entry.ID, Zone: t.entry.Zone, Address: t.entry.Address, Run: t.entry.Run(), Cold: t.coldGrant(now), Exclusion: reason, Cost: c.cost,
 		Running: t.running, Load: t.load(now), Slots: t.entry.Slots, LoadAge: -1,
 		UnitLatency: t.unitLatency, ExpectedResponse: t.expectedResponseTime(now, meanServiceTime),
 		Version: t.entry.Versions[q.Model],
