Test that items leave an engine with errors only with the setting

Cause: the tests of items at an engine with errors stayed green without the rule that an item leaves the engine, since ejection alone saved them.

Change: one test checks the calls of two engines with and without the setting; it has the check of TestErrorsWithoutTheSettingMoveNoItems, which it replaces.

--- a/internal/silljob/error_test.go
+++ b/internal/silljob/error_test.go
@@ -47,20 +47,30 @@
 	}
 }
 
-// TestErrorsWithoutTheSettingMoveNoItems guards against items that leave an engine for its errors
-// where the settings don't say that targets may be unsound.
-func TestErrorsWithoutTheSettingMoveNoItems(t *testing.T) {
-	c := newCluster(t, 2, func(engine int, ca call, n int) behaviour {
-		if engine == 0 {
-			return behaviour{Status: http.StatusInternalServerError}
-		}
-		return completeStream(engine, ca, n)
-	})
-	a := c.start("a")
-	sub := submission("job", 1)
-	a.submit(t, sub)
-	a.results(t, "job", len(sub.Items))
-	if first, second := len(c.engines[0].Calls()), len(c.engines[1].Calls()); first != sub.MaxFailedAttempts || second != 0 {
-		t.Errorf("the engines got %d and %d calls, want %d and none", first, second, sub.MaxFailedAttempts)
+// TestItemsLeaveEnginesWithErrors guards against an item that is sent again to the engine that
+// answered it with an error, and against one that leaves the engine where the settings don't say that
+// targets may be unsound.
+func TestItemsLeaveEnginesWithErrors(t *testing.T) {
+	for _, unsound := range []bool{true, false} {
+		t.Run(fmt.Sprintf("unsound %t", unsound), func(t *testing.T) {
+			c := newCluster(t, 2, func(engine int, ca call, n int) behaviour {
+				if engine == 0 {
+					return behaviour{Status: http.StatusInternalServerError}
+				}
+				return completeStream(engine, ca, n)
+			})
+			c.unsoundTargets = unsound
+			a := c.start("a")
+			sub := submission("job", 1)
+			a.submit(t, sub)
+			a.results(t, "job", len(sub.Items))
+			want := [2]int{sub.MaxFailedAttempts, 0}
+			if unsound {
+				want = [2]int{1, 1}
+			}
+			if got := [2]int{len(c.engines[0].Calls()), len(c.engines[1].Calls())}; got != want {
+				t.Errorf("the engines got %v calls, want %v", got, want)
+			}
+		})
 	}
 }
