--- a/internal/silljob/error_test.go
+++ b/internal/silljob/error_test.go
@@ -13,6 +13,7 @@
 // requests use up their attempts there.
 func TestScorerWithErrorsLosesNoItems(t *testing.T) {
 	c := newCluster(t, 4, completeStream)
+	c.unsoundTargets = true
 	bad := sillstandtarget.Start("a-bad-scorer", func(call, int) behaviour {
 		return behaviour{Status: http.StatusInternalServerError}
 	})
@@ -36,6 +37,7 @@
 		}
 		return completeStream(engine, ca, n)
 	})
+	c.unsoundTargets = true
 	a := c.start("a")
 	sub := submission("job", 24)
 	a.submit(t, sub)
@@ -44,3 +46,31 @@
 		t.Errorf("the failing engine got %d calls for %d items", calls, len(sub.Items))
 	}
 }
+
+// TestItemsLeaveEnginesWithErrors guards against an item that is sent again to the engine that
+// answered it with an error, and against one that leaves the engine where the settings don't say that
+// targets may be unsound.
+func TestItemsLeaveEnginesWithErrors(t *testing.T) {
+	for _, unsound := range []bool{true, false} {
+		t.Run(fmt.Sprintf("unsound %t", unsound), func(t *testing.T) {
+			c := newCluster(t, 2, func(engine int, ca call, n int) behaviour {
+				if engine == 0 {
+					return behaviour{Status: http.StatusInternalServerError}
+				}
+				return completeStream(engine, ca, n)
+			})
+			c.unsoundTargets = unsound
+			a := c.start("a")
+			sub := submission("job", 1)
+			a.submit(t, sub)
+			a.results(t, "job", len(sub.Items))
+			want := [2]int{sub.MaxFailedAttempts, 0}
+			if unsound {
+				want = [2]int{1, 1}
+			}
+			if got := [2]int{len(c.engines[0].Calls()), len(c.engines[1].Calls())}; got != want {
+				t.Errorf("the engines got %v calls, want %v", got, want)
+			}
+		})
+	}
+}
