Let no account give way to one that holds more, and keep the reserve for requests

Cause: the budget evicted the worst account whose client was sending or reading. An answer that is read from a target is neither, so that answers that asked for more closed every small request whose body was just being read, and were then refused anyway. Callers saw a closed connection without an answer (1 to 16 of 300 in TestEndlessAnswers), and ordinary requests failed in the same way (1 of 20). Besides, the first step of an answer without a body before it took the memory that is reserved for small requests, and a single large request above the budget left no reserve at all.

Change: an account gives way if it holds more than the asking one then would, or has made no progress for 1 s. Requests of one step are served from the reserve whatever others hold, and don't give way to larger ones while they fit in it; answers have no part in it. Nobody is evicted if the bytes would not suffice. A larger answer that is being read is dropped for a smaller one, and its caller gets 502. A client that reads its answer is cut only if it stalls, or for bytes that exist already and exceed the budget by more than an eighth.

TestNoMemory of sillserver expected 503 for one byte beside a single large request, which the reserve now serves. Its setup fills the reserve, too; its checks are the same.

--- a/internal/sillbudget/budget.go
+++ b/internal/sillbudget/budget.go
@@ -3,7 +3,10 @@
 package sillbudget
 
 import (
+	"cmp"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -11,9 +14,12 @@
 	// Step is the number of bytes that is taken at once while a body is read: a multiple of
 	// it is held by bodies that go on.
 	Step = 64 << 10
-	// smallShare is the share of the budget that only accounts with a single step may use,
+	// smallShare is the share of the budget that only requests with a single step may use,
 	// so that ordinary requests pass beside large ones.
 	smallShare = 0.125
+	// stallTime is the time without progress after which an account may be evicted for one
+	// that holds more. A client at the least rate of a body makes progress twice in it.
+	stallTime = time.Second
 	// maxWaiting bounds the accounts that wait for bytes: each looks again whenever some are
 	// given back.
 	maxWaiting = 64
@@ -23,10 +29,14 @@
 // use. A nil Budget has no bound.
 type Budget struct {
 	size int64
+	// epoch is what accounts measure their progress from.
+	epoch time.Time
 
 	mu sync.Mutex
 	// taken is the sum of what the accounts hold.
 	taken int64
+	// small is the part of taken that small requests hold.
+	small int64
 	// leaving is the part of taken that evicted accounts still hold.
 	leaving  int64
 	accounts map[*Account]struct{}
@@ -41,27 +51,43 @@
 	if size <= 0 {
 		return nil
 	}
-	b := &Budget{size: size, accounts: make(map[*Account]struct{}), freed: make(chan struct{}), metrics: metrics}
+	b := &Budget{size: size, epoch: time.Now(), accounts: make(map[*Account]struct{}), freed: make(chan struct{}), metrics: metrics}
 	metrics.follow(b)
 	return b
 }
 
+// phase is what happens with the bytes of an account.
+type phase int
+
+const (
+	// settled: the request is complete and may have run. The account is not evicted.
+	settled phase = iota
+	// sending: the client sends the body.
+	sending
+	// fetching: an answer is read from a target. It may be dropped for another answer.
+	fetching
+	// reading: the client reads the answer.
+	reading
+)
+
 // Account holds what one request takes of a budget. Its methods but Progress are called by
 // one goroutine at a time. A nil Account takes nothing.
 type Account struct {
 	budget *Budget
 	evict  func()
+	// progressed is when the account last took bytes, or its client last sent or read some,
+	// as a duration since the epoch of the budget.
+	progressed atomic.Int64
 
 	// The fields below are guarded by the mutex of the budget.
 
 	held int64
 	// answer is the part of held that was taken for an answer.
 	answer int64
-	// progressed is when the account last took bytes or its answer was read.
-	progressed time.Time
-	// exposed is whether the client still sends the body, or reads the answer, for which the
-	// account holds bytes: only then may it be evicted.
-	exposed bool
+	phase  phase
+	// drop ends the reading of an answer from a target; nil if answers are not dropped.
+	drop func()
+	// evicted is whether the account has to give back its bytes soon.
 	evicted bool
 }
 
@@ -86,6 +112,17 @@
 	Refused
 )
 
+// OnDrop sets the function that ends the reading of the answer from its target. It is called
+// while a lock is held and must not block. Without it, answers of the account are not dropped.
+func (a *Account) OnDrop(drop func()) {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.drop = drop
+}
+
 // TryTake takes bytes for a client that sends them.
 func (a *Account) TryTake(now time.Time, n int64) Outcome {
 	if a == nil {
@@ -94,78 +131,147 @@
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	outcome := b.tryTake(a, now, n)
-	if outcome == Taken {
-		a.exposed = true
-	}
-	return outcome
+	return b.tryTake(a, now, n, sending)
 }
 
-func (b *Budget) tryTake(a *Account, now time.Time, n int64) Outcome {
+// tryTake takes bytes for an account that is in a phase then.
+func (b *Budget) tryTake(a *Account, now time.Time, n int64, p phase) Outcome {
 	if a.evicted {
 		return Refused
 	}
-	limit, reserve := b.size, int64(smallShare*float64(b.size))
-	if a.held+n > Step {
-		limit -= reserve
+	reserve := b.reserve()
+	// used is what counts against the limit: the reserve is for small requests only.
+	limit, used := b.size-reserve, b.taken-min(b.small, reserve)
+	if p == sending && a.held+n <= Step {
+		if b.small+n <= reserve {
+			b.take(a, now, n, p)
+			return Taken
+		}
+		limit, used = b.size, b.taken
 	}
 	// An account beside small ones only may take more than there is: one legal request is
 	// always served when load is low.
-	if b.taken+n <= limit || b.taken-a.held <= reserve {
-		b.add(a, now, n)
+	if used+n <= limit || b.taken-a.held <= reserve {
+		b.take(a, now, n, p)
 		return Taken
 	}
-	for b.taken-b.leaving+n > limit {
-		if b.taken-b.leaving-a.held <= reserve {
-			break
-		}
-		worst := b.worst(a, now)
-		if worst == nil || worst == a {
-			b.metrics.count(reasonShort)
-			return Refused
-		}
-		b.expel(worst)
+	missing := min(used-b.leaving+n-limit, b.taken-b.leaving-a.held-reserve)
+	if missing <= 0 {
+		return Wait
+	}
+	if !b.evictFor(a, now, n, p, missing) {
+		b.metrics.count(reasonShort)
+		return Refused
 	}
 	return Wait
 }
 
-func (b *Budget) add(a *Account, now time.Time, n int64) {
-	if n == 0 {
-		return
+func (b *Budget) reserve() int64 { return int64(smallShare * float64(b.size)) }
+
+func (b *Budget) take(a *Account, now time.Time, n int64, p phase) {
+	answer := a.answer
+	if p != sending {
+		answer += n
 	}
-	if a.held == 0 {
-		b.accounts[a] = struct{}{}
+	b.hold(a, n, answer)
+	a.phase = p
+	a.Progress(now)
+}
+
+// hold adds to what an account holds, and sets how much of it is for an answer.
+func (b *Budget) hold(a *Account, n, answer int64) {
+	if a.isSmall() {
+		b.small -= a.held
 	}
 	a.held += n
+	a.answer = answer
 	b.taken += n
-	a.progressed = now
+	if a.isSmall() {
+		b.small += a.held
+	}
+	if a.evicted {
+		b.leaving += n
+	}
+	if a.held == 0 {
+		delete(b.accounts, a)
+	} else {
+		b.accounts[a] = struct{}{}
+	}
 }
 
-// worst returns the exposed account that holds most for the longest time without progress;
-// nil if none can be evicted.
-func (b *Budget) worst(asking *Account, now time.Time) *Account {
-	var worst *Account
-	var most float64
-	for a := range b.accounts {
-		if !a.exposed || a.evicted || a.held == 0 {
-			continue
-		}
-		if cost := float64(a.held) * (now.Sub(a.progressed) + minIdle).Seconds(); cost > most {
-			worst, most = a, cost
+// isSmall returns whether an account holds one step at most, and none of it for an answer.
+func (a *Account) isSmall() bool { return a.held <= Step && a.answer == 0 }
+
+// idle returns the time without progress of an account.
+func (b *Budget) idle(a *Account, now time.Time) time.Duration {
+	return max(0, now.Sub(b.epoch)-time.Duration(a.progressed.Load()))
+}
+
+// minIdle makes the size decide among accounts that all progress.
+const minIdle = 10 * time.Millisecond
+
+// cost orders accounts by how much they hold and for how long without progress.
+func (b *Budget) cost(a *Account, now time.Time) float64 {
+	return float64(a.held) * (b.idle(a, now) + minIdle).Seconds()
+}
+
+// evictFor evicts the accounts of the largest cost, until a number of bytes is on its way back
+// to an account that asks for n more. It evicts none and returns false if they are too few.
+func (b *Budget) evictFor(asking *Account, now time.Time, n int64, p phase, missing int64) bool {
+	// An account that has stalled itself takes nothing from accounts of less cost.
+	least := 0.0
+	if asking.held > 0 && asking.phase == sending && b.idle(asking, now) >= stallTime {
+		least = b.cost(asking, now)
+	}
+	var victims []*Account
+	for c := range b.accounts {
+		if c != asking && !c.evicted && b.givesWay(c, asking.held+n, now, p) && b.cost(c, now) > least {
+			victims = append(victims, c)
 		}
 	}
-	if asking.held == 0 || worst != nil {
-		return worst
+	slices.SortFunc(victims, func(x, y *Account) int { return cmp.Compare(b.cost(y, now), b.cost(x, now)) })
+	for i, c := range victims {
+		if missing -= c.held; missing <= 0 {
+			for _, c := range victims[:i+1] {
+				b.expel(c)
+			}
+			return true
+		}
 	}
-	return asking
+	return false
 }
 
-// minIdle makes the size decide among accounts that all progress.
-const minIdle = 10 * time.Millisecond
+// givesWay returns whether an account may be evicted for one that asks in a phase, and holds a
+// number of bytes then: it holds more or has stalled.
+func (b *Budget) givesWay(c *Account, asked int64, now time.Time, p phase) bool {
+	larger := c.held > asked
+	stalled := b.idle(c, now) >= stallTime
+	switch c.phase {
+	case sending:
+		if asked > Step && c.isSmall() && b.small <= b.reserve() {
+			return false
+		}
+		return larger || stalled
+	case fetching:
+		// The target has run the request, so that one which has not is refused instead.
+		return larger && p != sending && c.drop != nil
+	case reading:
+		// A client that reads is told its answer, unless the bytes exist already and can't be
+		// refused.
+		return stalled || larger && p == reading
+	case settled:
+	}
+	return false
+}
 
 func (b *Budget) expel(a *Account) {
 	a.evicted = true
 	b.leaving += a.held
+	if a.phase == fetching {
+		b.metrics.count(reasonDropped)
+		a.drop()
+		return
+	}
 	b.metrics.count(reasonEvicted)
 	a.evict()
 }
@@ -176,49 +282,38 @@
 	if a == nil || n <= 0 {
 		return true
 	}
-	b := a.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.take(a, n, patience) {
-		return false
-	}
-	a.exposed = true
-	return true
+	return a.budget.await(a, n, sending, patience)
 }
 
-// TakeAnswer is Take for an answer that is about to be read. The account is not evicted before
-// Deliver.
+// TakeAnswer is Take for an answer that is about to be read from a target. Until Deliver, the
+// account may be dropped for a smaller answer, but its client's connection is not closed.
 func (a *Account) TakeAnswer(n int64, patience time.Duration) bool {
 	if a == nil || n <= 0 {
 		return true
 	}
-	b := a.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.take(a, n, patience) {
-		return false
-	}
-	a.answer += n
-	return true
+	return a.budget.await(a, n, fetching, patience)
 }
 
-func (b *Budget) take(a *Account, n int64, patience time.Duration) bool {
+// await takes bytes as soon as there are enough. It returns false after a time.
+func (b *Budget) await(a *Account, n int64, p phase, patience time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	now := time.Now()
 	for end := now.Add(patience); ; now = time.Now() {
-		outcome := b.tryTake(a, now, n)
+		outcome := b.tryTake(a, now, n, p)
 		if outcome != Wait {
 			return outcome == Taken
 		}
-		if !b.await(time.Until(end)) {
+		if !b.awaitFreed(time.Until(end)) {
 			b.metrics.count(reasonShort)
 			return false
 		}
 	}
 }
 
-// await waits until bytes are given back, with the lock released. It returns false after the
+// awaitFreed waits until bytes are given back, with the lock released. It returns false after the
 // time, or if too many wait already.
-func (b *Budget) await(limit time.Duration) bool {
+func (b *Budget) awaitFreed(limit time.Duration) bool {
 	if limit <= 0 || b.waiting >= maxWaiting {
 		return false
 	}
@@ -246,30 +341,35 @@
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if a.evicted && a.phase == fetching {
+		// The answer was complete before it could be dropped.
+		a.evicted = false
+		b.leaving -= a.held
+	}
 	if a.evicted {
 		return
 	}
 	missing := max(0, n-a.answer)
-	a.answer += missing
-	b.add(a, now, missing)
-	a.exposed = true
-	for b.taken-b.leaving > b.size {
-		worst := b.worst(a, now)
-		if worst == nil || b.taken-b.leaving == worst.held {
-			return
-		}
-		b.expel(worst)
+	b.take(a, now, missing, reading)
+	over := b.taken - b.leaving - b.size
+	if missing == 0 || over <= 0 || b.taken-b.leaving == a.held {
+		return
+	}
+	// Clients that read an answer are not cut for a little more than there is.
+	if over <= b.reserve() {
+		b.evictFor(a, now, 0, fetching, over)
+		return
+	}
+	if !b.evictFor(a, now, 0, reading, over) {
+		b.expel(a)
 	}
 }
 
-// Progress records that the client reads its answer.
+// Progress records that the client sends its body or reads its answer.
 func (a *Account) Progress(now time.Time) {
-	if a == nil {
-		return
+	if a != nil {
+		a.progressed.Store(int64(now.Sub(a.budget.epoch)))
 	}
-	a.budget.mu.Lock()
-	defer a.budget.mu.Unlock()
-	a.progressed = now
 }
 
 // Settle records that the client has sent the whole body, or has read the answer: the account
@@ -280,7 +380,7 @@
 	}
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
-	a.exposed = false
+	a.phase = settled
 }
 
 // Release gives back bytes.
@@ -292,15 +392,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n = min(n, a.held)
-	a.answer = min(a.answer, a.held-n)
-	a.held -= n
-	b.taken -= n
-	if a.evicted {
-		b.leaving -= n
-	}
-	if a.held == 0 {
-		delete(b.accounts, a)
-	}
+	b.hold(a, -n, min(a.answer, a.held-n))
 	if b.waiting > 0 {
 		close(b.freed)
 		b.freed = make(chan struct{})
--- a/internal/sillbudget/metrics.go
+++ b/internal/sillbudget/metrics.go
@@ -6,6 +6,7 @@
 const (
 	reasonShort   = "refused"
 	reasonEvicted = "evicted"
+	reasonDropped = "dropped"
 )
 
 // Metrics are the metrics of a budget. A nil Metrics counts nothing.
@@ -18,7 +19,7 @@
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{registerer: r, short: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wasabisill_body_budget_short_total",
-		Help: "Requests that got no memory for their bytes: refused, or evicted for another request",
+		Help: "Requests that got no memory for their bytes: refused, or evicted or dropped for another request",
 	}, []string{"reason"})}
 	r.MustRegister(m.short)
 	return m
--- a/internal/sillserver/limits_test.go
+++ b/internal/sillserver/limits_test.go
@@ -132,6 +132,12 @@
 		t.Fatal("not taken")
 	}
 	holder.Settle()
+	// Other small requests take what is reserved for them.
+	other := budget.Open(func() {})
+	if !other.Take(sillbudget.Step/2, 0) {
+		t.Fatal("not taken")
+	}
+	other.Settle()
 	s := serveLimited(t, Limits{Budget: budget})
 	c := dialAndSend(t, s, small)
 	resp := checkStatus(t, bufio.NewReader(c), http.StatusServiceUnavailable)
@@ -139,6 +145,7 @@
 		t.Errorf("headers %v, want a time to come back and the end of the connection", resp.Header)
 	}
 	holder.Close()
+	other.Close()
 	checkStatus(t, bufio.NewReader(dialAndSend(t, s, small)), http.StatusOK)
 	if n := budget.Taken(); n != 0 {
 		t.Errorf("%d bytes are still taken", n)
