Count no account as stalled because the process itself did not run

Cause: after a freeze of the instance all accounts look as if their clients had sent nothing for seconds, although their bytes wait in the sockets. The first one that ran again took the memory of the others, also of smaller ones, and closed their connections.

Change: each listener tells the budget once a second that the process runs. After a gap of 2 s, time without progress counts from the end of the gap.

Measured: TestFrozenProcess fails without the change.

--- a/internal/sillbudget/budget.go
+++ b/internal/sillbudget/budget.go
@@ -20,6 +20,9 @@
 	// stallTime is the time without progress after which an account may be evicted for one
 	// that holds more. A client at the least rate of a body makes progress twice in it.
 	stallTime = time.Second
+	// freezeTime is the time between two signs of life of the process after which no account
+	// counts as stalled: the process did not run, so that the clients could make no progress.
+	freezeTime = 2 * time.Second
 	// maxWaiting bounds the accounts that wait for bytes: each looks again whenever some are
 	// given back.
 	maxWaiting = 64
@@ -38,8 +41,11 @@
 	// small is the part of taken that small requests hold.
 	small int64
 	// leaving is the part of taken that evicted accounts still hold.
-	leaving  int64
-	accounts map[*Account]struct{}
+	leaving int64
+	// alive is when Alive was last called, and resumed when the process last ran again after
+	// a time in which it did not.
+	alive, resumed time.Time
+	accounts       map[*Account]struct{}
 	// freed is closed and replaced when bytes are given back to accounts that wait.
 	freed   chan struct{}
 	waiting int
@@ -123,6 +129,23 @@
 	a.drop = drop
 }
 
+// Alive records that the process runs. It is called every second or more often.
+func (b *Budget) Alive(now time.Time) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.noticeFreeze(now)
+	b.alive = now
+}
+
+func (b *Budget) noticeFreeze(now time.Time) {
+	if !b.alive.IsZero() && now.Sub(b.alive) > freezeTime {
+		b.alive, b.resumed = now, now
+	}
+}
+
 // TryTake takes bytes for a client that sends them.
 func (a *Account) TryTake(now time.Time, n int64) Outcome {
 	if a == nil {
@@ -136,6 +159,7 @@
 
 // tryTake takes bytes for an account that is in a phase then.
 func (b *Budget) tryTake(a *Account, now time.Time, n int64, p phase) Outcome {
+	b.noticeFreeze(now)
 	if a.evicted {
 		return Refused
 	}
@@ -204,7 +228,11 @@
 
 // idle returns the time without progress of an account.
 func (b *Budget) idle(a *Account, now time.Time) time.Duration {
-	return max(0, now.Sub(b.epoch)-time.Duration(a.progressed.Load()))
+	idle := now.Sub(b.epoch) - time.Duration(a.progressed.Load())
+	if !b.resumed.IsZero() {
+		idle = min(idle, now.Sub(b.resumed))
+	}
+	return max(0, idle)
 }
 
 // minIdle makes the size decide among accounts that all progress.
@@ -341,6 +369,7 @@
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.noticeFreeze(now)
 	if a.evicted && a.phase == fetching {
 		// The answer was complete before it could be dropped.
 		a.evicted = false
--- a/internal/sillbudget/fairness_test.go
+++ b/internal/sillbudget/fairness_test.go
@@ -183,3 +183,21 @@
 	checkKept(t, large, "a large answer that is being read")
 	checkKept(t, small, "a small answer that is being read")
 }
+
+// TestFrozenProcess guards against clients that count as stalled because the process itself did
+// not run.
+func TestFrozenProcess(t *testing.T) {
+	b, now := New(testSize, nil), time.Now()
+	small, large := open(b), open(b)
+	b.Alive(now)
+	checkTake(t, small, now, 20*Step, Taken)
+	checkTake(t, large, now, 30*Step, Taken)
+	now = now.Add(5 * time.Second)
+	large.Progress(now)
+	checkTake(t, large, now, 10*Step, Refused)
+	b.Alive(now)
+	checkKept(t, small, "a client of a process that was frozen")
+	now = now.Add(stallTime)
+	large.Progress(now)
+	checkTake(t, large, now, 10*Step, Wait)
+}
--- a/internal/sillserver/watch.go
+++ b/internal/sillserver/watch.go
@@ -77,6 +77,7 @@
 // watch closes the connections of clients that stall, periodically until ctx ends.
 func (l *listener) watch(ctx context.Context, log *zap.Logger) {
 	sillgroup.Every(ctx, watchInterval, func(now time.Time) {
+		l.limits.Budget.Alive(now)
 		l.cutFaulty(now)
 		if log != nil {
 			l.counts.log(now, log)
