Count what a client sends as progress while it is sent

Cause: an account progressed only when it took the next 64 KiB. A client on a link of less than 64 KiB/s looked stalled for seconds while it was sending, and its connection was closed for a larger request when the budget was short.

Change: each 4 KiB of a body is progress, half of what the least rate of a body brings in a second. A client that drips bytes still counts as stalled.

--- a/internal/sillserver/body.go
+++ b/internal/sillserver/body.go
@@ -14,6 +14,9 @@
 	patience = 2 * time.Second
 	// memoryRetryAfter is sent in Retry-After to requests for which there is no memory.
 	memoryRetryAfter = "1"
+	// progressBytes is what a client sends before its account has progressed: half of what
+	// the least rate of a body brings in a second.
+	progressBytes = DefaultBodyRate / 2
 )
 
 // ErrNoMemory is the error of a body for which the process has no memory. The server answers
@@ -30,7 +33,9 @@
 	// unread is what the client has announced and not sent; -1 if unknown.
 	unread int64
 	// free is the memory that was taken and not yet used.
-	free  int64
+	free int64
+	// fresh is what has arrived since the account last progressed.
+	fresh int64
 	short bool
 	// begun is whether the handler has begun to read, and ended whether it has read to the end.
 	begun, ended bool
@@ -61,6 +66,10 @@
 		b.unread -= min(int64(n), b.unread)
 	}
 	b.conn.activity.bodyBytes.Add(int64(n))
+	if b.fresh += int64(n); b.fresh >= progressBytes {
+		b.fresh = 0
+		b.account.Progress(time.Now())
+	}
 	if err != nil {
 		b.settle()
 	}
