Count small requests against the limit of larger ones, as before the reserve was split

Cause: since small requests no longer took part of what larger ones may take, two large bodies were in memory at a time more often. TestPlatform/big_answers/json of platform/hostile peaked at 100 MB once, where 96 are allowed, and at 90 once.

Change: larger requests get what small ones leave of seven eighths of the budget, as before. Small requests are still served from the reserve.

TestEndlessAnswers, body and events, 3 runs each with the race detector: no caller was told nothing, all ordinary requests were served.

--- a/internal/sillbudget/budget.go
+++ b/internal/sillbudget/budget.go
@@ -164,22 +164,23 @@
 		return Refused
 	}
 	reserve := b.reserve()
-	// used is what counts against the limit: the reserve is for small requests only.
-	limit, used := b.size-reserve, b.taken-min(b.small, reserve)
+	// Small requests count against the limit of larger ones, too: the memory of the process is
+	// a multiple of the budget, since buffers are copied as they grow.
+	limit := b.size - reserve
 	if p == sending && a.held+n <= Step {
 		if b.small+n <= reserve {
 			b.take(a, now, n, p)
 			return Taken
 		}
-		limit, used = b.size, b.taken
+		limit = b.size
 	}
 	// An account beside small ones only may take more than there is: one legal request is
 	// always served when load is low.
-	if used+n <= limit || b.taken-a.held <= reserve {
+	if b.taken+n <= limit || b.taken-a.held <= reserve {
 		b.take(a, now, n, p)
 		return Taken
 	}
-	missing := min(used-b.leaving+n-limit, b.taken-b.leaving-a.held-reserve)
+	missing := min(b.taken-b.leaving+n-limit, b.taken-b.leaving-a.held-reserve)
 	if missing <= 0 {
 		return Wait
 	}
