--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -48,7 +48,7 @@
 )
 
 // bodyShare is the share of the process's memory that bodies and unread answers may take. Each
-// costs up to twice its bytes, as it is copied when it grows. A larger body is served alone.
+// costs up to twice its bytes while its pieces are joined. A larger body is served alone.
 const bodyShare = 0.18
 
 // Addresses are the addresses that a started gateway listens on.
--- a/internal/sillserver/bench_test.go
+++ b/internal/sillserver/bench_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -54,3 +56,25 @@
 }
 
 func benchRead(w http.ResponseWriter, r *http.Request) ([]byte, error) { return ReadBody(w, r, 1<<20) }
+
+// BenchmarkReadBody is the cost of the memory of a body, by its size.
+func BenchmarkReadBody(b *testing.B) {
+	for _, size := range []int{1 << 10, 64 << 10, 256 << 10, 1 << 20, 4 << 20} {
+		for _, announced := range []bool{true, false} {
+			b.Run(fmt.Sprintf("%d KiB, announced %t", size>>10, announced), func(b *testing.B) {
+				content := make([]byte, size)
+				b.ReportAllocs()
+				b.SetBytes(int64(size))
+				for b.Loop() {
+					r := &http.Request{Body: io.NopCloser(bytes.NewReader(content)), ContentLength: -1}
+					if announced {
+						r.ContentLength = int64(size)
+					}
+					if read, err := ReadBody(nil, r, 4<<20); err != nil || len(read) != size {
+						b.Fatalf("%d bytes (%v), want %d", len(read), err, size)
+					}
+				}
+			})
+		}
+	}
+}
