Send items of groups that no trainer waits for after all others

A trainer waits for RequiredGroups complete groups of a job, but all groups counted alike, so groups that nobody waits for took slots from needed groups of other jobs. sillschedule.Spare now names the groups with the most work left beyond the required number; those that return from an earlier job are never among them. silljob orders their items behind those of the needed groups of all its jobs, in pools whose open jobs take more than 0.3 of the time until one is due. No slot stays free for it.

This order and that of short pools are now used only in pools whose targets report how long work takes. Elsewhere the order is byUrgency, as before both.

Not measured on whole deployments.

--- a/internal/silljob/item.go
+++ b/internal/silljob/item.go
@@ -40,6 +40,8 @@
 	failures int
 	// errored is whether a target answered an attempt with an error.
 	errored bool
+	// abandoned is whether the item was given up without a result of use.
+	abandoned bool
 	// scoreFailures counts the score requests that were answered with status 500.
 	scoreFailures int
 	// notBefore is the earliest time of the next attempt.
--- a/internal/silljob/load.go
+++ b/internal/silljob/load.go
@@ -84,7 +84,7 @@
 	return held, nil
 }
 
-// loadPublished returns the items that have published results.
+// loadPublished returns the items that have published results, and whether they were completed.
 func (r *Runner) loadPublished(ctx context.Context, job ID, held VersionedState) (map[ItemID]bool, error) {
 	published := make(map[ItemID]bool)
 	if held.Published == 0 {
@@ -94,7 +94,7 @@
 	err := r.readPages(ctx, job, func(ctx context.Context) (bool, error) {
 		results, err := pager.page(ctx)
 		for i := range results {
-			published[results[i].Item] = true
+			published[results[i].Item] = results[i].Completed
 		}
 		return pager.done, err
 	})
--- a/internal/silljob/metrics.go
+++ b/internal/silljob/metrics.go
@@ -27,6 +27,8 @@
 	// delayedGroups counts groups that other groups go before, by what they are expected to
 	// earn.
 	delayedGroups *prometheus.CounterVec
+	// spareGroups is the number of groups that no trainer is expected to wait for and that yield.
+	spareGroups *prometheus.GaugeVec
 }
 
 // NewMetrics returns the metrics and registers them with r unless r is nil.
@@ -43,9 +45,10 @@
 		attempts:      sillmetric.CounterVec("wasabisill_job_attempts_total", "Attempts at items, by outcome.", "outcome"),
 		aborted:       sillmetric.CounterVec("wasabisill_job_aborted_total", "Items given up, by reason.", "reason"),
 		delayedGroups: sillmetric.CounterVec("wasabisill_job_delayed_groups_total", "Groups that others go before in a pool short of slots, by what they are expected to earn.", "standing"),
+		spareGroups:   sillmetric.GaugeVec("wasabisill_job_spare_groups", "Groups that yield since their trainers are expected not to wait for them, by pool.", "pool"),
 	}
 	if r != nil {
-		r.MustRegister(m.results, m.takeovers, m.sparedOwners, m.migrations, m.sentLate, m.olderConfigs, m.loadRetries, m.undecoded, m.attempts, m.aborted, m.delayedGroups)
+		r.MustRegister(m.results, m.takeovers, m.sparedOwners, m.migrations, m.sentLate, m.olderConfigs, m.loadRetries, m.undecoded, m.attempts, m.aborted, m.delayedGroups, m.spareGroups)
 	}
 	return m
 }
--- a/internal/silljob/owned.go
+++ b/internal/silljob/owned.go
@@ -20,7 +20,7 @@
 	sub *Submission
 	// items are those that are read, in the order of their positions.
 	items []*itemRun
-	// published are the items with published results, and saved the saved generations, of
+	// published are the items with published results, and whether they were completed, and saved the saved generations, of
 	// items that are not read yet.
 	published map[ItemID]bool
 	saved     map[ItemID]Progress
@@ -56,6 +56,9 @@
 	// groupTarget is the target of the last item sent of each group. The items of a
 	// group prefer it because it has their prompt cached.
 	groupTarget map[string]sillid.TargetID
+	// returning holds the groups that the trainer waits for whichever others are complete; nil
+	// until all items are read.
+	returning map[string]bool
 }
 
 func newOwnedJob(ctx context.Context, sub *Submission, held VersionedState) *ownedJob {
@@ -70,9 +73,9 @@
 func (j *ownedJob) addItem(item *Item) *itemRun {
 	it := &itemRun{job: j, item: item}
 	j.items = append(j.items, it)
-	if j.published[item.ID] {
+	if completed, ok := j.published[item.ID]; ok {
 		delete(j.published, item.ID)
-		it.phase = finished
+		it.phase, it.abandoned = finished, !completed
 	} else if p, ok := j.saved[item.ID]; ok {
 		it.resume(p)
 	}
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -84,6 +84,8 @@
 	firstEventTime time.Duration
 	// shortages are the decisions on the pools of owned jobs.
 	shortages map[sillid.PoolID]*shortage
+	// history holds the groups of the jobs that were owned lately.
+	history map[ID]jobRecord
 	// stopping is set once the process releases its jobs.
 	stopping bool
 	// dispatchSignal notifies the dispatch loop; it buffers one signal.
@@ -113,6 +115,7 @@
 		probes:         make(map[GatewayRun]*ownerProbe),
 		spared:         make(map[ID]bool),
 		shortages:      make(map[sillid.PoolID]*shortage),
+		history:        make(map[ID]jobRecord),
 		dispatchSignal: make(chan struct{}, 1),
 		// Attempts go on after the context of Run ends, until their jobs are released.
 		group: sillgroup.New(context.Background()),
--- a/internal/silljob/score.go
+++ b/internal/silljob/score.go
@@ -97,6 +97,7 @@
 	}
 	r.mu.Lock()
 	it.phase = finished
+	it.abandoned = !result.Completed
 	it.events = nil
 	it.item.dropContent()
 	j := it.job
--- a/internal/silljob/shortage.go
+++ b/internal/silljob/shortage.go
@@ -21,6 +21,12 @@
 // earn, and jobs that nobody waits for any more go last.
 
 const (
+	// tightShare is the share of the time until a job is due from which the work that is left
+	// makes spare groups yield; below looseShare they don't. In a simulated load, 0.3 earned
+	// more than 0.5 and crowdedShare; to let them yield whenever items wait cost credit where
+	// all items took 1.5 times as long, since what is delayed returns in the next job.
+	tightShare = 0.3
+	looseShare = 0.24
 	// planInterval is the time between two orders of the groups of a short pool.
 	planInterval = 50 * time.Millisecond
 	// simultaneous is the difference of the submission times of jobs that count as equally
@@ -42,6 +48,10 @@
 	plannedAt time.Time
 	loggedAt  time.Time
 	places    map[groupName]sillschedule.Place
+	// tight is whether the open jobs take so much of the time that spare groups yield, and spare
+	// are these groups.
+	tight bool
+	spare map[groupName]bool
 	// slots is the number of the pool's slots, and share how many of them the groups of this
 	// process are expected to get.
 	slots   int
@@ -62,14 +72,22 @@
 	}
 	pools := make(map[sillid.PoolID][]*ownedJob)
 	for _, j := range r.jobsByAge() {
+		if j.countUnloaded() == 0 {
+			r.recordGroups(now, j)
+		}
 		pools[j.pool] = append(pools[j.pool], j)
 	}
 	for pool := range r.shortages {
 		if pools[pool] == nil {
 			delete(r.shortages, pool)
+			r.cfg.Metrics.spareGroups.DeleteLabelValues(string(pool))
 		}
 	}
 	for pool, jobs := range pools {
+		if !r.cfg.Directory.ReportsSpeed(pool) {
+			delete(r.shortages, pool)
+			continue
+		}
 		s := r.shortages[pool]
 		if s == nil {
 			s = &shortage{}
@@ -116,6 +134,12 @@
 		s.share = sillschedule.Share(s.slots, s.demands, string(r.cfg.Self))
 		r.placeGroups(now, jobs, s)
 	}
+	s.tight = s.tight && needed >= looseShare || needed > tightShare
+	s.spare = nil
+	if s.tight {
+		r.findSpare(jobs, s)
+	}
+	r.cfg.Metrics.spareGroups.WithLabelValues(string(pool)).Set(float64(len(s.spare)))
 	if s.short != wasShort || (s.short && now.Sub(s.loggedAt) >= shortageLogInterval) {
 		s.loggedAt = now
 		r.logShortage(pool, jobs, s, needed)
@@ -267,24 +291,27 @@
 	return groups
 }
 
-// anyShort returns whether a pool is short of slots.
-func (r *Runner) anyShort() bool {
+// anyOrdered returns whether a pool is short of slots or has spare groups.
+func (r *Runner) anyOrdered() bool {
 	for _, s := range r.shortages {
-		if s.short {
+		if s.short || len(s.spare) > 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// order returns the order of waiting items: byUrgency, or, in pools that are short, by the
-// priority and age of their jobs and the places of their groups.
+// order returns the order of waiting items: byUrgency, with spare groups behind the others, or,
+// in pools that are short, by the priority and age of their jobs and the places of their groups.
+// Items of different pools do not compete.
 func (r *Runner) order() func(a, b *itemRun) int {
-	if !r.anyShort() {
+	if !r.anyOrdered() {
 		return byUrgency
 	}
 	return func(a, b *itemRun) int {
 		return cmp.Or(
+			cmp.Compare(a.job.pool, b.job.pool),
+			cmp.Compare(r.isSpare(a), r.isSpare(b)),
 			cmp.Compare(r.lostLast(a), r.lostLast(b)),
 			cmp.Compare(r.rankedMS(a.job), r.rankedMS(b.job)),
 			cmp.Compare(r.rank(a), r.rank(b)),
@@ -293,10 +320,13 @@
 	}
 }
 
-// rankedMS returns the time by which a job is ordered among others: its submission, and
-// priorityDelay for each level of its priority. Jobs of a low priority wait for newer ones of a
+// rankedMS returns the time by which a job is ordered among others: its submission, and, in a
+// pool that is short, priorityDelay for each level of its priority. Jobs of a low priority wait for newer ones of a
 // high one, but for no more than that, so that none starves.
 func (r *Runner) rankedMS(j *ownedJob) int64 {
+	if s := r.shortages[j.pool]; s == nil || !s.short {
+		return j.sub.SubmittedMS
+	}
 	return j.sub.SubmittedMS + int64(r.priority(j))*priorityDelay.Milliseconds()
 }
 
@@ -340,6 +370,6 @@
 	slices.Sort(owners)
 	r.cfg.Log.Info(message, zap.String("pool", string(pool)), zap.Int("jobs", len(jobs)), zap.Float64("time-needed", needed),
 		zap.Duration("attempt-time", r.attemptTime), zap.Int("slots", s.slots), zap.Int("share", s.share), zap.Int("running", countRunning(jobs)),
-		zap.Int("in-time", standings[sillschedule.InTime]), zap.Int("late", standings[sillschedule.Late]), zap.Int("lost", standings[sillschedule.Lost]),
+		zap.Int("in-time", standings[sillschedule.InTime]), zap.Int("late", standings[sillschedule.Late]), zap.Int("lost", standings[sillschedule.Lost]), zap.Int("spare", len(s.spare)),
 		zap.Strings("owners", owners))
 }
--- a/internal/silljob/shortage_test.go
+++ b/internal/silljob/shortage_test.go
@@ -11,6 +11,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillcatalog"
 	"github.com/wasabisill/wasabisill/internal/sillschedule"
 	"github.com/wasabisill/wasabisill/internal/silltarget"
+	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
 // contest plays the items of several jobs at one engine in simulated time, with the decisions
@@ -22,7 +23,18 @@
 	doneAt  map[ID]map[string]time.Time
 }
 
+// newContest starts an engine that reports how long work takes.
 func newContest(slots int) *contest {
+	c := newSilentContest(slots)
+	d := c.runner.cfg.Directory
+	g, _ := d.Pick(c.now, silltarget.Query{Pool: "p"})
+	d.Observe(c.now, g, &silltarget.Load{Running: 1, Slots: slots, Duration: 100}, 0)
+	d.Release(c.now, g, silltarget.Answered)
+	return c
+}
+
+// newSilentContest starts an engine that does not report how long work takes.
+func newSilentContest(slots int) *contest {
 	directory := silltarget.NewDirectory()
 	directory.Apply(silltarget.Entry{ID: "engine", Pool: "p", Address: "engine:1", State: silltarget.Ready, Slots: slots, StartedAt: time.Unix(1, 0)})
 	c := &contest{now: time.Unix(1000, 0), doneAt: make(map[ID]map[string]time.Time)}
@@ -33,6 +45,12 @@
 	return c
 }
 
+// short returns whether the pool is short of slots.
+func (c *contest) short() bool {
+	s := c.runner.shortages["p"]
+	return s != nil && s.short
+}
+
 // submit adds a job that was submitted a time ago.
 func (c *contest) submit(job ID, ago time.Duration, groups int) *ownedJob {
 	sub := &Submission{
@@ -114,7 +132,7 @@
 	old := c.submit("old", stepDue, 12)
 	c.submit("new", 0, 23)
 	c.dispatch()
-	if !c.runner.anyShort() {
+	if !c.short() {
 		t.Fatal("the pool is not short of slots")
 	}
 	for _, it := range c.running {
@@ -150,8 +168,8 @@
 	c.submit("new", 0, 9)
 	c.submitElsewhere("other", 72)
 	c.dispatch()
-	if len(c.running) != 60 || c.runner.anyShort() {
-		t.Errorf("%d items run in 60 slots; short of slots: %t", len(c.running), c.runner.anyShort())
+	if len(c.running) != 60 || c.short() {
+		t.Errorf("%d items run in 60 slots; short of slots: %t", len(c.running), c.short())
 	}
 	list := c.runner.waitingItems(c.now)
 	for i := range list[1:] {
@@ -169,8 +187,8 @@
 	c.submitElsewhere("other", 27*itemsPerGroup)
 	c.submitElsewhere("third", 27*itemsPerGroup)
 	c.dispatch()
-	if n := len(c.running); n != 40 || !c.runner.anyShort() {
-		t.Errorf("%d items run in 40 slots; short of slots: %t", n, c.runner.anyShort())
+	if n := len(c.running); n != 40 || !c.short() {
+		t.Errorf("%d items run in 40 slots; short of slots: %t", n, c.short())
 	}
 }
 
@@ -187,3 +205,151 @@
 		t.Errorf("groups in time: %d of the low priority, %d of 18 of the high one", a, b)
 	}
 }
+
+// submitSteps submits two jobs of groups with one item of 10 times the others' length in two
+// groups each, whose trainer waits for all but two groups.
+func (c *contest) submitSteps() (first, second *ownedJob) {
+	submit := func(job ID, ago time.Duration) *ownedJob {
+		j := c.submit(job, ago, 10)
+		j.sub.RequiredGroups, j.sub.Organisation = 8, sillid.OrganisationID(job)
+		for i, it := range j.items {
+			if i == 8*itemsPerGroup || i == 9*itemsPerGroup {
+				it.item.ExpectedTokens = 1000
+			}
+		}
+		return j
+	}
+	return submit("first", 100*time.Millisecond), submit("second", 0)
+}
+
+// neededBeforeSpare returns whether each item of groups 8 and 9 is behind all others.
+func neededBeforeSpare(list []*itemRun) bool {
+	seen := false
+	for _, it := range list {
+		spare := it.item.Group == "g8" || it.item.Group == "g9"
+		if seen && !spare {
+			return false
+		}
+		seen = seen || spare
+	}
+	return true
+}
+
+// TestSpareGroupsYield guards against groups that no trainer waits for taking slots from groups
+// that are needed, of the same job and of others.
+func TestSpareGroupsYield(t *testing.T) {
+	for _, slots := range []int{16, 32} {
+		t.Run(fmt.Sprint(slots, " slots"), func(t *testing.T) {
+			c := newContest(slots)
+			c.submitSteps()
+			c.dispatch()
+			if !neededBeforeSpare(c.runner.waitingItems(c.now)) || len(c.runner.waitingItems(c.now)) != 160-slots {
+				t.Error("an item of a needed group waits behind one of a spare group")
+			}
+			for _, run := range c.running {
+				if g := run.item.item.Group; g == "g8" || g == "g9" {
+					t.Fatalf("an item of the spare group %s runs while items of needed ones wait", g)
+				}
+			}
+		})
+	}
+}
+
+// TestSpareGroupsRunInTheEnd guards against spare groups that wait beside free slots.
+func TestSpareGroupsRunInTheEnd(t *testing.T) {
+	c := newContest(32)
+	first, second := c.submitSteps()
+	c.play(8 * time.Second)
+	if a, b := c.inTime(first), c.inTime(second); a != 10 || b != 10 {
+		t.Errorf("%d and %d of 10 groups are complete, with time for all", a, b)
+	}
+}
+
+// TestNoSpareGroups guards against another order than before this rule where it must not act: in
+// pools whose targets do not tell how long work takes, in roomy pools, in jobs that tell no
+// number of groups, and without estimates.
+func TestNoSpareGroups(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		silent bool
+		slots  int
+		change func(j *ownedJob)
+	}{
+		{"silent", true, 32, func(*ownedJob) {}},
+		{"roomy", false, 120, func(*ownedJob) {}},
+		{"all groups", false, 32, func(j *ownedJob) { j.sub.RequiredGroups = 0 }},
+		{"no estimates", false, 32, func(j *ownedJob) {
+			for _, it := range j.items {
+				it.item.ExpectedTokens = 0
+			}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newContest(tc.slots)
+			if tc.silent {
+				c = newSilentContest(tc.slots)
+			}
+			first, second := c.submitSteps()
+			tc.change(first)
+			tc.change(second)
+			c.dispatch()
+			list := c.runner.waitingItems(c.now)
+			for i := range list[1:] {
+				if byUrgency(list[i], list[i+1]) >= 0 {
+					t.Fatal("the items are not in the order of byUrgency")
+				}
+			}
+		})
+	}
+}
+
+// TestSilentPoolKeepsTheOrder guards against the order of short pools where targets do not tell
+// how long work takes.
+func TestSilentPoolKeepsTheOrder(t *testing.T) {
+	c := newSilentContest(24)
+	c.submit("old", 3*stepDue, 12)
+	c.submit("new", 0, 23)
+	c.dispatch()
+	list := c.runner.waitingItems(c.now)
+	for i := range list[1:] {
+		if byUrgency(list[i], list[i+1]) >= 0 {
+			t.Fatal("the items are not in the order of byUrgency")
+		}
+	}
+	if c.short() {
+		t.Error("the pool counts as short of slots")
+	}
+}
+
+// TestReturningGroupsAreNotSpare guards against a trainer that waits for a group of an earlier
+// job that counts as spare.
+func TestReturningGroupsAreNotSpare(t *testing.T) {
+	c := newContest(16)
+	groups := func(names ...string) []string { return names }
+	sub := func(job ID, ago time.Duration) *Submission {
+		s := &Submission{Job: job, Model: "m", Organisation: "o", RequiredGroups: 4, SubmittedMS: c.now.Add(-ago).UnixMilli()}
+		c.runner.cfg.Board.UpdateIfNewer(job, VersionedState{Revision: 1, State: State{Model: s.Model, Organisation: s.Organisation, SubmittedMS: s.SubmittedMS}})
+		return s
+	}
+	record := func(s *Submission, names []string) map[string]bool {
+		j := newOwnedJob(context.Background(), s, VersionedState{})
+		for _, g := range names {
+			j.addItem(&Item{ID: ItemID(g), Group: g})
+		}
+		c.runner.recordGroups(c.now, j)
+		return j.returning
+	}
+	if r := record(sub("first", 12*time.Second), groups("a", "b", "c", "d", "e")); !r["a"] || !r["b"] || len(r) != 2 {
+		t.Errorf("of the first job that is known, %v count as returning, want the first half of 4", r)
+	}
+	if r := record(sub("second", 8*time.Second), groups("e", "f", "b", "g", "h")); !r["e"] || len(r) != 1 {
+		t.Errorf("the groups %v count as returning, want those at the beginning that were in an earlier job", r)
+	}
+	if r := record(sub("third", 4*time.Second), groups("i", "j", "k", "l", "m")); len(r) != 0 {
+		t.Errorf("the groups %v count as returning, want none", r)
+	}
+	sub("elsewhere", 2*time.Second)
+	if r := record(sub("fourth", 0), groups("n", "o", "p", "q", "r")); len(r) != 2 {
+		t.Errorf("after a job of another owner, %v count as returning, want the first half of 4", r)
+	}
+}
