Order waiting items by keys that are computed once an item

The order of short pools and of spare groups looked up maps and the configured priority at each comparison, and is now in use more often. The keys are computed once for each item before sorting. Where more than half of the slots are free and items wait, as those slots are of other weight versions, groups of jobs older than 4 s are no longer spare, so that no item waits for 5 s.

Tests: TestSpareItemsDoNotWaitBesideFreeSlots fails without that rule; TestSpareGroupReplacesFailedOne checks that an item given up here or by an earlier owner makes a spare group needed.

--- a/internal/silljob/dispatch.go
+++ b/internal/silljob/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -131,7 +130,7 @@
 			}
 		}
 	}
-	slices.SortFunc(list, r.order())
+	r.sortItems(list)
 	return list
 }
 
--- a/internal/silljob/shortage.go
+++ b/internal/silljob/shortage.go
@@ -137,7 +137,7 @@
 	s.tight = s.tight && needed >= looseShare || needed > tightShare
 	s.spare = nil
 	if s.tight {
-		r.findSpare(jobs, s)
+		r.findSpare(now, pool, jobs, s)
 	}
 	r.cfg.Metrics.spareGroups.WithLabelValues(string(pool)).Set(float64(len(s.spare)))
 	if s.short != wasShort || (s.short && now.Sub(s.loggedAt) >= shortageLogInterval) {
@@ -301,23 +301,56 @@
 	return false
 }
 
-// order returns the order of waiting items: byUrgency, with spare groups behind the others, or,
-// in pools that are short, by the priority and age of their jobs and the places of their groups.
-// Items of different pools do not compete.
-func (r *Runner) order() func(a, b *itemRun) int {
+// orderedItem is a waiting item with what it is ordered by.
+type orderedItem struct {
+	*itemRun
+	spare    bool
+	lost     bool
+	rankedMS int64
+	rank     int
+}
+
+// sortItems orders waiting items: byUrgency, with spare groups behind the others, or, in pools that
+// are short, by the priority and age of their jobs and the places of their groups. Items
+// of different pools do not compete.
+func (r *Runner) sortItems(items []*itemRun) {
 	if !r.anyOrdered() {
-		return byUrgency
+		slices.SortFunc(items, byUrgency)
+		return
 	}
-	return func(a, b *itemRun) int {
+	rankedMS := make(map[*ownedJob]int64)
+	ordered := make([]orderedItem, len(items))
+	for i, it := range items {
+		ms, ok := rankedMS[it.job]
+		if !ok {
+			ms = r.rankedMS(it.job)
+			rankedMS[it.job] = ms
+		}
+		ordered[i] = orderedItem{itemRun: it, spare: r.isSpare(it), lost: r.isLost(it.job), rankedMS: ms, rank: r.rank(it)}
+	}
+	slices.SortFunc(ordered, func(a, b orderedItem) int {
 		return cmp.Or(
 			cmp.Compare(a.job.pool, b.job.pool),
-			cmp.Compare(r.isSpare(a), r.isSpare(b)),
-			cmp.Compare(r.lostLast(a), r.lostLast(b)),
-			cmp.Compare(r.rankedMS(a.job), r.rankedMS(b.job)),
-			cmp.Compare(r.rank(a), r.rank(b)),
-			byUrgency(a, b),
+			falseFirst(a.spare, b.spare),
+			falseFirst(a.lost, b.lost),
+			cmp.Compare(a.rankedMS, b.rankedMS),
+			cmp.Compare(a.rank, b.rank),
+			byUrgency(a.itemRun, b.itemRun),
 		)
+	})
+	for i := range ordered {
+		items[i] = ordered[i].itemRun
+	}
+}
+
+func falseFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
 	}
+	return -1
 }
 
 // rankedMS returns the time by which a job is ordered among others: its submission, and, in a
@@ -330,14 +363,11 @@
 	return j.sub.SubmittedMS + int64(r.priority(j))*priorityDelay.Milliseconds()
 }
 
-// lostLast returns 1 for items of jobs in short pools whose trainers are expected to have given
-// up, and 0 for others.
-func (r *Runner) lostLast(it *itemRun) int {
-	s, giveUp := r.shortages[it.job.pool], it.job.sub.giveUpAt()
-	if s != nil && s.short && !giveUp.IsZero() && !s.plannedAt.Before(giveUp) {
-		return 1
-	}
-	return 0
+// isLost returns whether a job is in a pool that is short, and its trainer is expected to have
+// given up.
+func (r *Runner) isLost(j *ownedJob) bool {
+	s, giveUp := r.shortages[j.pool], j.sub.giveUpAt()
+	return s != nil && s.short && !giveUp.IsZero() && !s.plannedAt.Before(giveUp)
 }
 
 // rank returns the rank of an item's group in a pool that is short. Groups that are not placed
--- a/internal/silljob/shortage_test.go
+++ b/internal/silljob/shortage_test.go
@@ -353,3 +353,57 @@
 		t.Errorf("after a job of another owner, %v count as returning, want the first half of 4", r)
 	}
 }
+
+// TestSpareItemsDoNotWaitBesideFreeSlots guards against spare items that wait for more than 5 s
+// behind needed ones while the targets are under half full: those of other versions have free slots.
+func TestSpareItemsDoNotWaitBesideFreeSlots(t *testing.T) {
+	c := newContest(16)
+	c.runner.cfg.Directory.Apply(silltarget.Entry{ID: "old version", Pool: "p", Address: "old:1", State: silltarget.Ready, Slots: 32, StartedAt: time.Unix(1, 0)})
+	first, second := c.submitSteps()
+	isSpare := func() bool {
+		c.runner.updateShortages(c.now)
+		return c.runner.isSpare(first.items[9*itemsPerGroup])
+	}
+	for i := range 16 {
+		second.items[i].phase = running
+		if _, ok := c.runner.cfg.Directory.Pick(c.now, silltarget.Query{Pool: "p", Exclude: silltarget.Excluding(nil, "old version"), FreeOnly: true}); !ok {
+			t.Fatal("no free slot")
+		}
+	}
+	if !isSpare() {
+		t.Error("the group with the longest item is not spare at first")
+	}
+	if c.now = c.now.Add(maxSpareWait); isSpare() {
+		t.Error("the group is spare after 4 s beside free slots")
+	}
+}
+
+// TestSpareGroupReplacesFailedOne guards against a spare group that waits although an item of a
+// needed group was given up, here or by an earlier owner.
+func TestSpareGroupReplacesFailedOne(t *testing.T) {
+	const failing = 5 * itemsPerGroup
+	for _, byEarlierOwner := range []bool{false, true} {
+		t.Run(fmt.Sprint("by an earlier owner ", byEarlierOwner), func(t *testing.T) {
+			c := newContest(16)
+			first, _ := c.submitSteps()
+			it := first.items[failing]
+			if byEarlierOwner {
+				first.items, first.published = first.items[:failing], map[ItemID]bool{it.item.ID: false}
+				for _, later := range c.runner.jobs["second"].items[failing:] {
+					item := *later.item
+					if later.item.Group == it.item.Group && item.ID == ItemID(fmt.Sprint("second", failing)) {
+						item.ID = it.item.ID
+					}
+					first.addItem(&item)
+				}
+			} else {
+				c.runner.finish(it, Result{Item: it.item.ID}, "attempts used up")
+			}
+			c.runner.updateShortages(c.now)
+			spare := c.runner.shortages["p"].spare
+			if !spare[groupName{"first", "g5"}] || spare[groupName{"first", "g8"}] == spare[groupName{"first", "g9"}] {
+				t.Errorf("spare are %v, want the failed group g5 and one of g8 and g9", spare)
+			}
+		})
+	}
+}
--- a/internal/silljob/spare.go
+++ b/internal/silljob/spare.go
@@ -18,6 +18,10 @@
 	historyTime = time.Minute
 	// maxHistory bounds the jobs whose groups are remembered.
 	maxHistory = 256
+	// maxSpareWait is the age of a job from which its groups are not spare while more than half of the
+	// pool's slots are free. Items may wait beside these, as not every target serves each weight
+	// version; none may for 5 s.
+	maxSpareWait = 4 * time.Second
 )
 
 // jobRecord is what is remembered of a job to recognise groups that return.
@@ -125,12 +129,16 @@
 }
 
 // findSpare finds the spare groups of a pool's jobs.
-func (r *Runner) findSpare(jobs []*ownedJob, s *shortage) {
+func (r *Runner) findSpare(now time.Time, pool sillid.PoolID, jobs []*ownedJob, s *shortage) {
 	s.spare = make(map[groupName]bool)
+	halfFree := 2*r.cfg.Directory.FreeSlots(now, poolQuery(pool, jobs)) > s.slots
 	for _, j := range jobs {
 		if j.sub.RequiredGroups <= 0 || j.countUnloaded() > 0 || j.meanTokens() == 0 {
 			continue
 		}
+		if halfFree && now.Sub(time.UnixMilli(j.sub.SubmittedMS)) > maxSpareWait {
+			continue
+		}
 		for group := range sillschedule.Spare(j.sub.RequiredGroups, r.jobGroups(j)) {
 			s.spare[groupName{j.sub.Job, group}] = true
 		}
@@ -158,10 +166,8 @@
 	return groups
 }
 
-// isSpare returns 1 for items of spare groups, and 0 for others.
-func (r *Runner) isSpare(it *itemRun) int {
-	if s := r.shortages[it.job.pool]; s != nil && s.spare[groupName{it.job.sub.Job, it.item.Group}] {
-		return 1
-	}
-	return 0
+// isSpare returns whether an item belongs to a spare group.
+func (r *Runner) isSpare(it *itemRun) bool {
+	s := r.shortages[it.job.pool]
+	return s != nil && s.spare[groupName{it.job.sub.Job, it.item.Group}]
 }
--- a/internal/sillschedule/steps_test.go
+++ b/internal/sillschedule/steps_test.go
@@ -58,6 +58,13 @@
 	ended     bool
 }
 
+// waits returns whether an item waits for a slot.
+func (j *stepJob) waits() bool {
+	return slices.ContainsFunc(j.groups, func(g *stepGroup) bool {
+		return slices.ContainsFunc(g.items, func(it *stepItem) bool { return it.state == 0 })
+	})
+}
+
 // stepTrainer is the shape of a trainer's jobs.
 type stepTrainer struct{ groups, items int }
 
@@ -258,16 +265,14 @@
 
 func (p *stepPlay) dispatch(at time.Duration, open []*stepJob, running int) {
 	slots := slotsAt(at, p.lost)
-	waiting := slices.ContainsFunc(open, func(j *stepJob) bool {
-		return slices.ContainsFunc(j.groups, func(g *stepGroup) bool {
-			return slices.ContainsFunc(g.items, func(it *stepItem) bool { return it.state == 0 })
-		})
-	})
-	if running >= slots || !waiting {
+	if running >= slots {
 		return
 	}
 	var queues [4][]queuedItem
 	for owner := range stepTrainers {
+		if !slices.ContainsFunc(open, func(j *stepJob) bool { return j.owner == owner && j.waits() }) {
+			continue
+		}
 		needed := 0.0
 		for _, j := range open {
 			if j.owner != owner {
