Log spare groups that yield in pools that are not short

Spare groups yield from 0.3 of the time until a job is due on, but the line that counts them was written for short pools only. It is now written at most once a second while groups yield, with a message of its own. The gauge of a pool that no longer reports speeds is removed.

--- a/internal/silljob/shortage.go
+++ b/internal/silljob/shortage.go
@@ -79,13 +79,12 @@
 	}
 	for pool := range r.shortages {
 		if pools[pool] == nil {
-			delete(r.shortages, pool)
-			r.cfg.Metrics.spareGroups.DeleteLabelValues(string(pool))
+			r.forgetShortage(pool)
 		}
 	}
 	for pool, jobs := range pools {
 		if !r.cfg.Directory.ReportsSpeed(pool) {
-			delete(r.shortages, pool)
+			r.forgetShortage(pool)
 			continue
 		}
 		s := r.shortages[pool]
@@ -100,6 +99,11 @@
 	}
 }
 
+func (r *Runner) forgetShortage(pool sillid.PoolID) {
+	delete(r.shortages, pool)
+	r.cfg.Metrics.spareGroups.DeleteLabelValues(string(pool))
+}
+
 // poolQuery selects the targets of a pool that may run items of some of its jobs. Homes count
 // only if all of the jobs have the same.
 func poolQuery(pool sillid.PoolID, jobs []*ownedJob) silltarget.Query {
@@ -140,9 +144,16 @@
 		r.findSpare(now, pool, jobs, s)
 	}
 	r.cfg.Metrics.spareGroups.WithLabelValues(string(pool)).Set(float64(len(s.spare)))
-	if s.short != wasShort || (s.short && now.Sub(s.loggedAt) >= shortageLogInterval) {
+	message := "Groups that no trainer is expected to wait for yield."
+	switch {
+	case s.short:
+		message = "Pool is short of slots; running the groups that can be complete in time first."
+	case wasShort:
+		message = "Pool is no longer short of slots."
+	}
+	if s.short != wasShort || ((s.short || len(s.spare) > 0) && now.Sub(s.loggedAt) >= shortageLogInterval) {
 		s.loggedAt = now
-		r.logShortage(pool, jobs, s, needed)
+		r.logShortage(message, pool, jobs, s, needed)
 	}
 }
 
@@ -384,11 +395,7 @@
 	return p.Rank
 }
 
-func (r *Runner) logShortage(pool sillid.PoolID, jobs []*ownedJob, s *shortage, needed float64) {
-	message := "Pool is short of slots; running the groups that can be complete in time first."
-	if !s.short {
-		message = "Pool is no longer short of slots."
-	}
+func (r *Runner) logShortage(message string, pool sillid.PoolID, jobs []*ownedJob, s *shortage, needed float64) {
 	standings := make(map[sillschedule.Standing]int)
 	for _, p := range s.places {
 		standings[p.Standing]++
