--- a/internal/silljob/shortage.go
+++ b/internal/silljob/shortage.go
@@ -22,9 +22,9 @@
 
 const (
 	// tightShare is the share of the time until a job is due from which the work that is left
-	// makes spare groups yield; below looseShare they don't. In a simulated load, 0.3 earned
-	// more than 0.5 and crowdedShare; to let them yield whenever items wait cost credit where
-	// all items took 1.5 times as long, since what is delayed returns in the next job.
+	// makes spare groups yield; below looseShare they don't. It is well below crowdedShare, since
+	// long items keep their slots long after a pool has become short. Groups that yield while
+	// there is time return in the next job and are needed there.
 	tightShare = 0.3
 	looseShare = 0.24
 	// planInterval is the time between two orders of the groups of a short pool.
