Hold the page of metrics against the adapter of the platform, too

Cause: TestMetricsPage read the code below internal only, so it took a metric that the adapter registers for one that does not exist.

Change: it reads platform as well.

Measured: TestMetricsPage is red before and green after.

--- a/internal/sillprocess/metrics_page_test.go
+++ b/internal/sillprocess/metrics_page_test.go
@@ -22,16 +22,18 @@
 func sourceMetrics(t *testing.T) []string {
 	t.Helper()
 	var names []string
-	check(t, filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
-		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+	for _, root := range []string{"..", filepath.Join("..", "..", "platform")} {
+		check(t, filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			for _, m := range metricName.FindAllSubmatch(text, -1) {
+				names = append(names, string(m[1]))
+			}
 			return err
-		}
-		text, err := os.ReadFile(path)
-		for _, m := range metricName.FindAllSubmatch(text, -1) {
-			names = append(names, string(m[1]))
-		}
-		return err
-	}))
+		}))
+	}
 	return names
 }
 
