sillforwarder: let the permit of a test come with the second ask

Cause: TestPermitThatComesSoon granted the permit in a timer of 20 ms and told the request to ask again after 30 ms. On a busy machine the timer ran after the second ask. The trace of such a run (ms after the start): asked at 0.1 and at 35.2, refused at 35.3, granted at 35.5. The request had asked when it was told to, and the next permit was due after half of its objective (50 ms), so the refusal was right.

The permit now comes with the second ask. The test also checks that the request asks twice and not before the permit is due. It fails if the wait is not extended to the permit, and if a limit may take a quarter of the objective only.

--- a/internal/sillforwarder/limit_test.go
+++ b/internal/sillforwarder/limit_test.go
@@ -72,17 +72,32 @@
 	}
 }
 
-// TestPermitThatComesSoon checks that a caller's request waits for a permit that comes in time.
+// TestPermitThatComesSoon checks that a caller's request waits for a permit that comes in
+// time: longer than for a target, and until the time at which the broker expects the permit.
+// The times are so long that a busy machine's delays don't use up the wait.
 func TestPermitThatComesSoon(t *testing.T) {
+	const retryAfter = 600 * time.Millisecond
 	f := newFixture(t, behaviour{})
-	p := f.limit(map[sillid.TargetID]sillpermit.Verdict{"a": {RetryAfter: 30 * time.Millisecond}})
-	time.AfterFunc(20*time.Millisecond, func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.verdicts["a"] = sillpermit.Verdict{Granted: true}
-	})
-	resp, err := f.do(t.Context(), route(sillcatalog.Idempotent, 2), 2*time.Second)
+	f.limit(map[sillid.TargetID]sillpermit.Verdict{"a": {RetryAfter: retryAfter}})
+	var asked []time.Time
+	f.forwarder.cfg.AcquirePermit = func(context.Context, sillpermit.Ask) sillpermit.Verdict {
+		asked = append(asked, time.Now())
+		if len(asked) == 1 {
+			return sillpermit.Verdict{RetryAfter: retryAfter}
+		}
+		return sillpermit.Verdict{Granted: true}
+	}
+	r := route(sillcatalog.Idempotent, 2)
+	// A request waits for a target for a fifth of the objective, and for a limit until half of it.
+	r.LatencyObjective = 2 * time.Second
+	resp, err := f.do(t.Context(), r, 20*time.Second)
 	checkResponse(t, resp, err)
+	if len(asked) != 2 {
+		t.Fatalf("asked %d times for a permit, want twice", len(asked))
+	}
+	if early := retryAfter - asked[1].Sub(asked[0]); early > 0 {
+		t.Errorf("asked again %v before the permit was due", early)
+	}
 }
 
 // TestOverShareAsksOnce checks that an organisation that had more than its share is not asked
