Reserve loopback addresses of processes that tests start

The ports are of the ephemeral range, so an outgoing connection or another process could take one meanwhile.

sillloopback.NewIP now gives each process an address of 127.0.0.0/8 of its own. A UDP socket on a fixed port reserves it until the test process ends, so no other test process gets it. Outgoing connections come from 127.0.0.1, and the ports are below the ephemeral range, so neither they nor sockets that are bound to all addresses take a port of it. Targets that crash and listen again, and tests that need a port on which nobody listens (sillcall, silltransport), get such addresses too.

--- a/cmd/sillbench/product.go
+++ b/cmd/sillbench/product.go
@@ -7,9 +7,6 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
-	"io"
-	mathrand "math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -19,6 +16,7 @@
 	"github.com/wasabisill/wasabisill/internal/sillbundle"
 	"github.com/wasabisill/wasabisill/internal/sillload"
 	"github.com/wasabisill/wasabisill/internal/sillloadprocess"
+	"github.com/wasabisill/wasabisill/internal/sillloopback"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
 	"github.com/wasabisill/wasabisill/internal/sillstandplatform"
 	"github.com/wasabisill/wasabisill/internal/silltls"
@@ -50,9 +48,6 @@
 	commands []sillloadprocess.Command
 	// instances are the agents as the platform lists them.
 	instances []sillstandplatform.Instance
-	// reserved are the sockets that reserve the processes' addresses until the
-	// processes start.
-	reserved []io.Closer
 }
 
 // newProduct writes the settings of the scenario's gateways and of an agent for each
@@ -97,7 +92,6 @@
 	if err := d.setInstances(ctx, p.instances); err != nil {
 		return err
 	}
-	p.releaseAddresses()
 	for _, c := range p.commands {
 		if _, err := d.processes.Start(ctx, c); err != nil {
 			return err
@@ -128,7 +122,7 @@
 	if kind == sillbundle.ServiceRoute {
 		url = urls.Services[sillid.TargetID(target)]
 	}
-	addresses, err := p.freeAddresses()
+	addresses, err := newAddresses()
 	if err != nil {
 		return err
 	}
@@ -157,7 +151,7 @@
 
 func (p *product) addGateway(i int) error {
 	name := fmt.Sprintf("gateway-%d", i+1)
-	addresses, err := p.freeAddresses()
+	addresses, err := newAddresses()
 	if err != nil {
 		return err
 	}
@@ -226,12 +220,11 @@
 // addressesPerProcess is the number of addresses that a process listens on.
 const addressesPerProcess = 3
 
-// freeAddresses returns loopback addresses whose ports are free for TCP and UDP.
-// They stay reserved until releaseAddresses, so that no other process takes them.
-func (p *product) freeAddresses() ([addressesPerProcess]sillsettings.Address, error) {
+// newAddresses returns loopback addresses that nothing else uses.
+func newAddresses() ([addressesPerProcess]sillsettings.Address, error) {
 	var found [addressesPerProcess]sillsettings.Address
 	for i := range found {
-		address, err := p.freeAddress()
+		address, err := sillloopback.NewAddress()
 		if err != nil {
 			return found, err
 		}
@@ -239,40 +232,3 @@
 	}
 	return found, nil
 }
-
-// Ports are chosen below the system's ephemeral range. Otherwise an outgoing
-// connection could take a port between releaseAddresses and the start of its process.
-const (
-	firstPort       = 20000
-	portCount       = 12000
-	addressAttempts = 256
-)
-
-func (p *product) freeAddress() (string, error) {
-	var last error
-	for range addressAttempts {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+mathrand.IntN(portCount))
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			last = err
-			continue
-		}
-		u, err := net.ListenPacket("udp", address)
-		if err != nil {
-			last = err
-			_ = l.Close()
-			continue
-		}
-		p.reserved = append(p.reserved, l, u)
-		return address, nil
-	}
-	return "", eris.Wrap(last, "freeAddress")
-}
-
-// releaseAddresses frees the addresses for the processes that are about to start.
-func (p *product) releaseAddresses() {
-	for _, c := range p.reserved {
-		_ = c.Close()
-	}
-	p.reserved = nil
-}
--- a/internal/sillcall/call_test.go
+++ b/internal/sillcall/call_test.go
@@ -4,12 +4,13 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/wasabisill/wasabisill/internal/sillloopback"
 )
 
 // server starts a service that counts complete requests and responds with handler.
@@ -61,12 +62,10 @@
 }
 
 func TestPostNotSent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := sillloopback.NewAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := l.Addr().String()
-	_ = l.Close()
 	c := New(Config{BaseURL: "http://" + address, Timeout: time.Second})
 	if _, err := c.Post(context.Background(), "/x", nil, nil); !errors.Is(err, ErrNotSent) {
 		t.Errorf("error %v, want ErrNotSent", err)
--- a/internal/sillprocess/setup_test.go
+++ b/internal/sillprocess/setup_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -11,16 +10,16 @@
 	"testing"
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/sillloopback"
 	"github.com/wasabisill/wasabisill/internal/sillstandplatform"
 )
 
-// freeAddress returns a loopback address whose port is free.
-func freeAddress(t *testing.T) string {
+// newAddress returns a loopback address that nothing else uses.
+func newAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", loopback)
+	address, err := sillloopback.NewAddress()
 	check(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // pageScript returns the commands of an operators' page in order.
@@ -65,14 +64,14 @@
 	c := &cluster{t: t}
 	_, platform := c.standin("platform")
 	_, engine := c.standin("engine", "--model", "cue-lm")
-	agent := freeAddress(t)
+	agent := newAddress(t)
 	c.control(platform+"/standin/instances", map[string]any{"at-once": true, "instances": []sillstandplatform.Instance{{
 		InstanceID: "instance-1", TargetID: "engine-1", Pool: "cue-lm", Zone: "zone-a",
 		AgentAddress: agent, State: sillstandplatform.StateLive,
 	}}})
 	out := runFresh(t, pageScript(t, "setup.md"),
 		"PLATFORM_URL="+platform, "ENGINE_URL="+engine, "AGENT_ADDRESS="+agent,
-		"AGENT_METRICS="+freeAddress(t), "WEIGHTS_ADDRESS="+freeAddress(t),
-		"CALLERS_ADDRESS="+freeAddress(t), "ADMIN_ADDRESS="+freeAddress(t), "GATEWAY_METRICS="+freeAddress(t))
+		"AGENT_METRICS="+newAddress(t), "WEIGHTS_ADDRESS="+newAddress(t),
+		"CALLERS_ADDRESS="+newAddress(t), "ADMIN_ADDRESS="+newAddress(t), "GATEWAY_METRICS="+newAddress(t))
 	checkPrints(t, out, "the settings are valid", "The bundle is valid.", "Accepted as version 1.", `"finish_reason"`)
 }
--- a/internal/sillprocess/soak_test.go
+++ b/internal/sillprocess/soak_test.go
@@ -23,6 +23,7 @@
 
 	"github.com/wasabisill/wasabisill/internal/sillbundle"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/sillloopback"
 	"github.com/wasabisill/wasabisill/internal/sillsettings"
 	"github.com/wasabisill/wasabisill/internal/sillsoak"
 )
@@ -187,7 +188,8 @@
 
 // tune gives a gateway an address that it keeps.
 func (s *soakRun) tune(g *sillsettings.Gateway) {
-	ip := sillsoak.NewIP()
+	ip, err := sillloopback.NewIP()
+	check(s.t, err)
 	address := func(port int) sillsettings.Address {
 		return sillsettings.Address(net.JoinHostPort(ip, strconv.Itoa(port)))
 	}
--- a/internal/sillsoak/process.go
+++ b/internal/sillsoak/process.go
@@ -1,9 +1,7 @@
 package sillsoak
 
 import (
-	"fmt"
 	"os"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -29,12 +27,3 @@
 	p.Signal(syscall.SIGKILL)
 	<-p.Done
 }
-
-// addresses counts the addresses that processes of this test got.
-var addresses atomic.Uint32
-
-// NewIP returns a loopback address that no other process of a soak uses.
-func NewIP() string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 64+pid%128, pid/128%250, 1+addresses.Add(1)%250)
-}
--- a/internal/silltransport/transport_test.go
+++ b/internal/silltransport/transport_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/sillloopback"
 )
 
 // peer is a server whose responses a test writes byte by byte.
@@ -355,12 +356,10 @@
 }
 
 func TestUnreachableIsNotSent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := sillloopback.NewAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := l.Addr().String()
-	_ = l.Close()
 	if _, _, err := send(t, newTestPool(nil), address, request("1")); !NotSent(err) {
 		t.Errorf("error %v; want one of a request that was not sent", err)
 	}
