--- a/internal/sillrelay/peers.go
+++ b/internal/sillrelay/peers.go
@@ -60,7 +60,7 @@
 }
 
 func (r *Relay) callPeer(ctx context.Context, address string, c wireCall, body []byte) (wireResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeLimit())
+	ctx, cancel := context.WithTimeout(ctx, r.timeLimit(&c))
 	defer cancel()
 	resp, err := r.cfg.Pool.Send(ctx, address, &silltransport.Request{
 		Method: http.MethodPost, RequestURI: path, Host: address, Body: body,
--- a/internal/sillrelay/relay.go
+++ b/internal/sillrelay/relay.go
@@ -21,10 +21,8 @@
 	// probeInterval is the time between two probes of an unreachable service.
 	probeInterval = 400 * time.Millisecond
 	probeTimeout  = 300 * time.Millisecond
-	// directTimeout is the time limit of a call to the service in addition to the times
-	// for which it waits for changes and for its bytes to pass a slow link. It leaves time
-	// for a call through a peer.
-	directTimeout = 700 * time.Millisecond
+	// defaultCallTimeout leaves time for a call through a peer after a direct one.
+	defaultCallTimeout = 700 * time.Millisecond
 	// maxResponseBytes is the size limit of a peer's response.
 	maxResponseBytes = 8 << 20
 )
@@ -43,6 +41,9 @@
 	RegionPeers func() []string
 	// ProbeKey is the key of the row that a probe reads.
 	ProbeKey string
+	// CallTimeout is the time limit of a call in addition to the times for which it waits for
+	// changes and for its bytes to pass a slow link; 0 stands for 700 ms.
+	CallTimeout time.Duration
 	// Registerer registers the metrics; nil leaves them unregistered.
 	Registerer prometheus.Registerer
 	Log        *zap.Logger
@@ -202,7 +203,7 @@
 
 // direct makes a call to the service with a timeout and counts its outcome.
 func (r *Relay) direct(ctx context.Context, c wireCall) (wireResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeLimit())
+	ctx, cancel := context.WithTimeout(ctx, r.timeLimit(&c))
 	defer cancel()
 	a, err := r.execute(ctx, c)
 	r.count("direct", err)
--- a/internal/sillrelay/timelimit.go
+++ b/internal/sillrelay/timelimit.go
@@ -1,6 +1,9 @@
 package sillrelay
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// minTransferRate is the least rate in bytes a second at which a call is expected to
@@ -13,8 +16,8 @@
 )
 
 // timeLimit returns the time limit of a call.
-func (c *wireCall) timeLimit() time.Duration {
-	return time.Duration(c.WaitMS)*time.Millisecond + directTimeout + c.transferTime()
+func (r *Relay) timeLimit(c *wireCall) time.Duration {
+	return time.Duration(c.WaitMS)*time.Millisecond + cmp.Or(r.cfg.CallTimeout, defaultCallTimeout) + c.transferTime()
 }
 
 // transferTime returns the time for which the bytes of a call may be under way; 0 for calls
