Ask overdue owners in time, and bound how long spare groups wait

Cause: found in a review. An owner that is overdue still counts as alive and usually has rank 0, so its successor did not ask it before its row had expired, and a takeover from a dead owner began up to 0.6 s later than before. The time without a live owner was kept for a job and not for its owner, so that a second owner could lose the job early. Spare groups of a job that its trainer never ends waited without a bound, items of spare groups lost their generations after 2 s of yielding, and a group whose items were given up since its route was removed counted as complete. A call that may not leave its region counted as a failure of the table.

Change: the gateways of ranks 0 and 1 ask, and the end of the question is told to the loop that takes over. Jobs older than 15 s have no spare groups; items of spare groups keep what they have. The metric of jobs that stay with owners is wasabisill_job_left_to_owners_total, since spare has another meaning.

Measured: TestOverdueOwnerIsAskedInTime, TestOrphanTimeBelongsToOneOwner, TestSpareGroupsAgeOut and TestSpareItemsKeepTheirEvents fail without the change that each is for.

--- a/internal/silljob/dispatch.go
+++ b/internal/silljob/dispatch.go
@@ -53,6 +53,11 @@
 	if exactVersion(it) == 0 {
 		return
 	}
+	if r.isSpare(it) {
+		// It yields to other items, so that the wait tells nothing of the engines.
+		it.versionWaitSince = time.Time{}
+		return
+	}
 	if it.versionWaitSince.IsZero() {
 		it.versionWaitSince = now
 	}
--- a/internal/silljob/load.go
+++ b/internal/silljob/load.go
@@ -180,8 +180,7 @@
 	j.published, j.saved = published, saved
 	r.jobs[sub.Job] = j
 	j.group.Go(func(ctx context.Context) { r.writeLoop(ctx, j) })
-	delete(r.orphanSince, sub.Job)
-	delete(r.spared, sub.Job)
+	delete(r.orphans, sub.Job)
 	return j
 }
 
--- a/internal/silljob/metrics.go
+++ b/internal/silljob/metrics.go
@@ -10,9 +10,9 @@
 type Metrics struct {
 	results   prometheus.Counter
 	takeovers prometheus.Counter
-	// sparedOwners counts jobs that were left to owners that answer and don't renew their rows.
-	sparedOwners prometheus.Counter
-	migrations   prometheus.Counter
+	// jobsLeft counts jobs that were left to owners that answer and don't renew their rows.
+	jobsLeft   prometheus.Counter
+	migrations prometheus.Counter
 	// sentLate counts items sent to targets where they are expected to miss their due time.
 	sentLate prometheus.Counter
 	// olderConfigs counts jobs that were accepted under a newer configuration than this
@@ -36,7 +36,7 @@
 	m := &Metrics{
 		results:       sillmetric.Counter("wasabisill_job_results_total", "Results listed by this process."),
 		takeovers:     sillmetric.Counter("wasabisill_job_takeovers_total", "Jobs that this process took over."),
-		sparedOwners:  sillmetric.Counter("wasabisill_job_spared_owners_total", "Jobs that were left to owners that answer but don't renew their rows."),
+		jobsLeft:      sillmetric.Counter("wasabisill_job_left_to_owners_total", "Jobs that were left to owners that answer but don't renew their rows."),
 		migrations:    sillmetric.Counter("wasabisill_job_moves_total", "Items that left a slow target for a faster one."),
 		sentLate:      sillmetric.Counter("wasabisill_job_sent_late_total", "Items sent to targets where they are expected to miss their due time."),
 		olderConfigs:  sillmetric.Counter("wasabisill_job_older_config_total", "Jobs that this process ran while its configuration may have been older than theirs."),
@@ -48,7 +48,7 @@
 		spareGroups:   sillmetric.GaugeVec("wasabisill_job_spare_groups", "Groups that yield since their trainers are expected not to wait for them, by pool.", "pool"),
 	}
 	if r != nil {
-		r.MustRegister(m.results, m.takeovers, m.sparedOwners, m.migrations, m.sentLate, m.olderConfigs, m.loadRetries, m.undecoded, m.attempts, m.aborted, m.delayedGroups, m.spareGroups)
+		r.MustRegister(m.results, m.takeovers, m.jobsLeft, m.migrations, m.sentLate, m.olderConfigs, m.loadRetries, m.undecoded, m.attempts, m.aborted, m.delayedGroups, m.spareGroups)
 	}
 	return m
 }
--- a/internal/silljob/owned.go
+++ b/internal/silljob/owned.go
@@ -20,10 +20,11 @@
 	sub *Submission
 	// items are those that are read, in the order of their positions.
 	items []*itemRun
-	// published are the items with published results, and whether they were completed, and saved the saved generations, of
-	// items that are not read yet.
+	// published are the items with published results that are not read yet; the value is whether
+	// the item was completed.
 	published map[ItemID]bool
-	saved     map[ItemID]Progress
+	// saved are the saved generations of items that are not read yet.
+	saved map[ItemID]Progress
 	// pool is the pool that the job's route uses in the newest configuration that is known
 	// of it.
 	pool sillid.PoolID
--- a/internal/silljob/ownerprobe.go
+++ b/internal/silljob/ownerprobe.go
@@ -15,7 +15,7 @@
 // owner is asked directly before one of its jobs is taken over.
 
 const (
-	// probeTimeout bounds one question to an owner.
+	// probeTimeout bounds one question to an owner: a call and a second one on a new connection.
 	probeTimeout = 400 * time.Millisecond
 	// probeValidity is how long the result of a probe counts.
 	probeValidity = time.Second
@@ -53,7 +53,7 @@
 // startProbe asks an owner in the background. The caller holds r.mu.
 func (r *Runner) startProbe(now time.Time, owner GatewayRun) {
 	for other, p := range r.probes {
-		if p.done && now.Sub(p.startedAt) >= maxOrphanTime {
+		if p.done && now.Sub(p.startedAt) >= probeValidity {
 			delete(r.probes, other)
 		}
 	}
@@ -66,29 +66,32 @@
 		r.mu.Lock()
 		p.done, p.answered = true, err == nil
 		r.mu.Unlock()
+		select {
+		case r.probeDone <- struct{}{}:
+		default:
+		}
 		if err != nil {
 			r.cfg.Log.Warn("Owner of jobs does not answer.", zap.String("owner", string(owner)), silllog.Err(err))
 		}
 	})
 }
 
-// sparesOwner returns whether a job is left to its owner, whose row is not renewed, or whether
-// that is not known yet.
-func (r *Runner) sparesOwner(now, since time.Time, job ID, v VersionedState) bool {
-	answered, known := r.probeOwner(now, v.Owner)
+// mustWait returns whether the takeover of a job must wait: its owner answers, or is being asked.
+func (r *Runner) mustWait(now time.Time, job ID, o *orphan) bool {
+	answered, known := r.probeOwner(now, o.owner)
 	if !known {
 		return true
 	}
-	if !answered || now.Sub(since) >= maxOrphanTime {
+	if !answered || now.Sub(o.since) >= maxOrphanTime {
 		return false
 	}
 	r.mu.Lock()
-	first := !r.spared[job]
-	r.spared[job] = true
+	first := !o.left
+	o.left = true
 	r.mu.Unlock()
 	if first {
-		r.cfg.Metrics.sparedOwners.Inc()
-		r.cfg.Log.Warn("Owner of a job does not renew its row, but answers; leaving it the job.", zap.String("job", string(job)), zap.String("owner", string(v.Owner)))
+		r.cfg.Metrics.jobsLeft.Inc()
+		r.cfg.Log.Warn("Owner of a job does not renew its row, but answers; leaving it the job.", zap.String("job", string(job)), zap.String("owner", string(o.owner)))
 	}
 	return true
 }
--- a/internal/silljob/ownerprobe_test.go
+++ b/internal/silljob/ownerprobe_test.go
@@ -88,12 +88,55 @@
 	r := NewRunner(RunnerConfig{Metrics: NewMetrics(nil), Log: zap.NewNop(), ProbeOwner: func(context.Context, GatewayRun) error { return nil }})
 	defer r.group.Stop()
 	since := time.Now()
-	v := VersionedState{State: State{Owner: "a"}}
 	r.probes["a"] = &ownerProbe{startedAt: since.Add(maxOrphanTime), done: true, answered: true}
-	if !r.sparesOwner(since.Add(maxOrphanTime-time.Millisecond), since, "job", v) {
+	o := &orphan{owner: "a", since: since}
+	if !r.mustWait(since.Add(maxOrphanTime-time.Millisecond), "job", o) {
 		t.Error("an owner that answers loses its job too early")
 	}
-	if r.sparesOwner(since.Add(maxOrphanTime), since, "job", v) {
+	if r.mustWait(since.Add(maxOrphanTime), "job", o) {
 		t.Error("an owner that can't list results keeps its job for ever")
 	}
 }
+
+// TestOverdueOwnerIsAskedInTime guards against a takeover from a dead owner that waits for the
+// answer: its successor has rank 1 as long as the owner counts as alive.
+func TestOverdueOwnerIsAskedInTime(t *testing.T) {
+	for rank, want := range map[int]bool{0: true, 1: true, 2: false} {
+		asked := make(chan struct{}, 1)
+		r := NewRunner(RunnerConfig{
+			Metrics: NewMetrics(nil), Log: zap.NewNop(), Overdue: func(GatewayRun) bool { return true },
+			TakeoverRank: func(Placement) (int, bool) { return rank, true },
+			ProbeOwner:   func(context.Context, GatewayRun) error { asked <- struct{}{}; return errNoAnswer },
+		})
+		r.prepareTakeover(time.Now(), VersionedState{State: State{Owner: "a"}})
+		r.group.Wait()
+		if got := len(asked) > 0; got != want {
+			t.Errorf("the owner is asked by rank %d: %t, want %t", rank, got, want)
+		}
+		if got := len(r.probeDone) > 0; got != want {
+			t.Errorf("rank %d: the end of the probe is told: %t, want %t", rank, got, want)
+		}
+	}
+}
+
+// TestOrphanTimeBelongsToOneOwner guards against an owner that loses its job early, since the
+// owner before it was not alive for long.
+func TestOrphanTimeBelongsToOneOwner(t *testing.T) {
+	r := NewRunner(RunnerConfig{
+		Metrics: NewMetrics(nil), Log: zap.NewNop(), Board: NewBoard(),
+		TakeoverRank: func(Placement) (int, bool) { return 0, true },
+		ProbeOwner:   func(context.Context, GatewayRun) error { return nil },
+	})
+	defer r.group.Stop()
+	now := time.Now()
+	r.takeOver(now, "job", VersionedState{State: State{Owner: "a"}})
+	later := now.Add(maxOrphanTime)
+	r.takeOver(later, "job", VersionedState{State: State{Owner: "b"}})
+	if o := r.orphans["job"]; o.owner != "b" || !o.since.Equal(later) {
+		t.Errorf("the job is an orphan of %s since %v, want of b since %v", o.owner, o.since, later)
+	}
+	r.forgetOrphans(nil)
+	if len(r.orphans) > 0 {
+		t.Error("jobs that ended are kept as orphans")
+	}
+}
--- a/internal/silljob/route.go
+++ b/internal/silljob/route.go
@@ -66,7 +66,7 @@
 func (r *Runner) abandonWaiting(j *ownedJob) {
 	for _, it := range j.items {
 		if it.phase == waiting {
-			it.phase = finished
+			it.phase, it.abandoned = finished, true
 			j.pending = append(j.pending, Result{Item: it.item.ID})
 			r.cfg.Metrics.aborted.WithLabelValues("route removed").Inc()
 		}
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -70,12 +70,12 @@
 	jobs map[ID]*ownedJob
 	// loading holds the jobs that are being claimed or read from the store.
 	loading map[ID]bool
-	// orphanSince is when each job without a live owner was first seen.
-	orphanSince map[ID]time.Time
+	// orphans are the open jobs whose owners are not alive by their rows.
+	orphans map[ID]*orphan
 	// probes are the newest probes of owners that are overdue or not alive.
 	probes map[GatewayRun]*ownerProbe
-	// spared holds the jobs that are left to owners that answer and don't renew their rows.
-	spared map[ID]bool
+	// probeDone notifies Run that a probe has ended; it buffers one signal.
+	probeDone chan struct{}
 	// attemptTime is the moving average of the time that a complete attempt takes at an
 	// engine; 0 if unknown.
 	attemptTime time.Duration
@@ -111,9 +111,9 @@
 		cfg:            cfg,
 		jobs:           make(map[ID]*ownedJob),
 		loading:        make(map[ID]bool),
-		orphanSince:    make(map[ID]time.Time),
+		orphans:        make(map[ID]*orphan),
 		probes:         make(map[GatewayRun]*ownerProbe),
-		spared:         make(map[ID]bool),
+		probeDone:      make(chan struct{}, 1),
 		shortages:      make(map[sillid.PoolID]*shortage),
 		history:        make(map[ID]jobRecord),
 		dispatchSignal: make(chan struct{}, 1),
@@ -138,6 +138,7 @@
 			r.releaseAssigned()
 			return
 		case <-changed:
+		case <-r.probeDone:
 		case <-ticker.C:
 		}
 	}
--- a/internal/silljob/shortage.go
+++ b/internal/silljob/shortage.go
@@ -83,7 +83,7 @@
 		}
 	}
 	for pool, jobs := range pools {
-		if !r.cfg.Directory.ReportsSpeed(pool) {
+		if !r.cfg.Directory.Switch(pool).On(silltarget.OrderOfGroups) {
 			r.forgetShortage(pool)
 			continue
 		}
--- a/internal/silljob/shortage_test.go
+++ b/internal/silljob/shortage_test.go
@@ -378,6 +378,44 @@
 	}
 }
 
+// TestSpareGroupsAgeOut guards against a job whose trainer never ends it, and whose spare groups
+// wait for ever behind newer jobs.
+func TestSpareGroupsAgeOut(t *testing.T) {
+	c := newContest(16)
+	first, second := c.submitSteps()
+	for i := range 16 {
+		second.items[i].phase = running
+		if _, ok := c.runner.cfg.Directory.Pick(c.now, silltarget.Query{Pool: "p", FreeOnly: true}); !ok {
+			t.Fatal("no free slot")
+		}
+	}
+	for _, tc := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, true}, {maxSpareWait + time.Second, true}, {sillschedule.LongWait, false}} {
+		c.runner.updateShortages(c.now.Add(tc.after))
+		if got := c.runner.isSpare(first.items[9*itemsPerGroup]); got != tc.want {
+			t.Errorf("the group is spare after %v: %t, want %t", tc.after, got, tc.want)
+		}
+	}
+}
+
+// TestSpareItemsKeepTheirEvents guards against a generation that only one weight version may
+// continue, and that is discarded since it yields to other items for long.
+func TestSpareItemsKeepTheirEvents(t *testing.T) {
+	c := newContest(16)
+	first, _ := c.submitSteps()
+	c.runner.updateShortages(c.now)
+	it := first.items[9*itemsPerGroup]
+	first.sub.SingleVersion, it.versions, it.events = true, []sillid.WeightVersion{1}, []string{"event"}
+	for _, after := range []time.Duration{0, 2 * versionWaitTimeout} {
+		c.runner.discardUnresumable(c.now.Add(after), it)
+	}
+	if len(it.events) != 1 {
+		t.Error("the events of a spare item are discarded")
+	}
+}
+
 // TestSpareGroupReplacesFailedOne guards against a spare group that waits although an item of a
 // needed group was given up, here or by an earlier owner.
 func TestSpareGroupReplacesFailedOne(t *testing.T) {
--- a/internal/silljob/spare.go
+++ b/internal/silljob/spare.go
@@ -136,7 +136,8 @@
 		if j.sub.RequiredGroups <= 0 || j.countUnloaded() > 0 || j.meanTokens() == 0 {
 			continue
 		}
-		if halfFree && now.Sub(time.UnixMilli(j.sub.SubmittedMS)) > maxSpareWait {
+		age := now.Sub(time.UnixMilli(j.sub.SubmittedMS))
+		if age >= sillschedule.LongWait || (halfFree && age > maxSpareWait) {
 			continue
 		}
 		for group := range sillschedule.Spare(j.sub.RequiredGroups, r.jobGroups(j)) {
--- a/internal/silljob/takeover.go
+++ b/internal/silljob/takeover.go
@@ -15,6 +15,7 @@
 func (r *Runner) reconcileOwnership(now time.Time) {
 	open := r.cfg.Board.OpenJobs()
 	r.stopLostJobs(open)
+	r.forgetOrphans(open)
 	for job, v := range open {
 		switch {
 		case v.Owner == r.cfg.Self:
@@ -44,11 +45,30 @@
 	}
 }
 
+// orphan is a job whose owner is not alive by its row.
+type orphan struct {
+	owner GatewayRun
+	// since is when the job was first seen in this state.
+	since time.Time
+	// left is whether the job was left to its owner, since the owner answered.
+	left bool
+}
+
+// forgetOrphans forgets the orphans that are no longer open.
+func (r *Runner) forgetOrphans(open map[ID]VersionedState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for job := range r.orphans {
+		if _, ok := open[job]; !ok {
+			delete(r.orphans, job)
+		}
+	}
+}
+
 func (r *Runner) clearOrphan(job ID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.orphanSince, job)
-	delete(r.spared, job)
+	delete(r.orphans, job)
 }
 
 // prepareTakeover asks an owner that is overdue in time, so that the takeover of a dead one does
@@ -57,7 +77,8 @@
 	if r.cfg.Overdue == nil || !r.cfg.Overdue(v.Owner) {
 		return
 	}
-	if rank, ok := r.cfg.TakeoverRank(v.placement()); ok && rank == 0 {
+	// The owner, which usually has rank 0, still counts as alive.
+	if rank, ok := r.cfg.TakeoverRank(v.placement()); ok && rank <= 1 {
 		r.probeOwner(now, v.Owner)
 	}
 }
@@ -70,13 +91,13 @@
 		return
 	}
 	r.mu.Lock()
-	since, seen := r.orphanSince[job]
-	if !seen {
-		since = now
-		r.orphanSince[job] = now
+	o := r.orphans[job]
+	if o == nil || o.owner != v.Owner {
+		o = &orphan{owner: v.Owner, since: now}
+		r.orphans[job] = o
 	}
 	r.mu.Unlock()
-	if now.Sub(since) < time.Duration(rank)*takeoverRankDelay || r.sparesOwner(now, since, job, v) {
+	if now.Sub(o.since) < time.Duration(rank)*takeoverRankDelay || r.mustWait(now, job, o) {
 		return
 	}
 	r.startLoading(job, v, true)
--- a/internal/sillrelay/relay.go
+++ b/internal/sillrelay/relay.go
@@ -138,7 +138,8 @@
 		}
 	}
 	a, err := r.callPeers(ctx, c)
-	if notServed(err) && ctx.Err() == nil {
+	// Few peers may pass on a call that is kept in its region, so that its failure tells little.
+	if notServed(err) && ctx.Err() == nil && !silltable.IsKeptInRegion(ctx) {
 		r.mu.Lock()
 		r.failedAt = time.Now()
 		r.mu.Unlock()
