Ask owners only while the table refuses calls of the asking gateway

Change: a gateway asks an owner, and leaves it its job, only if calls of its own failed within the last 3 s, directly and through peers. If none did, a row that is not renewed tells that its owner is cut off.

Measured: TestOwnerCutOffFromTheTableIsReplaced fails without the change.

--- a/internal/silldirectgateway/membership.go
+++ b/internal/silldirectgateway/membership.go
@@ -22,6 +22,15 @@
 // of its group commits and, if that fails, directly.
 const renewTimeout = time.Second
 
+const (
+	// tableFailureMemory is how long a failed call counts as a sign that the table refuses
+	// calls. Each process makes several calls a second.
+	tableFailureMemory = time.Second
+	// takeoverFailureMemory is the same for takeovers: longer than it takes running owners to
+	// renew their rows once the table is back.
+	takeoverFailureMemory = 3 * time.Second
+)
+
 // membership holds the running gateways and keeps this process's row among them.
 type membership struct {
 	settings *Settings
@@ -38,9 +47,9 @@
 	// membersAge returns the age of the view of the gateways, and false before its first read.
 	// It is set before renew is called; nil stands for an unknown age.
 	membersAge func() (time.Duration, bool)
-	// tableFails returns whether the table refuses calls of this process that peers can't make
-	// for it either. It is set before renew is called; nil stands for never.
-	tableFails func() bool
+	// tableFails returns whether the table refused calls of this process within a time that
+	// peers could not make for it either. It is set before renew is called; nil stands for never.
+	tableFails func(within time.Duration) bool
 	renewals   atomic.Uint64
 	// committer writes the process's row. It is set before renew is called; nil writes
 	// directly.
@@ -90,7 +99,7 @@
 // While the table refuses calls, this process owns the job: another one would have to read it
 // from the table before it can begin.
 func (m *membership) owner(p silljob.Placement) silljob.GatewayRun {
-	if m.tableFails != nil && m.tableFails() && m.mayOwn(p)(sillcluster.Member{Zone: m.settings.Zone}) {
+	if m.tableFails != nil && m.tableFails(tableFailureMemory) && m.mayOwn(p)(sillcluster.Member{Zone: m.settings.Zone}) {
 		return silljob.GatewayRun(m.run)
 	}
 	if first, ok := m.members.FirstAmong(sillclock.Boot(), string(p.Model), m.mayOwn(p)); ok {
@@ -99,6 +108,12 @@
 	return silljob.GatewayRun(m.run)
 }
 
+// tableFailed returns whether the table refused calls of this process lately. A table that comes
+// back for moments only has refused some within takeoverFailureMemory.
+func (m *membership) tableFailed() bool {
+	return m.tableFails != nil && m.tableFails(takeoverFailureMemory)
+}
+
 func (m *membership) rank(p silljob.Placement) (int, bool) {
 	return m.members.RankAmong(sillclock.Boot(), string(p.Model), m.settings.Instance, m.mayOwn(p))
 }
--- a/internal/silldirectgateway/ownerprobe_test.go
+++ b/internal/silldirectgateway/ownerprobe_test.go
@@ -71,7 +71,7 @@
 	m := newTestMembership("front-a")
 	m.learn(t, "front-b", "run-b", "127.0.0.1:1")
 	fails := false
-	m.tableFails = func() bool { return fails }
+	m.tableFails = func(time.Duration) bool { return fails }
 	check := func(t *testing.T, want sillcluster.Run) {
 		t.Helper()
 		if got := m.owner(silljob.Placement{Model: "m"}); got != silljob.GatewayRun(want) {
--- a/internal/silldirectgateway/providers.go
+++ b/internal/silldirectgateway/providers.go
@@ -118,7 +118,7 @@
 		Self: silljob.GatewayRun(p.members.run), Store: p.store, Board: p.view.board, Cache: p.cache,
 		Directory: p.view.directory, Pool: p.adapter.TargetPool, Codec: p.adapter.Codec,
 		Forwarder: p.forwarder, AcquirePermit: p.broker.Acquire, Catalog: p.view.catalog, CatalogRevision: p.followers.catalogRevision, Zone: p.settings.Zone,
-		Region: p.settings.RegionOf(p.settings.Zone), Owner: p.members.owner, TakeoverRank: p.members.rank, Alive: p.followers.mayRun(p.members), Overdue: p.members.overdue, ProbeOwner: p.members.prober(p.adapter.PeerPool), HandoverTime: jobHandoverTime,
+		Region: p.settings.RegionOf(p.settings.Zone), Owner: p.members.owner, TakeoverRank: p.members.rank, Alive: p.followers.mayRun(p.members), TableFails: p.members.tableFailed, Overdue: p.members.overdue, ProbeOwner: p.members.prober(p.adapter.PeerPool), HandoverTime: jobHandoverTime,
 		Metrics: m, Log: log,
 	})
 }
--- a/internal/silldirectgateway/service.go
+++ b/internal/silldirectgateway/service.go
@@ -60,10 +60,6 @@
 	Metrics string
 }
 
-// tableFailureMemory is how long a failed call of the table counts as a sign that the table
-// refuses calls. Each process makes several calls a second.
-const tableFailureMemory = time.Second
-
 // Service is a gateway that calls targets directly, without agents.
 type Service struct {
 	// Log is the logger of the process.
@@ -169,7 +165,7 @@
 	s.startedAt = sillclock.Boot()
 	s.members.address = s.Addresses.Peers
 	s.members.membersAge = s.followers.membersAge
-	s.members.tableFails = func() bool { return s.relay.FailedWithin(tableFailureMemory) && !s.stopping.Load() }
+	s.members.tableFails = func(within time.Duration) bool { return s.relay.FailedWithin(within) && !s.stopping.Load() }
 	s.members.poolLoads = s.view.poolLoads
 	s.members.committer = s.committer
 	s.background = sillgroup.New(context.Background())
--- a/internal/silljob/help_test.go
+++ b/internal/silljob/help_test.go
@@ -133,7 +133,7 @@
 	n.runner = NewRunner(RunnerConfig{
 		Self: run, Store: c.store, Board: n.board, Cache: cache, Directory: n.directory, Pool: pool, Codec: codec,
 		Forwarder: forwarder, Catalog: c.catalog, Owner: func(Placement) GatewayRun { return run },
-		TakeoverRank: c.rankOf(run), ProbeOwner: c.probeOwner, Overdue: func(GatewayRun) bool { return c.probeOwner != nil },
+		TakeoverRank: c.rankOf(run), ProbeOwner: c.probeOwner, TableFails: func() bool { return c.probeOwner != nil }, Overdue: func(GatewayRun) bool { return c.probeOwner != nil },
 		HandoverTime: c.handover, Alive: func(run GatewayRun, _ silltable.Revision) bool { return c.isAlive(run) }, CatalogRevision: c.currentCatalog, Metrics: NewMetrics(nil), Log: zap.NewNop(),
 	})
 	n.reader = &Reader{Store: c.store, Board: n.board, Cache: cache, BoardAge: func() (time.Duration, bool) { return follower.Age(time.Now()) }}
--- a/internal/silljob/ownerprobe.go
+++ b/internal/silljob/ownerprobe.go
@@ -12,7 +12,8 @@
 // The row of a process that is not renewed in time does not prove that the process is dead: while
 // the table refuses a part of its calls, running processes can't renew their rows. A job that is
 // taken from a running owner loses all that the owner has generated and not listed yet. So an
-// owner is asked directly before one of its jobs is taken over.
+// owner is asked directly before one of its jobs is taken over, if the table refused calls of this
+// process as well. If it did not, the owner is cut off from the table, and can't list results.
 
 const (
 	// probeTimeout bounds one question to an owner: a call and a second one on a new connection.
@@ -78,6 +79,9 @@
 
 // mustWait returns whether the takeover of a job must wait: its owner answers, or is being asked.
 func (r *Runner) mustWait(now time.Time, job ID, o *orphan) bool {
+	if r.cfg.TableFails == nil || !r.cfg.TableFails() {
+		return false
+	}
 	answered, known := r.probeOwner(now, o.owner)
 	if !known {
 		return true
--- a/internal/silljob/ownerprobe_test.go
+++ b/internal/silljob/ownerprobe_test.go
@@ -12,6 +12,8 @@
 
 var errNoAnswer = errors.New("no answer")
 
+func tableFails() bool { return true }
+
 // probeCluster returns a cluster in which the owner "a" of a job counts as dead by its row. The
 // job takes twelve times the delay of an event.
 func probeCluster(t *testing.T, delay time.Duration, probe func(context.Context, GatewayRun) error) (c *cluster, sub *Submission, a, b *node) {
@@ -85,7 +87,7 @@
 
 // TestOrphanTimeIsBounded guards against an owner that answers and can never write again.
 func TestOrphanTimeIsBounded(t *testing.T) {
-	r := NewRunner(RunnerConfig{Metrics: NewMetrics(nil), Log: zap.NewNop(), ProbeOwner: func(context.Context, GatewayRun) error { return nil }})
+	r := NewRunner(RunnerConfig{Metrics: NewMetrics(nil), Log: zap.NewNop(), TableFails: tableFails, ProbeOwner: func(context.Context, GatewayRun) error { return nil }})
 	defer r.group.Stop()
 	since := time.Now()
 	r.probes["a"] = &ownerProbe{startedAt: since.Add(maxOrphanTime), done: true, answered: true}
@@ -104,7 +106,7 @@
 	for rank, want := range map[int]bool{0: true, 1: true, 2: false} {
 		asked := make(chan struct{}, 1)
 		r := NewRunner(RunnerConfig{
-			Metrics: NewMetrics(nil), Log: zap.NewNop(), Overdue: func(GatewayRun) bool { return true },
+			Metrics: NewMetrics(nil), Log: zap.NewNop(), TableFails: tableFails, Overdue: func(GatewayRun) bool { return true },
 			TakeoverRank: func(Placement) (int, bool) { return rank, true },
 			ProbeOwner:   func(context.Context, GatewayRun) error { asked <- struct{}{}; return errNoAnswer },
 		})
@@ -123,7 +125,7 @@
 // owner before it was not alive for long.
 func TestOrphanTimeBelongsToOneOwner(t *testing.T) {
 	r := NewRunner(RunnerConfig{
-		Metrics: NewMetrics(nil), Log: zap.NewNop(), Board: NewBoard(),
+		Metrics: NewMetrics(nil), Log: zap.NewNop(), Board: NewBoard(), TableFails: tableFails,
 		TakeoverRank: func(Placement) (int, bool) { return 0, true },
 		ProbeOwner:   func(context.Context, GatewayRun) error { return nil },
 	})
@@ -140,3 +142,17 @@
 		t.Error("jobs that ended are kept as orphans")
 	}
 }
+
+// TestOwnerCutOffFromTheTableIsReplaced guards against jobs that wait for an owner which answers,
+// but can't reach the table that others reach.
+func TestOwnerCutOffFromTheTableIsReplaced(t *testing.T) {
+	r := NewRunner(RunnerConfig{
+		Metrics: NewMetrics(nil), Log: zap.NewNop(), TableFails: func() bool { return false },
+		ProbeOwner: func(context.Context, GatewayRun) error { return nil },
+	})
+	now := time.Now()
+	r.probes["a"] = &ownerProbe{startedAt: now, done: true, answered: true}
+	if r.mustWait(now, "job", &orphan{owner: "a", since: now}) {
+		t.Error("the job waits for an owner that can't reach the table")
+	}
+}
--- a/internal/silljob/runner.go
+++ b/internal/silljob/runner.go
@@ -47,8 +47,11 @@
 	// Alive returns whether a process that a row of the given revision names is running, or
 	// may have started since the processes that run were last read.
 	Alive func(run GatewayRun, named silltable.Revision) bool
+	// TableFails returns whether the table refused calls of this process lately; nil stands for
+	// never. Only then owners are asked before their jobs are taken over.
+	TableFails func() bool
 	// Overdue returns whether a process has not renewed its row for longer than usual, so that it
-	// may soon not be Alive; nil stands for no process.
+	// may soon not be Alive.
 	Overdue func(run GatewayRun) bool
 	// ProbeOwner asks a process directly whether it runs, and returns an error if it does not
 	// answer that; nil asks nobody.
--- a/internal/silljob/takeover.go
+++ b/internal/silljob/takeover.go
@@ -74,7 +74,7 @@
 // prepareTakeover asks an owner that is overdue in time, so that the takeover of a dead one does
 // not wait for the answer.
 func (r *Runner) prepareTakeover(now time.Time, v VersionedState) {
-	if r.cfg.Overdue == nil || !r.cfg.Overdue(v.Owner) {
+	if r.cfg.TableFails == nil || !r.cfg.TableFails() || !r.cfg.Overdue(v.Owner) {
 		return
 	}
 	// The owner, which usually has rank 0, still counts as alive.
