Tell a reset during an upload from the end of an answer

Callers got a part of an answer as the whole: a target answered a long request at once with a 200 without a length, sent a part of its body and reset the connection while the request was still being written. Gateways without agents passed on plain answers, failures and streams so, agents passed them on to gateways, an item was completed with a part of its text, and a call of the platform returned a part.

Cause: the kernel reports a reset to one system call only. If the write of the request gets the error, the read that follows gets the end of the stream, which is how an answer without a length ends. silltransport did not look at the outcome of a write that was still running; net/http closes the connection after a failed write, but the read is often faster.

Change: sillsocket.Conn returns the error of the write in place of the end of the stream. A write that is running is interrupted first, so that its outcome is known: if the kernel gave it no error, nobody else took the error, and the end is real.

Generations of engines held already, as their streams have an end mark.

--- a/cmd/wasabisill/bundle_remote.go
+++ b/cmd/wasabisill/bundle_remote.go
@@ -17,6 +17,7 @@
 	"github.com/wasabisill/wasabisill/internal/silladmin"
 	"github.com/wasabisill/wasabisill/internal/sillbundle"
 	"github.com/wasabisill/wasabisill/internal/sillbundlestore"
+	"github.com/wasabisill/wasabisill/internal/sillclient"
 	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
@@ -56,11 +57,9 @@
 			return nil, err
 		}
 	}
-	return &silladmin.Client{
-		BaseURL: r.adminURL,
-		Token:   strings.TrimSpace(string(token)),
-		HTTP:    &http.Client{Transport: transport, Timeout: r.timeout},
-	}, nil
+	client := sillclient.New(transport)
+	client.Timeout = r.timeout
+	return &silladmin.Client{BaseURL: r.adminURL, Token: strings.TrimSpace(string(token)), HTTP: client}, nil
 }
 
 // tlsConfig returns a configuration that trusts only the certificates of a file.
--- a/cmd/wasabisill/route.go
+++ b/cmd/wasabisill/route.go
@@ -11,6 +11,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/wasabisill/wasabisill/internal/sillclient"
 	"github.com/wasabisill/wasabisill/internal/sillcommand"
 	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/sillexplanation"
@@ -86,7 +87,8 @@
 // ask asks the gateway, and once more with the content if there is one: the answer names the
 // organisation, on which the fingerprint depends.
 func (f *routeFlags) ask(ctx context.Context, q *sillexplanation.Question, body []byte) (*sillexplanation.Answer, error) {
-	a, err := sillexplanation.Ask(ctx, &http.Client{}, f.gateway, q)
+	client := sillclient.New(&http.Transport{Proxy: http.ProxyFromEnvironment})
+	a, err := sillexplanation.Ask(ctx, client, f.gateway, q)
 	if err != nil || (f.bodyFile == "" && f.content == "") {
 		return a, err
 	}
@@ -95,7 +97,7 @@
 	if f.bodyFile != "" {
 		withContent.Content = sillexplanation.Content(q, a, body)
 	}
-	told, err := sillexplanation.Ask(ctx, &http.Client{}, f.gateway, &withContent)
+	told, err := sillexplanation.Ask(ctx, client, f.gateway, &withContent)
 	var refused *sillexplanation.RefusedError
 	if errors.As(err, &refused) && refused.Status == http.StatusBadRequest {
 		fmt.Fprintln(os.Stderr, "the gateway does not tell crash evidence; it may be of an earlier build")
--- a/internal/sillagent/cuthead_test.go
+++ b/internal/sillagent/cuthead_test.go
@@ -24,16 +24,20 @@
 	return "http://" + target.Address()
 }
 
-// callRaw sends a request to a service that sends some bytes and closes.
-func callRaw(t *testing.T, sent string) outcome {
-	t.Helper()
-	a := &Agent{service: newServiceClient(startRaw(t, sent)), cfg: Config{
+// serviceAgent returns an agent beside the service at a URL.
+func serviceAgent(url string) *Agent {
+	return &Agent{service: newServiceClient(url), cfg: Config{
 		Now: time.Now, Log: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()),
 		Gate: silllimit.NewGate(silllimit.GateConfig{Queue: silllimit.Config{MaxConcurrent: 1, MaxWaiting: 1}, Now: time.Now}),
 	}}
+}
+
+// callRaw sends a request to a service that sends some bytes and closes.
+func callRaw(t *testing.T, sent string) outcome {
+	t.Helper()
 	n := newTestRun("r", 1, true)
 	n.req.Method, n.req.Path = "POST", "/x"
-	return a.callService(t.Context(), n)
+	return serviceAgent(startRaw(t, sent)).callService(t.Context(), n)
 }
 
 // TestCutHeads guards against a response whose target stopped in the middle of its head
--- a/internal/sillagent/service.go
+++ b/internal/sillagent/service.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wasabisill/wasabisill/internal/sillclient"
 	"github.com/wasabisill/wasabisill/internal/sillwire"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
@@ -36,23 +37,19 @@
 	single *http.Client
 }
 
-// maxHeadBytes bounds the status line and header of a response.
-const maxHeadBytes = 64 << 10
-
 func newServiceClient(baseURL string) *serviceClient {
 	return &serviceClient{
 		baseURL: baseURL,
-		pooled:  newHTTPClient(&http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}),
-		single:  newHTTPClient(&http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}),
+		pooled:  newHTTPClient(&http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true}),
+		single:  newHTTPClient(&http.Transport{DisableKeepAlives: true, DisableCompression: true}),
 	}
 }
 
 func newHTTPClient(transport *http.Transport) *http.Client {
-	return &http.Client{
-		Transport: transport,
-		// A redirect is an answer for the caller.
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	client := sillclient.New(transport)
+	// A redirect is an answer for the caller.
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return client
 }
 
 func (c *serviceClient) do(req *http.Request, idempotent bool) (*http.Response, error) {
--- a/internal/sillcall/call.go
+++ b/internal/sillcall/call.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/wasabisill/wasabisill/internal/sillclient"
 )
 
 var (
@@ -27,9 +29,6 @@
 // maxResponseBytes bounds the body of one response.
 const maxResponseBytes = 16 << 20
 
-// maxHeadBytes bounds the status line and header of a response.
-const maxHeadBytes = 64 << 10
-
 // Config configures the calls to one service.
 type Config struct {
 	// BaseURL is the address of the service, without a path.
@@ -48,7 +47,7 @@
 // New returns a caller. It makes no call.
 func New(cfg Config) *Caller {
 	if cfg.Client == nil {
-		cfg.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeadBytes}}
+		cfg.Client = sillclient.New(&http.Transport{MaxIdleConnsPerHost: 4})
 	}
 	return &Caller{config: cfg}
 }
--- /dev/null
+++ b/internal/sillclient/client.go
@@ -0,0 +1,37 @@
+// Package sillclient creates HTTP clients that take no broken response for a whole one.
+package sillclient
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/wasabisill/wasabisill/internal/sillsocket"
+)
+
+// maxHeadBytes bounds the status line and header of a response.
+const maxHeadBytes = 64 << 10
+
+// New returns a client that sends requests with a transport, which must not be used otherwise.
+// New sets how the transport connects and how long the head of a response may be.
+func New(transport *http.Transport) *http.Client {
+	transport.DialContext = dial
+	transport.MaxResponseHeaderBytes = maxHeadBytes
+	// With a DialContext, net/http uses HTTP/2 only where it is told to.
+	transport.ForceAttemptHTTP2 = transport.TLSClientConfig == nil
+	return &http.Client{Transport: transport}
+}
+
+// dial connects to an address, so that a connection that was lost doesn't look as if its peer
+// had ended it in order.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		return sillsocket.NewConn(tcp), nil
+	}
+	return conn, nil
+}
--- a/internal/sillengine/client.go
+++ b/internal/sillengine/client.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wasabisill/wasabisill/internal/sillcall"
+	"github.com/wasabisill/wasabisill/internal/sillclient"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -46,13 +47,10 @@
 	idleTimeout = time.Second
 )
 
-// maxHeadBytes bounds the status line and header of a response.
-const maxHeadBytes = 64 << 10
-
 // New returns a client. It makes no call.
 func New(cfg Config) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
-	return &Client{cfg: cfg, http: &http.Client{Transport: transport}}
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	return &Client{cfg: cfg, http: sillclient.New(transport)}
 }
 
 var (
--- a/internal/sillobject/client.go
+++ b/internal/sillobject/client.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wasabisill/wasabisill/internal/sillcall"
+	"github.com/wasabisill/wasabisill/internal/sillclient"
 )
 
 // Config configures a client of the object store.
@@ -33,13 +34,10 @@
 	Config
 }
 
-// maxHeadBytes bounds the status line and header of a response.
-const maxHeadBytes = 64 << 10
-
 // Dial returns a client of the object store at an HTTP address. It makes no call.
 func Dial(cfg Config) *Store {
 	if cfg.Client == nil {
-		cfg.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeadBytes}}
+		cfg.Client = sillclient.New(&http.Transport{MaxIdleConnsPerHost: 4})
 	}
 	if cfg.Observe == nil {
 		cfg.Observe = func(string, error) {}
--- a/internal/sillscorer/scorer.go
+++ b/internal/sillscorer/scorer.go
@@ -15,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wasabisill/wasabisill/internal/sillclient"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
@@ -57,13 +58,10 @@
 	Config
 }
 
-// maxHeadBytes bounds the status line and header of a response.
-const maxHeadBytes = 64 << 10
-
 // Dial returns a client of the scorer at an HTTP address. It makes no call.
 func Dial(cfg Config) *Scorer {
 	if cfg.Client == nil {
-		cfg.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: maxHeadBytes}}
+		cfg.Client = sillclient.New(&http.Transport{MaxIdleConnsPerHost: 64})
 	}
 	c := &client{Config: cfg}
 	return &Scorer{Score: c.score}
--- a/internal/silltable/client.go
+++ b/internal/silltable/client.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wasabisill/wasabisill/internal/sillcall"
+	"github.com/wasabisill/wasabisill/internal/sillclient"
 )
 
 // Config configures a client of the table service.
@@ -36,9 +37,6 @@
 // maxResponseBytes bounds the size of one response.
 const maxResponseBytes = 16 << 20
 
-// maxHeadBytes bounds the status line and header of a response.
-const maxHeadBytes = 64 << 10
-
 type client struct {
 	Config
 }
@@ -46,7 +44,7 @@
 // Dial returns a client of the table service at an HTTP address. It makes no call.
 func Dial(cfg Config) *Store {
 	if cfg.Client == nil {
-		cfg.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections, MaxResponseHeaderBytes: maxHeadBytes}}
+		cfg.Client = sillclient.New(&http.Transport{MaxIdleConnsPerHost: idleConnections})
 	}
 	if cfg.Observe == nil {
 		cfg.Observe = func(string, error) {}
--- a/internal/silltransport/conn.go
+++ b/internal/silltransport/conn.go
@@ -52,10 +52,12 @@
 
 // conn is a connection that carries at most one request at a time.
 type conn struct {
-	pool    *Pool
-	tcp     *net.TCPConn
+	pool *Pool
+	tcp  *net.TCPConn
+	// socket reads from tcp and writes to it.
+	socket  *sillsocket.Conn
 	address string
-	// source reads from tcp, and reader from source.
+	// source reads from socket, and reader from source.
 	source *headLimiter
 	reader *bufio.Reader
 	// carried holds the ids of the newest requests, maxCarriedIDs at most.
@@ -68,8 +70,9 @@
 }
 
 func newConn(p *Pool, tcp *net.TCPConn, address string) *conn {
-	source := &headLimiter{reader: tcp}
-	return &conn{pool: p, tcp: tcp, address: address, source: source, reader: bufio.NewReaderSize(source, 4<<10)}
+	socket := sillsocket.NewConn(tcp)
+	source := &headLimiter{reader: socket}
+	return &conn{pool: p, tcp: tcp, socket: socket, address: address, source: source, reader: bufio.NewReaderSize(source, 4<<10)}
 }
 
 // headLimiter limits the bytes that are read while a head is expected. It is not safe
@@ -206,14 +209,14 @@
 func (c *conn) write(req *Request) *requestWrite {
 	head := encodeHead(req)
 	if len(req.Body) <= maxInlineBodyBytes {
-		n, err := c.tcp.Write(append(head, req.Body...))
+		n, err := c.socket.Write(append(head, req.Body...))
 		return &requestWrite{outcome: writeOutcome{bytes: int64(n), err: err}}
 	}
 	running := make(chan writeOutcome, 1)
 	var group sync.WaitGroup
 	group.Go(func() {
 		buffers := net.Buffers{head, req.Body}
-		n, err := buffers.WriteTo(c.tcp)
+		n, err := c.socket.WriteBuffers(&buffers)
 		running <- writeOutcome{bytes: n, err: err}
 	})
 	return &requestWrite{running: running}
