Take no answer with a status below 100, nor 101, for an answer

Callers of gateways with agents got an answer whose status was 000 as an answer, and a sample was given up for good when its scorer answered so. Gateways without agents skipped such an answer like one of 1xx and took the bytes after its head for the answer.

Cause: net/http's parser takes any three characters that read as a number of 0 or more for a status: 000, 099, +20, -00. silltransport skipped every status below 200, the HTTP clients of agents and of the interfaces passed each on; scorers took it for a refusal, since it is no success and below 500. 101 is of the same kind: nobody asks for another protocol, and what follows it is no answer.

Change: sillheader.CheckStatus refuses what is no final status. silltransport asks it, sillclient for every HTTP client of the programs, and the dispatcher for heads that agents of earlier builds pass on; usage of such a run is still recorded. It is a failure of the target, no crash. The connection is closed.

--- a/internal/sillagent/generation.go
+++ b/internal/sillagent/generation.go
@@ -9,6 +9,7 @@
 
 	"github.com/wasabisill/wasabisill/internal/sillattribution"
 	"github.com/wasabisill/wasabisill/internal/sillengine"
+	"github.com/wasabisill/wasabisill/internal/sillheader"
 	"github.com/wasabisill/wasabisill/internal/sillwire"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
@@ -156,6 +157,9 @@
 		g.result.failure = sillproblem.New(sillproblem.BadRequest, "%v", err).WithOutcome(sillproblem.Failed)
 	case errors.Is(err, errAnswerTooLong):
 		g.result.failure = sillproblem.New(sillproblem.TargetFailed, "%v", err).WithOutcome(sillproblem.OutcomeUnknown)
+	case errors.Is(err, sillheader.ErrMalformed):
+		// An engine that sends a malformed answer has not crashed.
+		g.result.failure = sillproblem.New(sillproblem.TargetFailed, "the engine's answer is malformed").WithOutcome(sillproblem.OutcomeUnknown)
 	default:
 		g.result.brokeOff = errors.Is(err, sillengine.ErrCut) || !sillengine.Answered(err)
 		g.result.failure = sillproblem.New(sillproblem.TargetFailed, "the engine's answer broke off").WithOutcome(sillproblem.OutcomeUnknown)
--- a/internal/sillagent/service.go
+++ b/internal/sillagent/service.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillclient"
+	"github.com/wasabisill/wasabisill/internal/sillheader"
 	"github.com/wasabisill/wasabisill/internal/sillwire"
 	"github.com/wasabisill/wasabisill/pkg/sillproblem"
 )
@@ -85,7 +86,8 @@
 	resp, err := a.service.do(req, n.req.Idempotent)
 	if err != nil {
 		p := a.serviceProblem(ctx, err, wrote.Load())
-		return outcome{failure: p, brokeOff: p.Kind == sillproblem.TargetFailed}
+		// A service that sends a malformed answer has not crashed.
+		return outcome{failure: p, brokeOff: p.Kind == sillproblem.TargetFailed && !errors.Is(err, sillheader.ErrMalformed)}
 	}
 	defer resp.Body.Close()
 	a.observeLimit(began, resp.Header)
@@ -181,6 +183,9 @@
 	if ctx.Err() != nil {
 		return a.endProblem(ctx)
 	}
+	if errors.Is(err, sillheader.ErrMalformed) {
+		return sillproblem.New(sillproblem.TargetFailed, "the target's answer is malformed").WithOutcome(sillproblem.OutcomeUnknown)
+	}
 	return sillproblem.New(sillproblem.TargetFailed, "the target closed the connection without an answer").WithOutcome(sillproblem.OutcomeUnknown)
 }
 
--- a/internal/sillclient/client.go
+++ b/internal/sillclient/client.go
@@ -5,7 +5,9 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 
+	"github.com/wasabisill/wasabisill/internal/sillheader"
 	"github.com/wasabisill/wasabisill/internal/sillsocket"
 )
 
@@ -13,15 +15,41 @@
 const maxHeadBytes = 64 << 10
 
 // New returns a client that sends requests with a transport, which must not be used otherwise.
-// New sets how the transport connects and how long the head of a response may be.
+// New sets how the transport connects and how long the head of a response may be. The client
+// returns sillheader.ErrMalformed for a response with a head that the protocol doesn't allow.
 func New(transport *http.Transport) *http.Client {
 	transport.DialContext = dial
 	transport.MaxResponseHeaderBytes = maxHeadBytes
 	// With a DialContext, net/http uses HTTP/2 only where it is told to.
 	transport.ForceAttemptHTTP2 = transport.TLSClientConfig == nil
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: &checkedTransport{transport}}
 }
 
+// checkedTransport checks the heads of responses.
+type checkedTransport struct {
+	transport *http.Transport
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *checkedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var used net.Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used = info.Conn }}
+	resp, err := t.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := sillheader.CheckStatus(resp.StatusCode); err != nil {
+		_ = resp.Body.Close()
+		// A response without a body has left the connection to the next request.
+		_ = used.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections implements the method of the same name of http.Client.
+func (t *checkedTransport) CloseIdleConnections() { t.transport.CloseIdleConnections() }
+
 // dial connects to an address, so that a connection that was lost doesn't look as if its peer
 // had ended it in order.
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/silldispatch/attempt.go
+++ b/internal/silldispatch/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/wasabisill/wasabisill/internal/sillcrash"
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
+	"github.com/wasabisill/wasabisill/internal/sillheader"
 	"github.com/wasabisill/wasabisill/internal/silllink"
 	"github.com/wasabisill/wasabisill/internal/sillwire"
 	"github.com/wasabisill/wasabisill/pkg/sillid"
@@ -50,6 +51,8 @@
 	sinkErr error
 	// tokens counts the tokens that the attempt generated.
 	tokens int
+	// unread is true if the agent has more frames to send.
+	unread bool
 	// load is the load of the target; nil if the agent did not report it.
 	load *sillwire.Load
 	// final is true if no other target may be tried.
@@ -153,7 +156,7 @@
 		if !done {
 			continue
 		}
-		if res.sinkErr != nil {
+		if res.unread {
 			x.Stop()
 			d.linger(x)
 			return res
@@ -187,6 +190,9 @@
 	case *sillwire.Refuse:
 		return true, result{problem: fromRefuse(m), load: m.Load}
 	case *sillwire.Head:
+		if malformed := checkHead(m); malformed != nil {
+			return true, result{problem: malformed, unread: true}
+		}
 		err = out.head(m)
 	case *sillwire.Chunk:
 		a.bytes += int64(len(m.Data))
@@ -200,11 +206,20 @@
 		return true, result{problem: sillproblem.New(sillproblem.Internal, "unexpected %T in an answer", m).WithOutcome(sillproblem.OutcomeUnknown)}
 	}
 	if err != nil {
-		return true, result{sinkErr: err}
+		return true, result{sinkErr: err, unread: true}
 	}
 	return false, result{}
 }
 
+// checkHead returns the problem of a head that no response has. Agents of earlier builds pass
+// such heads on.
+func checkHead(m *sillwire.Head) *sillproblem.Problem {
+	if err := sillheader.CheckStatus(m.Status); err != nil {
+		return sillproblem.New(sillproblem.TargetFailed, "%v", err).WithOutcome(sillproblem.OutcomeUnknown)
+	}
+	return nil
+}
+
 // finish checks that the response is complete and belongs to this request.
 func (d *Dispatcher) finish(r *Request, a *attempt, m *sillwire.Finish, out *output) result {
 	res := result{finish: m, load: m.Load}
--- a/internal/silldispatch/dispatch_test.go
+++ b/internal/silldispatch/dispatch_test.go
@@ -216,6 +216,29 @@
 	}
 }
 
+// TestDoRefusesMalformedHeads checks that a head that an agent of an earlier build passes on does
+// not reach the caller.
+func TestDoRefusesMalformedHeads(t *testing.T) {
+	for name, head := range map[string]sillwire.Head{
+		"status 000": {},
+		"status 099": {Status: 99},
+		"status 101": {Status: http.StatusSwitchingProtocols},
+		"status -1":  {Status: -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, script{frames: []sillwire.Message{&head, whole(0, 0)}})
+			var text string
+			sink := collect(&text)
+			sink.Head = func(h *sillwire.Head) error {
+				t.Errorf("the caller got %+v", h)
+				return nil
+			}
+			_, p := b.dispatcher.Do(context.Background(), plain(false), sink)
+			checkProblem(t, p, sillproblem.TargetFailed, sillproblem.OutcomeUnknown)
+		})
+	}
+}
+
 func TestDoTriesAgainOnlyWhereItIsSafe(t *testing.T) {
 	ok := script{frames: []sillwire.Message{&sillwire.Head{Status: 200}, whole(0, 0)}}
 	overload := script{frames: []sillwire.Message{refused(sillproblem.Overload, sillproblem.NotRun)}}
--- a/internal/silltransport/conn.go
+++ b/internal/silltransport/conn.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/wasabisill/wasabisill/internal/sillheader"
 	"github.com/wasabisill/wasabisill/internal/sillsocket"
 )
 
@@ -43,7 +44,6 @@
 var (
 	errTooManySkipped = errors.New("too many responses to other requests")
 	errSkippedTooLong = errors.New("the body of a response to another request is too long")
-	errMalformedHead  = errors.New("the head of the response holds control characters")
 	errHeadTooLong    = errors.New("the head of the response is too long")
 )
 
@@ -251,15 +251,18 @@
 	httpReq := &http.Request{Method: req.Method}
 	for range maxReadResponses {
 		resp, err := c.readHead(httpReq)
-		if err == nil {
-			err = checkHeader(resp.Header)
-		}
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
+		if err := sillheader.CheckValues(resp.Header); err != nil {
+			return nil, err
+		}
+		if sillheader.IsInformational(resp.StatusCode) {
 			continue
 		}
+		if err := sillheader.CheckStatus(resp.StatusCode); err != nil {
+			return nil, err
+		}
 		first := !c.used
 		c.used = true
 		if c.pool.cfg.ResponseMatches == nil || c.pool.cfg.ResponseMatches(req, resp.Header, first) {
--- a/internal/silltransport/header.go
+++ b/internal/silltransport/header.go
@@ -1,26 +1,11 @@
 package silltransport
 
 import (
-	"net/http"
-
 	"github.com/rotisserie/eris"
 
 	"github.com/wasabisill/wasabisill/internal/sillheader"
 )
 
-// checkHeader returns errMalformedHead if a value of a response's header holds bytes that no
-// header can.
-func checkHeader(h http.Header) error {
-	for _, values := range h {
-		for _, v := range values {
-			if sillheader.CheckValue(v) != nil {
-				return errMalformedHead
-			}
-		}
-	}
-	return nil
-}
-
 // check returns an error for a request whose head would not be read as it is meant: something
 // in it ends a line, or frames the message.
 func (r *Request) check() error {
