Take no answer with a blank in the name of a field for an answer

Callers got answers in whose head the name of a field held a blank: with the line passed on through agents, and with a body that was not the server's, since "Content-Length : 5" and "Transfer-Encoding : chunked" did not frame the body. An item's score was the signature in such a head, and the table's clients, the store's and the calls between gateways took it.

Cause: net/http's parser takes blanks in names (it only keeps such names as they are). silltransport checked values, not names; the HTTP clients checked nothing. When the answer is written to the caller, net/http drops the line without a word.

Names with control bytes, with other separators, empty ones and a blank in front of the first were refused already; their subtests stay.

Change: sillheader.CheckFields asks for names that are tokens beside values without control characters, for final and informational answers; silltransport, sillclient and the dispatcher call it.

All cases that had the check keep it.

--- a/internal/sillclient/client.go
+++ b/internal/sillclient/client.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
+	"sync/atomic"
 
 	"github.com/wasabisill/wasabisill/internal/sillheader"
 	"github.com/wasabisill/wasabisill/internal/sillsocket"
@@ -33,12 +35,27 @@
 // RoundTrip implements http.RoundTripper.
 func (t *checkedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var used net.Conn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used = info.Conn }}
+	// malformed is the error of an informational response.
+	var malformed atomic.Pointer[error]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { used = info.Conn },
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+			err := sillheader.CheckFields(http.Header(h))
+			if err != nil {
+				malformed.Store(&err)
+			}
+			return err
+		},
+	}
 	resp, err := t.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
+		if m := malformed.Load(); m != nil {
+			// The transport may return the error of the write that it interrupted.
+			return nil, *m
+		}
 		return nil, err
 	}
-	if err := sillheader.CheckStatus(resp.StatusCode); err != nil {
+	if err := checkHead(resp); err != nil {
 		_ = resp.Body.Close()
 		// A response without a body has left the connection to the next request.
 		_ = used.Close()
@@ -47,6 +64,14 @@
 	return resp, nil
 }
 
+// checkHead checks the head of a final response.
+func checkHead(resp *http.Response) error {
+	if err := sillheader.CheckStatus(resp.StatusCode); err != nil {
+		return err
+	}
+	return sillheader.CheckFields(resp.Header)
+}
+
 // CloseIdleConnections implements the method of the same name of http.Client.
 func (t *checkedTransport) CloseIdleConnections() { t.transport.CloseIdleConnections() }
 
--- a/internal/silldispatch/attempt.go
+++ b/internal/silldispatch/attempt.go
@@ -214,7 +214,11 @@
 // checkHead returns the problem of a head that no response has. Agents of earlier builds pass
 // such heads on.
 func checkHead(m *sillwire.Head) *sillproblem.Problem {
-	if err := sillheader.CheckStatus(m.Status); err != nil {
+	err := sillheader.CheckStatus(m.Status)
+	for i := 0; err == nil && i < len(m.Header); i++ {
+		err = sillheader.CheckField(m.Header[i].Name, m.Header[i].Value)
+	}
+	if err != nil {
 		return sillproblem.New(sillproblem.TargetFailed, "%v", err).WithOutcome(sillproblem.OutcomeUnknown)
 	}
 	return nil
--- a/internal/silldispatch/dispatch_test.go
+++ b/internal/silldispatch/dispatch_test.go
@@ -220,10 +220,14 @@
 // not reach the caller.
 func TestDoRefusesMalformedHeads(t *testing.T) {
 	for name, head := range map[string]sillwire.Head{
-		"status 000": {},
-		"status 099": {Status: 99},
-		"status 101": {Status: http.StatusSwitchingProtocols},
-		"status -1":  {Status: -1},
+		"status 000":              {},
+		"status 099":              {Status: 99},
+		"status 101":              {Status: http.StatusSwitchingProtocols},
+		"blank in a name":         {Status: 200, Header: []sillwire.Field{{Name: "No te", Value: "x"}}},
+		"blank behind a name":     {Status: 200, Header: []sillwire.Field{{Name: "Content-Length ", Value: "5"}}},
+		"control byte in a name":  {Status: 200, Header: []sillwire.Field{{Name: "No\x01te", Value: "x"}}},
+		"control byte in a value": {Status: 200, Header: []sillwire.Field{{Name: "Note", Value: "\x01"}}},
+		"status -1":               {Status: -1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, script{frames: []sillwire.Message{&head, whole(0, 0)}})
--- a/internal/sillheader/response.go
+++ b/internal/sillheader/response.go
@@ -25,13 +25,26 @@
 	return nil
 }
 
-// CheckValues returns ErrMalformed for a header with control characters in a value.
-func CheckValues(h http.Header) error {
+// CheckFields returns ErrMalformed for the header of a response with a name that is no token, or
+// a value with control characters. The parser of net/http takes names with blanks, so that
+// "Content-Length : 5" is not the length of the body.
+func CheckFields(h http.Header) error {
 	for name, values := range h {
-		for _, v := range values {
-			if err := CheckValue(v); err != nil {
-				return eris.Wrapf(ErrMalformed, "header %.40q: %v", name, err)
-			}
+		if err := CheckField(name, values...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// CheckField is CheckFields for the values of one name.
+func CheckField(name string, values ...string) error {
+	if !IsToken(name) {
+		return eris.Wrapf(ErrMalformed, "header name %.40q is not a token", name)
+	}
+	for _, v := range values {
+		if err := CheckValue(v); err != nil {
+			return eris.Wrapf(ErrMalformed, "header %.40q: %v", name, err)
 		}
 	}
 	return nil
--- a/internal/silljob/brokenscore_test.go
+++ b/internal/silljob/brokenscore_test.go
@@ -24,6 +24,8 @@
 	for name, broken := range map[string]string{
 		"reset during an upload":      "HTTP/1.1 200 OK\r\n" + signed + "\r\npart",
 		"status 000":                  malformed["status 000"],
+		"blank before the colon":      malformed["blank before the colon, length"],
+		"control byte in a name":      malformed["control byte in a name"],
 		"status 000 before an answer": malformed["status 000 before an answer"],
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/sillstandtarget/malformed.go
+++ b/internal/sillstandtarget/malformed.go
@@ -18,6 +18,31 @@
 		answers["status "+status+" without a length"] = line + fields + "\r\n" + body
 		answers["status "+status+" before an answer"] = line + fields + "Content-Length: 0\r\n\r\n" + sound
 	}
+	for what, line := range map[string]string{
+		"blank in a name":                 "No te: x",
+		"blank before the colon":          "Note : x",
+		"blank before the colon, length":  "Content-Length : 1",
+		"blank before the colon, chunked": "Transfer-Encoding : chunked",
+		"blank in front of all names":     " Note: x",
+		"blank for a name":                " : x",
+		"no name":                         ": x",
+		"no colon":                        "Note",
+		"tab in a name":                   "No\tte: x",
+		"tab before the colon":            "Note\t: x",
+		"tab before the colon, length":    "Content-Length\t: 1",
+		"control byte in a name":          "No\x01te: x",
+		"zero in a name":                  "No\x00te: x",
+		"delete in a name":                "No\x7fte: x",
+		"escape in front of a name":       "\x1bNote: x",
+		"return in a name":                "No\rte: x",
+		"return before the colon, length": "Content-Length\r: 1",
+		"byte beyond ASCII in a name":     "No\xa0te: x",
+		"separator in a name":             "No(te): x",
+	} {
+		answers[what] = "HTTP/1.1 200 OK\r\n" + line + "\r\n" + fields + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+		answers[what+", without a length"] = "HTTP/1.1 200 OK\r\n" + line + "\r\n" + fields + "\r\n" + body
+		answers[what+", after informational"] = "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + sound
+	}
 	return answers
 }
 
--- a/internal/silltransport/conn.go
+++ b/internal/silltransport/conn.go
@@ -254,7 +254,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := sillheader.CheckValues(resp.Header); err != nil {
+		if err := sillheader.CheckFields(resp.Header); err != nil {
 			return nil, err
 		}
 		if sillheader.IsInformational(resp.StatusCode) {
