--- a/internal/sillagent/malformed_test.go
+++ b/internal/sillagent/malformed_test.go
@@ -41,7 +41,7 @@
 		})
 		t.Run("service, "+name+", during an upload", func(t *testing.T) {
 			t.Parallel()
-			checkMalformed(t, name, upload(t, startEarly(t, malformed, endInOrder), true))
+			checkMalformed(t, name, upload(t, startEarly(t, malformed, sillstandtarget.EndInOrder), true))
 		})
 		t.Run("service, "+name+", later", func(t *testing.T) {
 			t.Parallel()
--- a/internal/sillagent/reset_test.go
+++ b/internal/sillagent/reset_test.go
@@ -12,25 +12,16 @@
 	"github.com/wasabisill/wasabisill/internal/sillstandtarget"
 )
 
-const (
-	// uploadBytes is more than the buffers of a connection take, so that a request is still
-	// being written when its answer comes.
-	uploadBytes = 4 << 20
-	// uploads is how often a request is sent: which call learns of a reset is a matter of
-	// microseconds.
-	uploads = 40
-	// arrivalTime is how long an answer gets to arrive before its connection ends.
-	arrivalTime = time.Millisecond
-)
+// uploads is how often a request is sent: which call learns of a reset is a matter of
+// microseconds.
+const uploads = 40
 
 // startEarly starts a target that answers before it has read a request, ends the connection,
 // and returns its URL.
 func startEarly(t *testing.T, answer string, end func(conn *net.TCPConn)) string {
 	t.Helper()
 	target, err := sillstandtarget.StartEarly(func(conn *net.TCPConn, r *http.Request) bool {
-		_, _ = io.WriteString(conn, answer)
-		time.Sleep(arrivalTime)
-		end(conn)
+		sillstandtarget.AnswerEarly(conn, answer, end)
 		// A connection that was not reset is read to the end of its request.
 		_, _ = io.Copy(io.Discard, r.Body)
 		return false
@@ -42,13 +33,11 @@
 	return "http://" + target.Address()
 }
 
-func endInOrder(conn *net.TCPConn) { _ = conn.CloseWrite() }
-
 // upload sends a long request to the service at an address.
 func upload(t *testing.T, url string, idempotent bool) outcome {
 	t.Helper()
 	n := newTestRun("r", 1, idempotent)
-	n.req.Method, n.req.Path, n.body = http.MethodPost, "/x", make([]byte, uploadBytes)
+	n.req.Method, n.req.Path, n.body = http.MethodPost, "/x", make([]byte, sillstandtarget.UploadBytes)
 	return serviceAgent(url).callService(t.Context(), n)
 }
 
@@ -80,7 +69,7 @@
 		engine := sillengine.New(sillengine.Config{
 			BaseURL: startEarly(t, "HTTP/1.1 200 OK\r\n\r\n"+part, sillstandtarget.Reset), CallTimeout: time.Second,
 		})
-		body := fmt.Appendf(nil, `{"prompt":%q}`, make([]byte, uploadBytes/4))
+		body := fmt.Appendf(nil, `{"prompt":%q}`, make([]byte, sillstandtarget.UploadBytes/4))
 		for range uploads {
 			generate := sillengine.Generate{Path: "/v1/completions", Body: body, RequestID: "r"}
 			if err := engine.Generate(t.Context(), generate, func(sillengine.Part) error { return nil }); err == nil {
@@ -99,7 +88,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			url := startEarly(t, answer, endInOrder)
+			url := startEarly(t, answer, sillstandtarget.EndInOrder)
 			for range uploads {
 				if result := upload(t, url, true); result.failure != nil || result.status != http.StatusRequestEntityTooLarge || result.finish.Bytes != 5 {
 					t.Fatalf("result %+v, failure %v; want the whole answer", result, result.failure)
--- a/internal/silljob/brokenscore_test.go
+++ b/internal/silljob/brokenscore_test.go
@@ -13,6 +13,10 @@
 	"github.com/wasabisill/wasabisill/internal/silltarget"
 )
 
+// brokenScores is how many responses of a scorer are broken: which system call learns of a reset
+// is a matter of microseconds.
+const brokenScores = 6
+
 // TestBrokenScores guards against the signature in a broken response of a scorer becoming the
 // score of an item.
 func TestBrokenScores(t *testing.T) {
@@ -33,10 +37,8 @@
 			c := newCluster(t, 1, completeStream)
 			var calls atomic.Int32
 			scorer, err := sillstandtarget.StartEarly(func(conn *net.TCPConn, r *http.Request) bool {
-				if calls.Add(1) == 1 {
-					_, _ = io.WriteString(conn, broken)
-					time.Sleep(arrivalTime)
-					sillstandtarget.Reset(conn)
+				if calls.Add(1) <= brokenScores {
+					sillstandtarget.AnswerEarly(conn, broken, sillstandtarget.Reset)
 					return false
 				}
 				_, _ = io.Copy(io.Discard, r.Body)
@@ -53,7 +55,7 @@
 				ID: c.scorer.ID, Pool: "scorers", Address: scorer.Address(), State: silltarget.Ready, Slots: 8, StartedAt: time.UnixMilli(2),
 			})
 			sub := submission("job", 1)
-			sub.Items[0].ScoreRequest.Body = slices.Repeat([]byte("s"), longBodyBytes)
+			sub.Items[0].ScoreRequest.Body = slices.Repeat([]byte("s"), sillstandtarget.UploadBytes)
 			a.submit(t, sub)
 			checkComplete(t, sub, a.results(t, "job", 1), testEvents)
 		})
--- a/internal/silljob/reset_test.go
+++ b/internal/silljob/reset_test.go
@@ -16,15 +16,8 @@
 	"github.com/wasabisill/wasabisill/pkg/sillid"
 )
 
-const (
-	// longBodyBytes is more than the buffers of a connection take while its peer reads
-	// nothing, so that an item is still being written when its answer comes.
-	longBodyBytes = 4 << 20
-	// resets is how many attempts at an item are reset.
-	resets = 2
-	// arrivalTime is how long an answer gets to arrive before its connection is reset.
-	arrivalTime = time.Millisecond
-)
+// resets is how many attempts at an item are reset.
+const resets = 2
 
 // streamOf returns a response without a length that holds the events first to last-1 of a request.
 func streamOf(request string, first, last int) string {
@@ -47,9 +40,7 @@
 			next = last + 1
 		}
 		if attempts.Add(1) <= resets {
-			_, _ = io.WriteString(conn, streamOf(request, next, next+1))
-			time.Sleep(arrivalTime)
-			sillstandtarget.Reset(conn)
+			sillstandtarget.AnswerEarly(conn, streamOf(request, next, next+1), sillstandtarget.Reset)
 			return false
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -66,7 +57,7 @@
 		StartedAt: time.UnixMilli(1), Versions: versions{testModel: 1},
 	})
 	sub := submission("job", 1)
-	sub.Items[0].Body = make([]byte, longBodyBytes)
+	sub.Items[0].Body = make([]byte, sillstandtarget.UploadBytes)
 	a.submit(t, sub)
 	checkComplete(t, sub, a.results(t, "job", 1), resets+testEvents)
 }
--- a/internal/sillrelay/broken_test.go
+++ b/internal/sillrelay/broken_test.go
@@ -16,14 +16,6 @@
 	"github.com/wasabisill/wasabisill/internal/silltransport"
 )
 
-const (
-	// uploadBytes is more than the buffers of a connection take, so that a call is still
-	// being written when its response comes.
-	uploadBytes = 3 << 20
-	// arrivalTime is how long a response gets to arrive before its connection is reset.
-	arrivalTime = time.Millisecond
-)
-
 // behindPeer returns a relay that reaches the table only through a peer that answers as respond
 // does.
 func behindPeer(t *testing.T, respond func(conn *net.TCPConn, r *http.Request) bool) *Relay {
@@ -47,7 +39,7 @@
 	if row, err := r.Table().Get(t.Context(), "t/k"); !errors.Is(err, silltable.ErrUnavailable) {
 		t.Errorf("Get() = %+v, %v; want ErrUnavailable", row, err)
 	}
-	txn := write("t/k", string(make([]byte, uploadBytes)))
+	txn := write("t/k", string(make([]byte, sillstandtarget.UploadBytes)))
 	if revisions, err := r.Table().Commit(t.Context(), txn); !errors.Is(err, silltable.ErrUnknown) {
 		t.Errorf("Commit() = %v, %v; want ErrUnknown", revisions, err)
 	}
@@ -89,9 +81,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			checkNoResponse(t, behindPeer(t, func(conn *net.TCPConn, _ *http.Request) bool {
-				_, _ = io.WriteString(conn, response)
-				time.Sleep(arrivalTime)
-				sillstandtarget.Reset(conn)
+				sillstandtarget.AnswerEarly(conn, response, sillstandtarget.Reset)
 				return false
 			}))
 		})
--- a/internal/sillsocket/peek.go
+++ b/internal/sillsocket/peek.go
@@ -1,4 +1,4 @@
-// Package sillsocket asks the kernel about TCP connections.
+// Package sillsocket tells what the kernel knows of TCP connections.
 package sillsocket
 
 import (
--- a/internal/sillstandtarget/raw.go
+++ b/internal/sillstandtarget/raw.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/wasabisill/wasabisill/internal/sillgroup"
 )
@@ -79,6 +80,24 @@
 	}
 }
 
+// UploadBytes is more than the buffers of a connection take while its target reads nothing, so
+// that a request with such a body is still being written when an early answer comes.
+const UploadBytes = 4 << 20
+
+// arrivalTime is how long an early answer gets to arrive before its connection ends.
+const arrivalTime = time.Millisecond
+
+// AnswerEarly writes an answer, and ends the connection once the answer has had time to arrive.
+// end is Reset or EndInOrder.
+func AnswerEarly(conn *net.TCPConn, answer string, end func(conn *net.TCPConn)) {
+	_, _ = io.WriteString(conn, answer)
+	time.Sleep(arrivalTime)
+	end(conn)
+}
+
+// EndInOrder ends what a connection sends. The connection can still be read.
+func EndInOrder(conn *net.TCPConn) { _ = conn.CloseWrite() }
+
 // Reset closes a connection with a reset: what its peer has not read yet arrives, and after it
 // an error in place of the end.
 func Reset(conn *net.TCPConn) {
