--- a/review/standin3/bodies.go
+++ b/review/standin3/bodies.go
@@ -20,7 +20,7 @@
 
 // playBodies has a tenant submit jobs of one item with a large body each, one after the other.
 func playBodies(dir string, rec *record, trouble bool) (bool, error) {
-	w := newWorld(dir, rec, worldConfig{gateways: 3, engines: 3, apps: 3, memoryMB: crowdMemoryMB, events: 165, eventTime: 100 * time.Millisecond})
+	w := newWorld(dir, rec, worldConfig{gateways: 3, engines: 3, apps: 3, memoryMB: machineMB, events: 165, eventTime: 100 * time.Millisecond})
 	w.open()
 	if !w.awaitReady(20 * time.Second) {
 		return false, errNotReady
--- a/review/standin3/window.go
+++ b/review/standin3/window.go
@@ -35,7 +35,7 @@
 
 // playWindow has one tenant run a job with large bodies beside the step of another one.
 func playWindow(dir string, rec *record, trouble bool) (bool, error) {
-	w := newWorld(dir, rec, worldConfig{gateways: 3, engines: 9, apps: 6, memoryMB: crowdMemoryMB, events: 23, eventTime: 140 * time.Millisecond})
+	w := newWorld(dir, rec, worldConfig{gateways: 3, engines: 9, apps: 6, memoryMB: machineMB, events: 23, eventTime: 140 * time.Millisecond})
 	runs := &runLog{began: make(map[string]time.Time)}
 	for _, s := range w.servers {
 		s.onRun = func(id string) {
